--- /dev/null
+++ b/rainspindle/__init__.py
@@ -0,0 +1,1 @@
+"""rainspindle: a load balancer of which every client process has its own copy, a sidecar."""
--- /dev/null
+++ b/rainspindle/host.py
@@ -0,0 +1,86 @@
+"""What the decision module is given: plain types, and the host interface through which it acts."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+
+class Effect(Enum):
+    RETRIABLE = "retriable"
+    FINGERPRINTED = "fingerprinted"
+    BINDING = "binding"
+
+
+class Group(Enum):
+    """The endpoints that drop each other's repeats of a fingerprinted exchange."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class State(Enum):
+    GONE = "gone"
+    DRAINING = "draining"
+    READY = "ready"
+
+
+class Outcome(Enum):
+    """How a forward ended."""
+
+    SERVED = "served"
+    ERROR = "error"
+    FULL = "full"
+    TIMED_OUT = "timed out"
+    UNCONNECTED = "unconnected"
+    RESET = "reset"
+    CALLED_OFF = "called off"
+    UNSENT = "unsent"
+
+
+@dataclass(frozen=True, slots=True)
+class TrafficType:
+    effect: Effect
+    group: Group
+    promised_time: float
+    expiry: float
+    memory_span: float
+    late_value: float  # share of the value that an answer after the promised time still earns
+    stretch: float  # the promised time grows by this multiple of the exchange's own work
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """One line of the endpoint list."""
+
+    id: str
+    cell: int
+    zone: int
+    share: float
+    state: State
+    started: float | None
+
+
+class Host(Protocol):
+    """All that the decision module can do. Times are seconds."""
+
+    def forward(self, exchange: int, endpoint: str, patience: float) -> None:
+        """Send the exchange to an endpoint; forwards of one exchange count 0, 1, 2 ... in this order."""
+
+    def reject(self, exchange: int, hold_off: float) -> None: ...
+
+    def terminate(self, exchange: int) -> None: ...
+
+    def call_off(self, exchange: int, number: int) -> None: ...
+
+    def wake(self, delay: float, token: str) -> None: ...
+
+    def probe(self, endpoint: str) -> None: ...
+
+    def watch_list(self) -> None: ...
+
+    def ask_list(self) -> None: ...
+
+    def log(self, line: str) -> None: ...
--- /dev/null
+++ b/rainspindle/logic.py
@@ -0,0 +1,608 @@
+"""All decisions of one sidecar.
+
+A host makes one Balancer for each start of a sidecar and calls one method for each thing that happens:
+list_changed, list_failed, exchange_arrived, answer_started, forward_ended, client_left, probe_ended,
+woken. Each call carries the time in seconds. The Balancer acts at once through the Host it was handed;
+that interface and the plain types stand in host.py. A sidecar that is killed is simply dropped.
+Read from the bottom: Balancer holds the events, the pick and the list; the parts it uses stand above it.
+"""
+
+from __future__ import annotations
+
+import math
+import zlib
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from hashlib import blake2b
+
+from .host import Effect, Group, Host, Listed, Outcome, State, TrafficType
+
+NEVER_RAN = (Outcome.FULL, Outcome.UNCONNECTED, Outcome.UNSENT)
+TELLS_NOTHING = (Outcome.CALLED_OFF, Outcome.UNSENT)
+
+
+class Histogram:
+    """Seconds in coarse bins, each half as wide again as the one before; halving forgets."""
+
+    FIRST, STEP, BINS = 0.001, 1.5, 24
+
+    def __init__(self) -> None:
+        self.bins = [0.0] * self.BINS
+        self.total = 0.0
+
+    def add(self, seconds: float) -> None:
+        n = int(math.log(seconds / self.FIRST, self.STEP)) + 1 if seconds > self.FIRST else 0
+        self.bins[min(n, self.BINS - 1)] += 1.0
+        self.total += 1.0
+
+    def halve(self) -> None:
+        self.bins = [b / 2 if b > 0.02 else 0.0 for b in self.bins]
+        self.total = sum(self.bins)
+
+    def quantile(self, share: float, prior: float = 0.0, weight: float = 0.0) -> float:
+        """The value under which this share lies, `prior` counting as `weight` further values."""
+        if self.total + weight <= 0:
+            return prior
+        left, top = share * self.total, self.FIRST
+        for count in self.bins:
+            if count and left <= count:
+                low = 0.0 if top <= self.FIRST else top / self.STEP
+                found = low + (top - low) * left / count
+                return (found * self.total + prior * weight) / (self.total + weight)
+            left -= count
+            top *= self.STEP
+        return prior
+
+
+class Breaker:
+    """The states of a table entry: failing, then due for one trial, then on trial."""
+
+    def __init__(self, now: float) -> None:
+        self.since = now  # first failure, or the last failed trial
+        self.due = False
+        self.on_trial = False
+
+    def sweep(self, now: float, trial_delay: float) -> None:
+        if not self.on_trial and now - self.since > trial_delay:
+            self.due = True
+
+    def begin(self) -> None:
+        self.due, self.on_trial = False, True
+
+    def told_nothing(self) -> None:
+        # Guards against an entry stuck on trial when the trial's exchange ends without an outcome.
+        self.due, self.on_trial = True, False
+
+    def failed(self, now: float) -> None:
+        self.since, self.due, self.on_trial = now, False, False
+
+
+class Entry(Breaker):
+    """What is kept of one key that has failed."""
+
+    def __init__(self, endpoint: Endpoint, now: float) -> None:
+        super().__init__(now)
+        self.first = self.current = endpoint
+        self.tried = [endpoint]
+        self.retriable = self.other = 0
+        self.last = now
+
+
+class FailoverTable:
+    """Steps 2 to 5 of the design: failures by key, moves to the next endpoint, and the way back."""
+
+    RETRIABLE_LIMIT, OTHER_LIMIT = 2, 5
+    TRIAL_DELAY = 5.0
+    RESET_WINDOW = 30.0  # outlasts the trial delay, or counts would restart before any trial
+    SIZE = 4096
+
+    def __init__(self) -> None:
+        self.entries: dict[str, Entry] = {}
+
+    def failure(self, key: str, at: Endpoint, retriable: bool, now: float,
+                next_untried: Callable[[list[Endpoint]], Endpoint | None]) -> None:
+        entry = self.entries.get(key)
+        if entry is None:
+            if len(self.entries) >= self.SIZE:
+                del self.entries[next(iter(self.entries))]
+            entry = self.entries[key] = Entry(at, now)
+        if now - entry.last > self.RESET_WINDOW:
+            entry.retriable = entry.other = 0
+        entry.last = now
+        entry.retriable += retriable
+        entry.other += not retriable
+        if self.moved(entry) and at is entry.current:
+            following = next_untried(entry.tried)
+            if following is None:
+                del self.entries[key]
+                return
+            entry.current = following
+            entry.tried.append(following)
+
+    def moved(self, entry: Entry) -> bool:
+        return entry.retriable > self.RETRIABLE_LIMIT or entry.other > self.OTHER_LIMIT
+
+    def sweep(self, now: float) -> None:
+        for key, entry in list(self.entries.items()):
+            if now - entry.last > self.RESET_WINDOW and not entry.on_trial:
+                del self.entries[key]
+            else:
+                entry.sweep(now, self.TRIAL_DELAY)
+
+
+class ColdBudget:
+    """What this sidecar may send to a cold endpoint within any window, so that all together stay under it.
+
+    Each sidecar sends a cold endpoint no more than a multiple of what a warm one answers to *it*. As warm
+    endpoints together answer no more than they can do, so the sums over all sidecars keep the bound.
+    """
+
+    MARGIN = 0.5  # a cold endpoint has no warm keys, and may be a slower one than most
+
+    def __init__(self, multiple: float, window: float, cold_from: float, cold: float) -> None:
+        self.multiple, self.window, self.cold_from, self.cold = multiple, window, cold_from, cold
+
+    def capacity(self, age: float) -> float:
+        """The least share of its full capacity that an endpoint of this age has."""
+        if age >= self.cold:
+            return 1.0
+        return self.cold_from + (1 - self.cold_from) * max(age, 0.0) / self.cold
+
+    def allows(self, sent: deque[float], age: float, now: float, warm_rate: float) -> bool:
+        while sent and now - sent[0] > self.window:
+            sent.popleft()
+        room = self.MARGIN * self.multiple * self.capacity(age - self.window) * self.window * warm_rate
+        return len(sent) < max(1.0, room)
+
+
+@dataclass(eq=False, slots=True)
+class Exchange:
+    id: int
+    type: TrafficType
+    key: str
+    hint: float
+    promised_at: float
+    expires_at: float
+    forwards: int = 0
+    out: int = 0
+    tried: list[Endpoint] = field(default_factory=list)
+    ran_at: float = math.inf  # when the first forward that may have run was sent
+    ran_where: Endpoint | None = None
+
+
+@dataclass(eq=False, slots=True)
+class Forward:
+    exchange: Exchange
+    number: int
+    endpoint: Endpoint
+    sent: float
+    trial: Breaker | None
+    endpoint_trial: bool
+    overdue: bool = False
+    flowing: bool = False
+
+
+class Endpoint:
+    """What this sidecar knows of one endpoint: as listed, and as its own forwards found it."""
+
+    START_CREDIT, MOST_CREDIT, EARNED = 3.0, 10.0, 0.2
+    LEAST_WINDOW, MOST_WINDOW = 1.0, 64.0
+    FAILURES, SHARE = 2, 0.25  # the keyless trip: more failures than this in 10 s, and over this share
+
+    def __init__(self, line: Listed) -> None:
+        self.id = line.id
+        self.cold_sends: deque[float] = deque()
+        self.reset(line)
+
+    def reset(self, line: Listed) -> None:
+        self.line = line
+        self.latency, self.pace = Histogram(), Histogram()
+        self.out: dict[tuple[int, int], Forward] = {}
+        self.credit, self.window = self.START_CREDIT, 8.0
+        self.answered_at = self.sent_at = -math.inf
+        self.eased_at = -math.inf
+        self.failures, self.outcomes = [0, 0], [0, 0]  # this half of the 10 s, and the half before
+        self.breaker: Breaker | None = None
+        self.died = False  # the failures since the trip began looked like a dead process
+        self.ramp_from, self.ramp_length = line.started if line.started else -math.inf, 0.0
+
+    def answered(self, now: float, sent: float, latency: float, hint: float, promised: float) -> None:
+        self.answered_at = now
+        if hint:
+            self.pace.add(latency / hint)
+            latency = max(0.0, latency - hint * self.pace.quantile(0.3))
+        self.latency.add(latency)
+        self.credit = min(self.credit + self.EARNED, self.MOST_CREDIT)
+        if now - sent < promised / 2:
+            self.window = min(self.window + 1 / self.window, self.MOST_WINDOW)
+        elif now - sent > promised * 0.8:
+            self.ease(now, sent)
+
+    def ease(self, now: float, sent: float) -> None:
+        if sent > self.eased_at:  # at most once for what was out together
+            self.window, self.eased_at = max(self.LEAST_WINDOW, self.window * 0.7), now
+
+    def predicted(self, now: float, hint: float, usual: float, usual_pace: float) -> float:
+        wait = self.latency.quantile(0.75, usual, 2.0)
+        if self.out:
+            wait = max(wait, now - next(iter(self.out.values())).sent)
+        return wait + (hint * self.pace.quantile(0.5, usual_pace, 2.0) if hint else 0.0)
+
+    def outcome(self, failed: bool) -> None:
+        self.outcomes[0] += 1
+        self.failures[0] += failed
+
+    def trips(self) -> bool:
+        failures = sum(self.failures)
+        return failures > self.FAILURES and failures > self.SHARE * sum(self.outcomes)
+
+
+class Balancer:
+    TICK, SWEEP, HALF, FORGET = 0.1, 1.0, 5.0, 2.0
+    SKIP_FACTOR, SKIP_PLUS = 1.25, 2
+    BACK_RAMP = 5.0  # seconds over which an endpoint's keys come back after a good trial
+
+    def __init__(self, host: Host, seed: int, now: float, *, zone: int, types: list[TrafficType],
+                 max_forwards: int, parallel: bool, may_call_off: bool, max_hold_off: float,
+                 asks_list: bool, ask_within: float, use_shares: bool, cross_price: float,
+                 budget: ColdBudget) -> None:
+        self.host, self.seed, self.zone, self.types = host, seed, zone, types
+        self.max_forwards, self.parallel, self.may_call_off = max_forwards, parallel, may_call_off
+        self.max_hold_off, self.asks_list, self.ask_within = max_hold_off, asks_list, ask_within
+        self.use_shares, self.local_boost, self.budget = use_shares, math.exp(cross_price * 20), budget
+        self.draws = 0
+        self.endpoints: dict[str, Endpoint] = {}
+        self.ready: list[Endpoint] = []
+        self.ranks: dict[str, list[Endpoint]] = {}
+        self.table = FailoverTable()
+        self.exchanges: dict[int, Exchange] = {}
+        self.forwards: dict[tuple[int, int], Forward] = {}
+        self.latency, self.pace = Histogram(), Histogram()
+        self.usual = self.usual_pace = self.slow = 0.0
+        self.answers, self.warm_rate = 0, 0.0
+        self.list_failures = 0
+        self.list_lost = False
+        self.rejecting = False
+        self.swept = self.halved = self.forgot = now
+        if asks_list:
+            host.watch_list()
+        host.wake(self.TICK, "tick")
+
+    def chance(self) -> float:
+        self.draws += 1
+        return zlib.crc32(b"%d:%d" % (self.seed, self.draws)) / 2**32
+
+    # The list.
+
+    def list_changed(self, now: float, lines: Iterable[Listed], whole: bool, stale: bool) -> None:
+        if not stale and self.list_lost:
+            self.list_lost = False
+            self.host.log(f"list back after {self.list_failures} failures")
+        if not stale:
+            self.list_failures = 0
+        named = set()
+        for line in lines:
+            named.add(line.id)
+            known = self.endpoints.get(line.id)
+            if known is None:
+                self.endpoints[line.id] = Endpoint(line)
+            elif line.started and line.started != known.line.started:
+                out = known.out
+                known.reset(line)
+                known.out = out
+                self.host.log(f"{line.id} restarted {now - line.started:.1f} s ago: cold")
+            else:
+                known.line = line
+        if whole:
+            for known in self.endpoints.values():
+                if known.id not in named:
+                    old = known.line
+                    known.line = Listed(old.id, old.cell, old.zone, old.share, State.GONE, old.started)
+        self.ready = [e for e in self.endpoints.values() if e.line.state is State.READY]
+        self.ready.sort(key=lambda e: e.id)
+        self.ranks.clear()
+
+    def list_failed(self, now: float) -> None:
+        self.list_failures += 1
+        if not self.list_lost:
+            self.list_lost = True
+            self.host.log("list lost: asking again")
+        delay = min(0.25 * 2**self.list_failures, self.ask_within / 4)
+        self.host.wake(delay * (0.5 + self.chance()), "list")
+
+    # Exchanges.
+
+    def exchange_arrived(self, now: float, id: int, type_index: int, key: str | None, hint: float | None,
+                         expires_at: float) -> None:
+        kind = self.types[type_index]
+        promised = min(kind.promised_time + kind.stretch * (hint or 0.0), kind.expiry)
+        x = Exchange(id, kind, key or f"{self.chance()}", hint or 0.0, now + promised, expires_at)
+        self.exchanges[id] = x
+        if not self.advance(x, now):
+            self.give_up(x, now)
+
+    def answer_started(self, now: float, id: int, number: int, elapsed: float) -> None:
+        forward = self.forwards.get((id, number))
+        if forward is not None:
+            forward.flowing = True
+            self.note_answer(forward, now)
+
+    def forward_ended(self, now: float, id: int, number: int, over: bool, outcome: Outcome) -> None:
+        forward = self.forwards.pop((id, number), None)
+        if forward is None:
+            return
+        x, endpoint = forward.exchange, forward.endpoint
+        endpoint.out.pop((id, number), None)
+        x.out -= 1
+        if outcome is Outcome.SERVED:
+            if not forward.flowing:
+                self.note_answer(forward, now)
+        elif outcome in TELLS_NOTHING:
+            if forward.trial:
+                forward.trial.told_nothing()
+            if forward.endpoint_trial and endpoint.breaker:
+                endpoint.breaker.told_nothing()
+        else:
+            self.note_failure(forward, outcome, now)
+        if outcome not in NEVER_RAN and forward.sent < x.ran_at:
+            x.ran_at, x.ran_where = forward.sent, endpoint
+        if over or outcome is Outcome.SERVED:
+            self.forget(x)
+        elif id in self.exchanges and not x.out and not self.advance(x, now):
+            self.give_up(x, now)
+
+    def client_left(self, now: float, id: int) -> None:
+        x = self.exchanges.get(id)
+        if x is not None:
+            self.forget(x)
+
+    def probe_ended(self, now: float, endpoint: str, served: bool, elapsed: float) -> None:
+        """No probes are sent: the trials are real exchanges."""
+
+    def forget(self, x: Exchange) -> None:
+        self.exchanges.pop(x.id, None)
+        if x.out and self.may_call_off:
+            for number in range(x.forwards):
+                forward = self.forwards.get((x.id, number))
+                if forward is not None and not forward.flowing:
+                    self.host.call_off(x.id, number)
+
+    def give_up(self, x: Exchange, now: float) -> None:
+        """The final answer, at once: a rejection where that is harmless, else a termination."""
+        harmless = (x.ran_where is None and not x.out) or x.type.effect is Effect.RETRIABLE or (
+            x.type.effect is Effect.FINGERPRINTED and x.type.group is Group.ALL)
+        if harmless:
+            self.host.reject(x.id, min(self.max_hold_off, max(self.usual, 0.05) * 4))
+        else:
+            self.host.terminate(x.id)
+        self.forget(x)
+
+    def advance(self, x: Exchange, now: float) -> bool:
+        """Send the exchange on its next forward, if one is permitted, worth it and predicted in time."""
+        if x.forwards >= self.max_forwards or now >= x.expires_at or (x.out and not self.parallel):
+            return False
+        within = None
+        if x.ran_where is not None:
+            if x.type.effect is Effect.BINDING:
+                return False
+            if x.type.effect is Effect.FINGERPRINTED:
+                if now - x.ran_at >= x.type.memory_span:
+                    return False
+                within = self.group(x)
+        picked = self.pick(x, now, within)
+        if picked is None:
+            return False
+        endpoint, trial, endpoint_trial = picked
+        if trial:
+            trial.begin()
+        if endpoint_trial and endpoint.breaker:
+            endpoint.breaker.begin()
+        if x.forwards:
+            endpoint.credit -= 1
+        if self.cold_age(endpoint, now) is not None:
+            endpoint.cold_sends.append(now)
+        forward = Forward(x, x.forwards, endpoint, now, trial, endpoint_trial)
+        self.forwards[x.id, x.forwards] = endpoint.out[x.id, x.forwards] = forward
+        endpoint.sent_at = now
+        x.forwards += 1
+        x.out += 1
+        x.tried.append(endpoint)
+        self.host.forward(x.id, endpoint.id, self.patience(x, now))
+        return True
+
+    def group(self, x: Exchange) -> Callable[[Endpoint], bool] | None:
+        assert x.ran_where is not None
+        where = x.ran_where.line
+        if x.type.group is Group.ZONE:
+            return lambda e: e.line.zone == where.zone
+        if x.type.group is Group.CELL:
+            return lambda e: e.line.cell == where.cell
+        return None
+
+    def patience(self, x: Exchange, now: float) -> float:
+        left = x.expires_at - now
+        if x.type.effect is Effect.BINDING:
+            return left  # nothing is gained by an early time-out: it could not go again
+        promised = x.promised_at - now
+        again = promised - 1.5 * self.usual  # the last moment at which another forward could be in time
+        if x.forwards < self.max_forwards and again > self.slow:
+            return min(again, left)
+        if x.type.late_value <= 0 and promised > 0:
+            return min(promised, left)
+        return left
+
+    # The pick.
+
+    def rank(self, key: str) -> list[Endpoint]:
+        """Ready endpoints by weighted rendezvous hash: alike at all sidecars of a zone."""
+        ranked = self.ranks.get(key)
+        if ranked is None:
+            if len(self.ranks) > 20000:
+                self.ranks.clear()
+
+            def distance(e: Endpoint) -> float:
+                word = blake2b(f"{key}|{e.id}".encode(), digest_size=8).digest()
+                weight = e.line.share if self.use_shares and e.line.share > 0 else 1.0
+                if e.line.zone == self.zone:
+                    weight *= self.local_boost
+                return -math.log((int.from_bytes(word, "big") + 1) / 2**64) / weight
+            ranked = self.ranks[key] = sorted(self.ready, key=distance)
+        return ranked
+
+    def cold_age(self, e: Endpoint, now: float) -> float | None:
+        age = now - e.ramp_from
+        return age if age < self.budget.cold and not e.ramp_length else None
+
+    def ramped(self, e: Endpoint, key: str, now: float) -> bool:
+        """Whether the key is among those that a starting or restored endpoint takes by now.
+
+        The same keys at every sidecar, so that they are warm when the rest comes."""
+        age = now - e.ramp_from
+        if age > max(e.ramp_length, self.budget.cold):
+            return True
+        share = age / e.ramp_length if e.ramp_length else self.budget.capacity(age)
+        return zlib.crc32(f"{e.id}|{key}".encode()) / 2**32 < share
+
+    def room(self, e: Endpoint, mean: float, now: float) -> bool:
+        """Below the design's skip line, below its window, and within the budget if cold."""
+        if len(e.out) > self.SKIP_FACTOR * mean + self.SKIP_PLUS or len(e.out) >= e.window:
+            return False
+        age = self.cold_age(e, now)
+        return age is None or self.budget.allows(e.cold_sends, age, now, self.warm_rate)
+
+    def pick(self, x: Exchange, now: float, within: Callable[[Endpoint], bool] | None
+             ) -> tuple[Endpoint, Breaker | None, bool] | None:
+        ranked = self.rank(x.key)
+        mean = len(self.forwards) / len(ranked) if ranked else 0.0
+        entry = self.table.entries.get(x.key)
+        if entry and entry.current.line.state is not State.READY:
+            del self.table.entries[x.key]  # step 4: the entry drops when its endpoint is unready
+            entry = None
+        further = bool(x.forwards)
+
+        def open_to(e: Endpoint) -> bool:
+            return (e not in x.tried and (within is None or within(e))
+                    and not (further and e.credit < 1) and self.room(e, mean, now))
+
+        if entry and entry.due and not further and entry.first.line.state is State.READY \
+                and not entry.first.breaker and open_to(entry.first):
+            return entry.first, entry, False  # step 5: the key's next exchange alone is the trial
+        if entry and self.table.moved(entry):
+            ranked = [entry.current] + [e for e in ranked if e not in entry.tried]
+        left = x.promised_at - now
+        best, best_time = None, math.inf
+        for e in ranked:
+            if e.line.state is not State.READY or not open_to(e):
+                continue
+            if e.breaker:
+                if e.breaker.due and not further and x.type.effect is not Effect.BINDING:
+                    return e, None, True
+                continue
+            if not self.ramped(e, x.key, now):
+                continue
+            time = e.predicted(now, x.hint, self.usual, self.usual_pace)
+            if time <= left / 2:
+                return e, None, False
+            # Guards against a lock-out: where nothing is out, one forward may always ask again.
+            if not e.out and now - e.sent_at > 1.0 and not further:
+                return e, None, False
+            if time < best_time and time <= left:
+                best, best_time = e, time
+        return (best, None, False) if best else None
+
+    # Health.
+
+    def note_answer(self, forward: Forward, now: float) -> None:
+        x, endpoint, latency = forward.exchange, forward.endpoint, now - forward.sent
+        promised = x.type.promised_time
+        late = latency > promised
+        self.answers += 1
+        endpoint.answered(now, forward.sent, latency, x.hint, promised)
+        if x.hint:
+            self.pace.add(latency / x.hint)
+        self.latency.add(max(0.0, latency - x.hint * self.usual_pace) if x.hint else latency)
+        if forward.trial and self.table.entries.get(x.key) is forward.trial:
+            del self.table.entries[x.key]
+        if endpoint.breaker:
+            if forward.endpoint_trial and late:
+                endpoint.breaker.failed(now)
+            elif forward.endpoint_trial:
+                self.restore(endpoint, now)
+        else:
+            self.judge(endpoint, late and not forward.overdue, now, "late")
+
+    def note_failure(self, forward: Forward, outcome: Outcome, now: float) -> None:
+        x, endpoint = forward.exchange, forward.endpoint
+        if outcome in (Outcome.UNCONNECTED, Outcome.RESET):
+            endpoint.died = True
+        if outcome in (Outcome.FULL, Outcome.TIMED_OUT):
+            endpoint.ease(now, forward.sent)
+        # Guards against long work: a time-out says nothing of an endpoint that answered since.
+        sound = outcome is Outcome.TIMED_OUT and endpoint.answered_at > forward.sent
+        if forward.trial:
+            forward.trial.failed(now)
+        if not sound:
+            def next_untried(tried: list[Endpoint]) -> Endpoint | None:
+                return next((e for e in self.rank(x.key) if e not in tried and not e.breaker), None)
+            self.table.failure(x.key, endpoint, x.type.effect is Effect.RETRIABLE, now, next_untried)
+        if endpoint.breaker:
+            if forward.endpoint_trial:
+                endpoint.breaker.failed(now)
+        elif not forward.overdue:
+            self.judge(endpoint, not sound, now, outcome.value)
+
+    def judge(self, endpoint: Endpoint, failed: bool, now: float, why: str) -> None:
+        """The keyless trip of the design, run for each endpoint on all of its outcomes."""
+        endpoint.outcome(failed)
+        if failed and not endpoint.breaker and endpoint.trips():
+            endpoint.breaker = Breaker(now)
+            self.host.log(f"{endpoint.id} out: {sum(endpoint.failures)} of {sum(endpoint.outcomes)} "
+                          f"failed, last {why}, {len(endpoint.out)} outstanding")
+
+    def restore(self, endpoint: Endpoint, now: float) -> None:
+        self.host.log(f"{endpoint.id} back after {now - endpoint.answered_at:.1f} s")
+        endpoint.breaker = None
+        endpoint.failures, endpoint.outcomes = [0, 0], [0, 0]
+        endpoint.latency = Histogram()
+        # Guards against one good trial sending all keys back at once; a process that died is cold.
+        endpoint.ramp_from, endpoint.ramp_length = now, 0.0 if endpoint.died else self.BACK_RAMP
+        endpoint.died = False
+
+    def woken(self, now: float, token: str) -> None:
+        if token == "list":
+            self.host.watch_list()
+            return
+        self.host.wake(self.TICK, "tick")
+        overdue = max(3 * self.slow, 0.1)
+        for e in self.endpoints.values():
+            for forward in e.out.values():
+                if now - forward.sent < overdue or e.breaker:
+                    break
+                # Silence: a forward long overdue at an endpoint that has answered nothing since.
+                if not forward.overdue and e.answered_at < forward.sent:
+                    forward.overdue = True
+                    self.judge(e, True, now, "silent")
+        if now - self.swept >= self.SWEEP:
+            self.sweep(now)
+
+    def sweep(self, now: float) -> None:
+        self.warm_rate += 0.2 * (self.answers / (now - self.swept) / max(1, len(self.ready)) - self.warm_rate)
+        self.answers, self.swept = 0, now
+        self.table.sweep(now)
+        self.usual, self.slow = self.latency.quantile(0.5), self.latency.quantile(0.9)
+        self.usual_pace = self.pace.quantile(0.4)
+        for e in self.endpoints.values():
+            if e.breaker:
+                e.breaker.sweep(now, FailoverTable.TRIAL_DELAY)
+            if now - self.halved >= self.HALF:
+                e.failures, e.outcomes = [0, e.failures[0]], [0, e.outcomes[0]]
+            if now - self.forgot >= self.FORGET:
+                e.latency.halve()
+                e.pace.halve()
+        if now - self.halved >= self.HALF:
+            self.halved = now
+        if now - self.forgot >= self.FORGET:
+            self.forgot = now
+            self.latency.halve()
+            self.pace.halve()
--- /dev/null
+++ b/rainspindle/simhost/settings.py
@@ -0,0 +1,44 @@
+"""The wire's settings, handed to the parts of the decision module that need them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ..host import Effect, Group, Host, TrafficType
+from ..logic import Balancer, ColdBudget
+
+EFFECTS = {
+    "read_like": Effect.RETRIABLE,
+    "idempotency_key": Effect.FINGERPRINTED,
+    "non_idempotent": Effect.BINDING,
+}
+GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+
+
+def seconds(ms: float | None) -> float:
+    return (ms or 0.0) / 1000
+
+
+def traffic_type(t: dict[str, Any]) -> TrafficType:
+    if t["effect"] not in EFFECTS:
+        raise ValueError(f"unknown effect {t['effect']!r}")
+    group = t.get("dedup-scope") or "all"
+    if group not in GROUPS:
+        raise ValueError(f"unknown group {group!r}")
+    return TrafficType(
+        EFFECTS[t["effect"]], GROUPS[group], seconds(t["promised-time"]), seconds(t["expiry"]),
+        seconds(t.get("memory-span")), t.get("overdue-value") or 0.0, t.get("aim-stretch") or 0.0)
+
+
+def make_balancer(host: Host, seed: int, now: float, s: dict[str, Any]) -> Balancer:
+    limits, contract = s["policy-limits"], s["contract"]
+    budget = ColdBudget(contract["fall-multiple"], seconds(contract["tip-after"]), contract["cold-from"],
+                        seconds(contract["cold"]))
+    return Balancer(
+        host, seed, now, zone=s["zone"], types=[traffic_type(t) for t in s["traffic-types"]],
+        max_forwards=limits["max-forwards"], parallel=bool(limits.get("parallel-tries")),
+        may_call_off=bool(limits.get("cancel")),
+        max_hold_off=seconds(limits.get("max-retry-after")) if limits.get("retry-after") else 0.0,
+        asks_list=s["discovery"] == "on_request", ask_within=seconds(contract["ask-within"]),
+        use_shares=s.get("weight-kind") in ("nominal", "rough"),
+        cross_price=(s.get("prices") or {}).get("cross-zone") or 0.0, budget=budget)
