Judge silence by the promised time until answers came

Cause: before the first answers the overdue limit was 0.1 s, so sound endpoints tripped at 0:00 on all three first incidents (log: 'last silent' at 0:00).

--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -574,7 +574,8 @@
             self.host.watch_list()
             return
         self.host.wake(self.TICK, "tick")
-        overdue = max(3 * self.slow, 0.1)
+        # Before there is an answer to go by, silence is judged by the promised time alone.
+        overdue = 3 * self.slow if self.slow else max(t.promised_time for t in self.types)
         for e in self.endpoints.values():
             for forward in e.out.values():
                 if now - forward.sent < overdue or e.breaker:
