--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -207,16 +207,16 @@
         self.died = False  # the failures since the trip began looked like a dead process
         self.ramp_from, self.ramp_length = line.started if line.started else -math.inf, 0.0
 
-    def answered(self, now: float, sent: float, latency: float, hint: float, promised: float) -> None:
+    def answered(self, now: float, sent: float, latency: float, hint: float, enough: float) -> None:
         self.answered_at = now
         if hint:
             self.pace.add(latency / hint)
             latency = max(0.0, latency - hint * self.pace.quantile(0.3))
         self.latency.add(latency)
         self.credit = min(self.credit + self.EARNED, self.MOST_CREDIT)
-        if now - sent < promised / 2:
+        if now - sent < enough:
             self.window = min(self.window + 1 / self.window, self.MOST_WINDOW)
-        elif now - sent > promised * 0.8:
+        else:
             self.ease(now, sent)
 
     def ease(self, now: float, sent: float) -> None:
@@ -241,6 +241,7 @@
 class Balancer:
     TICK, SWEEP, HALF, FORGET = 0.1, 1.0, 5.0, 2.0
     SKIP_FACTOR, SKIP_PLUS = 1.25, 2
+    QUEUED = 5.0  # an answer that took this multiple of the calmest usual time met a queue
     BACK_RAMP = 5.0  # seconds over which an endpoint's keys come back after a good trial
 
     def __init__(self, host: Host, seed: int, now: float, *, zone: int, types: list[TrafficType],
@@ -259,7 +260,7 @@
         self.exchanges: dict[int, Exchange] = {}
         self.forwards: dict[tuple[int, int], Forward] = {}
         self.latency, self.pace = Histogram(), Histogram()
-        self.usual = self.usual_pace = self.slow = 0.0
+        self.usual = self.usual_pace = self.slow = self.calm = 0.0
         self.answers, self.warm_rate = 0, 0.0
         self.list_failures = 0
         self.list_lost = False
@@ -518,7 +519,10 @@
         promised = x.type.promised_time
         late = latency > promised
         self.answers += 1
-        endpoint.answered(now, forward.sent, latency, x.hint, promised)
+        # Guards against overdriving: a queue shows as a multiple of the calmest usual time long before
+        # the promised time is in danger.
+        enough = min(self.QUEUED * self.calm, promised / 2) if self.calm else promised / 2
+        endpoint.answered(now, forward.sent, latency, x.hint, enough)
         if x.hint:
             self.pace.add(latency / x.hint)
         self.latency.add(max(0.0, latency - x.hint * self.usual_pace) if x.hint else latency)
@@ -592,6 +596,7 @@
         self.answers, self.swept = 0, now
         self.table.sweep(now)
         self.usual, self.slow = self.latency.quantile(0.5), self.latency.quantile(0.9)
+        self.calm = min(self.calm * 1.01, self.usual) if self.calm else self.usual
         self.usual_pace = self.pace.quantile(0.4)
         for e in self.endpoints.values():
             if e.breaker:
