Window halved when eased at 4 times the calm time, starting at 4

Cause: queues still stood under overload since a window of 8 at each of several sidecars overdrives an endpoint, and 0.7 takes it back slowly.

--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -199,7 +199,7 @@
         self.line = line
         self.latency, self.pace = Histogram(), Histogram()
         self.out: dict[tuple[int, int], Forward] = {}
-        self.credit, self.window = self.START_CREDIT, 8.0
+        self.credit, self.window = self.START_CREDIT, 4.0
         self.answered_at = self.sent_at = -math.inf
         self.eased_at = -math.inf
         self.failures, self.outcomes = [0, 0], [0, 0]  # this half of the 10 s, and the half before
@@ -221,7 +221,7 @@
 
     def ease(self, now: float, sent: float) -> None:
         if sent > self.eased_at:  # at most once for what was out together
-            self.window, self.eased_at = max(self.LEAST_WINDOW, self.window * 0.7), now
+            self.window, self.eased_at = max(self.LEAST_WINDOW, self.window * 0.5), now
 
     def predicted(self, now: float, hint: float, usual: float, usual_pace: float) -> float:
         wait = self.latency.quantile(0.75, usual, 2.0)
@@ -241,7 +241,7 @@
 class Balancer:
     TICK, SWEEP, HALF, FORGET = 0.1, 1.0, 5.0, 2.0
     SKIP_FACTOR, SKIP_PLUS = 1.25, 2
-    QUEUED = 5.0  # an answer that took this multiple of the calmest usual time met a queue
+    QUEUED = 4.0  # an answer that took this multiple of the calmest usual time met a queue
     BACK_RAMP = 5.0  # seconds over which an endpoint's keys come back after a good trial
 
     def __init__(self, host: Host, seed: int, now: float, *, zone: int, types: list[TrafficType],
