--- /dev/null
+++ b/tests/test_cases.py
@@ -0,0 +1,233 @@
+"""Plain cases: the design's steps, each failure found, and the adapter's bad input."""
+
+from __future__ import annotations
+
+import io
+import json
+from typing import Any
+
+import pytest
+
+from rainspindle.host import Effect, Outcome, State
+from rainspindle.logic import Breaker, Entry, FailoverTable, Histogram
+from rainspindle.simhost.adapter import serve
+
+from .fleet import Fleet, kind, line
+
+
+def serve_some(fleet: Fleet, start: int, count: int, gap: float = 0.05, took: float = 0.02) -> None:
+    for id in range(start, start + count):
+        held = fleet.arrive(id, key=f"key{id}")
+        fleet.wait(took)
+        if held.sent and held.sent[-1].outcome is None:
+            fleet.end(id, len(held.sent) - 1, Outcome.SERVED)
+        fleet.wait(gap)
+
+
+def fail_home(fleet: Fleet, id: int, key: str = "k") -> str:
+    """An exchange whose first forward errs and whose next is served; gives the first endpoint."""
+    held = fleet.arrive(id, key=key)
+    fleet.end(id, 0, Outcome.ERROR)
+    if held.answer is None:
+        fleet.end(id, 1, Outcome.SERVED)
+    return held.sent[0].endpoint
+
+
+def tripped_key(fleet: Fleet) -> str:
+    serve_some(fleet, 0, 60)  # answers enough that no endpoint trips as a whole
+    homes = {fail_home(fleet, 1000 + n) for n in range(3)}
+    assert len(homes) == 1
+    return homes.pop()
+
+
+def test_key_moves_past_the_threshold_and_returns_by_one_trial() -> None:
+    fleet = Fleet([kind()], [line(n) for n in range(4)])
+    home = tripped_key(fleet)
+    moved = fleet.arrive(2000)
+    assert moved.sent[0].endpoint != home
+    fleet.end(2000, 0, Outcome.SERVED)
+    fleet.wait(7.0)
+    trial, beside = fleet.arrive(2001), fleet.arrive(2002)
+    assert trial.sent[0].endpoint == home and beside.sent[0].endpoint != home
+    fleet.end(2001, 0, Outcome.SERVED)
+    assert fleet.arrive(2003).sent[0].endpoint == home
+    assert not fleet.balancer.table.entries
+
+
+def test_failed_trial_resets_the_clock_and_an_empty_one_does_not() -> None:
+    fleet = Fleet([kind()], [line(n) for n in range(4)])
+    home = tripped_key(fleet)
+    fleet.wait(7.0)
+    assert fleet.arrive(2001).sent[0].endpoint == home
+    fleet.leave(2001)
+    fleet.end(2001, 0, Outcome.CALLED_OFF)
+    assert fleet.arrive(2002).sent[0].endpoint == home  # nothing was told: the next is the trial
+    fleet.end(2002, 0, Outcome.ERROR)
+    assert fleet.arrive(2003).sent[0].endpoint != home
+
+
+def test_counts_restart_after_the_window_and_entries_are_bounded() -> None:
+    fleet = Fleet([kind()], [line(0), line(1)])
+    table, (a, b) = FailoverTable(), fleet.balancer.ready
+    table.failure("k", a, True, 0.0, lambda tried: b)
+    table.failure("k", a, True, 1.0, lambda tried: b)
+    table.failure("k", a, True, 32.0, lambda tried: b)
+    assert table.entries["k"].retriable == 1 and table.entries["k"].current is a
+    for n in range(table.SIZE + 10):
+        table.failure(f"k{n}", a, False, 32.0, lambda tried: b)
+    assert len(table.entries) <= table.SIZE
+    table.sweep(100.0)
+    assert not table.entries
+
+
+def test_entry_drops_when_no_endpoint_is_left() -> None:
+    fleet = Fleet([kind()], [line(0)])
+    table, (a,) = FailoverTable(), fleet.balancer.ready
+    for n in range(3):
+        table.failure("k", a, True, float(n), lambda tried: None)
+    assert not table.entries
+    assert issubclass(Entry, Breaker)
+
+
+def test_dead_endpoint_trips_and_its_keys_come_back_ramped() -> None:
+    fleet = Fleet([kind()], [line(n) for n in range(4)])
+    serve_some(fleet, 0, 60)
+    dead, id = "e0", 100
+    for _ in range(60):
+        held = fleet.arrive(id, key=f"key{id}")
+        for n in range(4):
+            if len(held.sent) > n:
+                fleet.end(id, n, Outcome.UNCONNECTED if held.sent[n].endpoint == dead else Outcome.SERVED)
+        id += 1
+    assert any(x.startswith("e0 out") for x in fleet.logs)
+    assert not any(s.endpoint == dead for h in list(fleet.held.values())[-20:] for s in h.sent)
+    fleet.wait(6.5)
+    serve_some(fleet, 500, 120, gap=0.01)
+    assert any(x.startswith("e0 back") for x in fleet.logs)
+    share = [sum(s.endpoint == dead for i in span for s in fleet.held[i].sent) for span in
+             (range(500, 560), range(560, 620))]
+    assert share[0] < 15  # not all keys at once
+
+
+def test_timeout_of_long_work_is_not_held_against_an_endpoint_that_answers() -> None:
+    fleet = Fleet([kind()], [line(0)])
+    serve_some(fleet, 0, 20)
+    for id in range(100, 106):
+        fleet.arrive(id, key="long")
+        fleet.arrive(id + 100, key="short")
+        fleet.wait(0.05)
+        fleet.end(id + 100, 0, Outcome.SERVED)
+        fleet.end(id, 0, Outcome.TIMED_OUT)
+        fleet.wait(1.1)
+    assert not fleet.logs and not fleet.balancer.table.entries
+
+
+def test_silence_counts_before_any_timeout() -> None:
+    fleet = Fleet([kind(Effect.BINDING)], [line(n) for n in range(3)])
+    serve_some(fleet, 0, 60)
+    for id in range(100, 160):
+        held = fleet.arrive(id, key=f"key{id}")
+        fleet.wait(0.01)
+        if held.sent and held.sent[0].endpoint != "e1" and held.sent[0].outcome is None:
+            fleet.end(id, 0, Outcome.SERVED)
+    assert any(x.startswith("e1 out") and "silent" in x for x in fleet.logs)
+
+
+def test_no_silence_is_seen_before_answers_tell_what_is_usual() -> None:
+    fleet = Fleet([kind()], [line(0)])  # the first incidents: sound endpoints tripped in the first second
+    for id in range(4):
+        fleet.arrive(id, key=f"key{id}")
+    fleet.wait(0.4)
+    assert not fleet.logs
+
+
+def test_queue_seen_in_latency_closes_the_window_before_the_promised_time_is_near() -> None:
+    fleet = Fleet([kind()], [line(0)])  # the overloads: forwards waited until they timed out
+    serve_some(fleet, 0, 60)
+    calm = fleet.balancer.ready[0].window
+    serve_some(fleet, 100, 6, took=0.15)
+    assert calm > 6 and fleet.balancer.ready[0].window < 2
+
+
+def test_nothing_usable_gets_a_prompt_rejection() -> None:
+    fleet = Fleet([kind(Effect.BINDING)], [])
+    assert fleet.arrive(1).answer == "rejected"
+    fleet.tell([line(0, State.DRAINING)], whole=True)
+    assert fleet.arrive(2).answer == "rejected"
+    fleet.tell([line(0)])
+    assert fleet.arrive(3, wait=-1.0).answer == "rejected"
+
+
+def test_watch_is_asked_again_after_a_failure() -> None:
+    fleet = Fleet([kind()], [line(0)])
+    for _ in range(8):
+        before = fleet.watches
+        fleet.balancer.list_failed(fleet.now)
+        fleet.wait(4.0)
+        assert fleet.watches == before + 1
+    assert fleet.logs == ["list lost: asking again"]
+    fleet.tell([line(0)])
+    assert len(fleet.logs) == 2
+
+
+def test_histogram_finds_quantiles_and_forgets() -> None:
+    h = Histogram()
+    assert h.quantile(0.5, prior=0.3) == 0.3
+    for _ in range(90):
+        h.add(0.010)
+    for _ in range(10):
+        h.add(1.0)
+    assert 0.005 < h.quantile(0.5) < 0.015 and 0.6 < h.quantile(0.95) < 1.5
+    for _ in range(20):
+        h.halve()
+    assert h.total == 0
+
+
+SETTINGS: dict[str, Any] = {
+    "contract": {"ask-within": 1e4, "cold": 24e3, "cold-from": 0.15, "fall-multiple": 2.5, "tip-after": 3e3},
+    "discovery": "on_request", "policy-limits": {"max-forwards": 4, "new-key": 1},
+    "zone": 0, "unheard-of": [],
+    "traffic-types": [{"effect": "read_like", "expiry": 2500.0, "promised-time": 600.0}]}
+HELLO = {"event_type": "Hello", "sidecar-id": "sidecar/0", "salt": 1, "settings": SETTINGS}
+
+
+def run(*lines: object) -> tuple[int, list[dict[str, Any]]]:
+    source = b"".join((x if isinstance(x, bytes) else json.dumps(x).encode()) + b"\n" for x in lines)
+    sink = io.BytesIO()
+    status = serve(io.BytesIO(source), sink)
+    return status, [json.loads(x) for x in sink.getvalue().splitlines()]
+
+
+def batch(*messages: dict[str, Any], now: float = 8000.0) -> dict[str, Any]:
+    return {"now": now, "msgs": list(messages)}
+
+
+def test_adapter_resolves_reused_pages_and_a_restart_in_one_batch() -> None:
+    def roster(id: str) -> dict[str, Any]:
+        return {"event_type": "Roster", "page": 0, "lines": [{"endpoint": id, "mode": 2, "start-time": None}]}
+    change = {"event_type": "RosterChange", "sidecar-id": "sidecar/0", "mode": 0, "stamp": 1, "page": 0}
+    incoming = {"event_type": "Incoming", "sidecar-id": "sidecar/0", "corr": 5, "lane": 0,
+                "not-after": 9000.0}
+    late = {"event_type": "Verdict", "sidecar-id": "sidecar/0", "corr": 5, "endpoint": "a", "try": 0,
+            "over": True, "duration": 5.0, "how": "S", "feedback": None}
+    status, replies = run(batch(), batch(HELLO, roster("a"), change, incoming),
+                          batch({"event_type": "CrashNow", "sidecar-id": "sidecar/0"}, HELLO, roster("b"),
+                                change, {**incoming, "corr": 6}, late))
+    tries = [[(x["corr"], x["endpoint"]) for x in r["outbox"] if x["event_type"] == "Try"] for r in replies]
+    assert status == 0 and tries == [[], [(5, "a")], [(6, "b")]]
+
+
+@pytest.mark.parametrize("bad, named", [
+    (b"{", "not JSON"), (b"[]", "without 'now'"),
+    (batch({"event_type": "Odd", "sidecar-id": "sidecar/9"}), "never started"),
+    (batch(HELLO, {"event_type": "Odd", "sidecar-id": "sidecar/0"}), "Odd"), (batch({"x": 1}), "event_type"),
+    (batch({**HELLO, "settings": {**SETTINGS, "contract": {}}}), "fall-multiple"),
+    (batch({**HELLO, "settings": {**SETTINGS, "traffic-types": [
+        {"effect": "odd", "expiry": 1, "promised-time": 1}]}}), "unknown effect 'odd'"),
+    (batch({**HELLO, "settings": {**SETTINGS, "traffic-types": [
+        {"effect": "read_like", "dedup-scope": "odd", "expiry": 1, "promised-time": 1}]}}), "unknown group"),
+])
+def test_bad_input_is_named_in_one_line(bad: object, named: str, capfd: pytest.CaptureFixture[str]) -> None:
+    status, _ = run(bad)
+    err = capfd.readouterr().err
+    assert status and named in err and err.count("\n") == 1 and "Traceback" not in err
