--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -241,7 +241,6 @@
 class Balancer:
     TICK, SWEEP, HALF, FORGET = 0.1, 1.0, 5.0, 2.0
     SKIP_FACTOR, SKIP_PLUS = 1.25, 2
-    SLOW = 4.0  # an endpoint whose median is this multiple of the usual one is rested
     QUEUED = 3.0  # an answer that took this multiple of the calmest usual time met a queue
     BACK_RAMP = 5.0  # seconds over which an endpoint's keys come back after a good trial
 
@@ -574,18 +573,6 @@
         endpoint.ramp_from, endpoint.ramp_length = now, 0.0 if endpoint.died else self.BACK_RAMP
         endpoint.died = False
 
-    def rest_slow(self, now: float) -> None:
-        """One endpoint a sweep, the slowest, goes out if far slower than most; a third at most."""
-        resting = sum(e.breaker is not None for e in self.ready)
-        if not self.ready or resting >= len(self.ready) / 3:
-            return
-        time, slowest = max(((e.latency.quantile(0.5), e.id) for e in self.ready if not e.breaker
-                             and e.latency.total >= 3), default=(0.0, ""))
-        if time > self.SLOW * max(self.usual, self.calm):
-            endpoint = self.endpoints[slowest]
-            endpoint.breaker = Breaker(now)
-            self.host.log(f"{slowest} out: slow, {time:.3f} s where {self.usual:.3f} s is usual")
-
     def woken(self, now: float, token: str) -> None:
         if token == "list":
             self.host.watch_list()
@@ -611,7 +598,6 @@
         self.usual, self.slow = self.latency.quantile(0.5), self.latency.quantile(0.9)
         self.calm = min(self.calm * 1.01, self.usual) if self.calm else self.usual
         self.usual_pace = self.pace.quantile(0.4)
-        self.rest_slow(now)
         for e in self.endpoints.values():
             if e.breaker:
                 e.breaker.sweep(now, FailoverTable.TRIAL_DELAY)
