--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -197,7 +197,7 @@
 
     def reset(self, line: Listed) -> None:
         self.line = line
-        self.latency, self.pace = Histogram(), Histogram()
+        self.latency, self.wait, self.pace = Histogram(), Histogram(), Histogram()
         self.out: dict[tuple[int, int], Forward] = {}
         self.credit, self.window = self.START_CREDIT, 4.0
         self.answered_at = self.sent_at = -math.inf
@@ -209,10 +209,10 @@
 
     def answered(self, now: float, sent: float, latency: float, hint: float, enough: float) -> None:
         self.answered_at = now
+        self.latency.add(latency)
         if hint:
             self.pace.add(latency / hint)
-            latency = max(0.0, latency - hint * self.pace.quantile(0.3))
-        self.latency.add(latency)
+            self.wait.add(max(0.0, latency - hint * self.pace.quantile(0.3)))
         self.credit = min(self.credit + self.EARNED, self.MOST_CREDIT)
         if now - sent < enough:
             self.window = min(self.window + 1 / self.window, self.MOST_WINDOW)
@@ -224,10 +224,11 @@
             self.window, self.eased_at = max(self.LEAST_WINDOW, self.window * 0.5), now
 
     def predicted(self, now: float, hint: float, usual: float, usual_pace: float) -> float:
-        wait = self.latency.quantile(0.75, usual, 2.0)
-        if self.out:
-            wait = max(wait, now - next(iter(self.out.values())).sent)
-        return wait + (hint * self.pace.quantile(0.5, usual_pace, 2.0) if hint else 0.0)
+        oldest = now - next(iter(self.out.values())).sent if self.out else 0.0
+        if not hint:
+            return max(self.latency.quantile(0.75, usual, 2.0), oldest)
+        work = hint * self.pace.quantile(0.5, usual_pace, 2.0)
+        return max(self.wait.quantile(0.75, usual, 2.0), oldest) + work
 
     def outcome(self, failed: bool) -> None:
         self.outcomes[0] += 1
@@ -241,7 +242,7 @@
 class Balancer:
     TICK, SWEEP, HALF, FORGET = 0.1, 1.0, 5.0, 2.0
     SKIP_FACTOR, SKIP_PLUS = 1.25, 2
-    QUEUED = 3.0  # an answer that took this multiple of the calmest usual time met a queue
+    QUEUED = 1.5  # an answer that took this multiple of the calmest usual time met a queue
     BACK_RAMP = 5.0  # seconds over which an endpoint's keys come back after a good trial
 
     def __init__(self, host: Host, seed: int, now: float, *, zone: int, types: list[TrafficType],
@@ -525,7 +526,7 @@
         endpoint.answered(now, forward.sent, latency, x.hint, enough)
         if x.hint:
             self.pace.add(latency / x.hint)
-        self.latency.add(max(0.0, latency - x.hint * self.usual_pace) if x.hint else latency)
+        self.latency.add(latency)
         if forward.trial and self.table.entries.get(x.key) is forward.trial:
             del self.table.entries[x.key]
         if endpoint.breaker:
@@ -568,7 +569,7 @@
         self.host.log(f"{endpoint.id} back: trial answered in {latency:.3f} s")
         endpoint.breaker = None
         endpoint.failures, endpoint.outcomes = [0, 0], [0, 0]
-        endpoint.latency = Histogram()
+        endpoint.latency, endpoint.wait = Histogram(), Histogram()
         # Guards against one good trial sending all keys back at once; a process that died is cold.
         endpoint.ramp_from, endpoint.ramp_length = now, 0.0 if endpoint.died else self.BACK_RAMP
         endpoint.died = False
@@ -604,8 +605,8 @@
             if now - self.halved >= self.HALF:
                 e.failures, e.outcomes = [0, e.failures[0]], [0, e.outcomes[0]]
             if now - self.forgot >= self.FORGET:
-                e.latency.halve()
-                e.pace.halve()
+                for histogram in (e.latency, e.wait, e.pace):
+                    histogram.halve()
         if now - self.halved >= self.HALF:
             self.halved = now
         if now - self.forgot >= self.FORGET:
