--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -223,12 +223,12 @@
         if sent > self.eased_at:  # at most once for what was out together
             self.window, self.eased_at = max(self.LEAST_WINDOW, self.window * 0.5), now
 
-    def predicted(self, now: float, hint: float, usual: float, usual_pace: float) -> float:
+    def predicted(self, now: float, hint: float, usual: float, usual_wait: float, usual_pace: float) -> float:
         oldest = now - next(iter(self.out.values())).sent if self.out else 0.0
         if not hint:
             return max(self.latency.quantile(0.75, usual, 2.0), oldest)
         work = hint * self.pace.quantile(0.5, usual_pace, 2.0)
-        return max(self.wait.quantile(0.75, usual, 2.0), oldest) + work
+        return max(self.wait.quantile(0.75, usual_wait, 2.0), oldest) + work
 
     def outcome(self, failed: bool) -> None:
         self.outcomes[0] += 1
@@ -260,8 +260,8 @@
         self.table = FailoverTable()
         self.exchanges: dict[int, Exchange] = {}
         self.forwards: dict[tuple[int, int], Forward] = {}
-        self.latency, self.pace = Histogram(), Histogram()
-        self.usual = self.usual_pace = self.slow = self.calm = 0.0
+        self.latency, self.wait, self.pace = Histogram(), Histogram(), Histogram()
+        self.usual = self.usual_wait = self.usual_pace = self.slow = self.calm = 0.0
         self.answers, self.warm_rate = 0, 0.0
         self.list_failures = 0
         self.list_lost = False
@@ -503,7 +503,7 @@
                 continue
             if not self.ramped(e, x.key, now):
                 continue
-            time = e.predicted(now, x.hint, self.usual, self.usual_pace)
+            time = e.predicted(now, x.hint, self.usual, self.usual_wait, self.usual_pace)
             if time <= left / 2:
                 return e, None, False
             # Guards against a lock-out: where nothing is out, one forward may always ask again.
@@ -526,6 +526,7 @@
         endpoint.answered(now, forward.sent, latency, x.hint, enough)
         if x.hint:
             self.pace.add(latency / x.hint)
+            self.wait.add(max(0.0, latency - x.hint * self.usual_pace))
         self.latency.add(latency)
         if forward.trial and self.table.entries.get(x.key) is forward.trial:
             del self.table.entries[x.key]
@@ -598,7 +599,7 @@
         self.table.sweep(now)
         self.usual, self.slow = self.latency.quantile(0.5), self.latency.quantile(0.9)
         self.calm = min(self.calm * 1.01, self.usual) if self.calm else self.usual
-        self.usual_pace = self.pace.quantile(0.4)
+        self.usual_wait, self.usual_pace = self.wait.quantile(0.5), self.pace.quantile(0.4)
         for e in self.endpoints.values():
             if e.breaker:
                 e.breaker.sweep(now, FailoverTable.TRIAL_DELAY)
@@ -611,5 +612,5 @@
             self.halved = now
         if now - self.forgot >= self.FORGET:
             self.forgot = now
-            self.latency.halve()
-            self.pace.halve()
+            for histogram in (self.latency, self.wait, self.pace):
+                histogram.halve()
