--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -427,8 +427,8 @@
         if x.type.effect is Effect.BINDING:
             return left  # nothing is gained by an early time-out: it could not go again
         promised = x.promised_at - now
-        again = promised - 1.5 * self.usual  # the last moment at which another forward could be in time
-        if x.forwards < self.max_forwards and again > self.slow:
+        again = promised - 0.5 * self.usual  # the last moment at which another forward could be in time
+        if x.forwards < self.max_forwards and again > 0:
             return min(again, left)
         if x.type.late_value <= 0 and promised > 0:
             return min(promised, left)
