--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -242,7 +242,7 @@
 class Balancer:
     TICK, SWEEP, HALF, FORGET = 0.1, 1.0, 5.0, 2.0
     SKIP_FACTOR, SKIP_PLUS = 1.25, 2
-    QUEUED = 1.0  # an answer that took this multiple of the calmest usual time met a queue
+    QUEUED = 0.7  # an answer that took this multiple of the calmest usual time met a queue
     BACK_RAMP = 5.0  # seconds over which an endpoint's keys come back after a good trial
 
     def __init__(self, host: Host, seed: int, now: float, *, zone: int, types: list[TrafficType],
