Judge the window by the endpoint's median against the calm one

Departure for generality: single answers under 0.7 of the calm time are rare on any endpoint, so windows stood at 1 even on idle ones.

--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -188,6 +188,8 @@
 
     START_CREDIT, MOST_CREDIT, EARNED = 3.0, 10.0, 0.2
     LEAST_WINDOW, MOST_WINDOW = 1.0, 64.0
+    # Guards against overdriving: a queue shows in the median long before the promised time is in danger.
+    QUEUED = 1.0
     FAILURES, SHARE = 2, 0.25  # the keyless trip: more failures than this in 10 s, and over this share
 
     def __init__(self, line: Listed) -> None:
@@ -207,14 +209,14 @@
         self.died = False  # the failures since the trip began looked like a dead process
         self.ramp_from, self.ramp_length = line.started if line.started else -math.inf, 0.0
 
-    def answered(self, now: float, sent: float, latency: float, hint: float, enough: float) -> None:
+    def answered(self, now: float, sent: float, latency: float, hint: float, calm: float, most: float) -> None:
         self.answered_at = now
         self.latency.add(latency)
         if hint:
             self.pace.add(latency / hint)
             self.wait.add(max(0.0, latency - hint * self.pace.quantile(0.3)))
         self.credit = min(self.credit + self.EARNED, self.MOST_CREDIT)
-        if now - sent < enough:
+        if latency < most and self.latency.quantile(0.5, calm, 1.0) < self.QUEUED * calm:
             self.window = min(self.window + 1 / self.window, self.MOST_WINDOW)
         else:
             self.ease(now, sent)
@@ -242,7 +244,6 @@
 class Balancer:
     TICK, SWEEP, HALF, FORGET = 0.1, 1.0, 5.0, 2.0
     SKIP_FACTOR, SKIP_PLUS = 1.25, 2
-    QUEUED = 0.7  # an answer that took this multiple of the calmest usual time met a queue
     BACK_RAMP = 5.0  # seconds over which an endpoint's keys come back after a good trial
 
     def __init__(self, host: Host, seed: int, now: float, *, zone: int, types: list[TrafficType],
@@ -520,10 +521,7 @@
         promised = x.type.promised_time
         late = latency > promised
         self.answers += 1
-        # Guards against overdriving: a queue shows as a multiple of the calmest usual time long before
-        # the promised time is in danger.
-        enough = min(self.QUEUED * self.calm, promised / 2) if self.calm else promised / 2
-        endpoint.answered(now, forward.sent, latency, x.hint, enough)
+        endpoint.answered(now, forward.sent, latency, x.hint, self.calm or promised, promised / 2)
         if x.hint:
             self.pace.add(latency / x.hint)
             self.wait.add(max(0.0, latency - x.hint * self.usual_pace))
