--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -201,7 +201,7 @@
         self.line = line
         self.latency, self.wait, self.pace = Histogram(), Histogram(), Histogram()
         self.out: dict[tuple[int, int], Forward] = {}
-        self.credit, self.window = self.START_CREDIT, 4.0
+        self.credit, self.window, self.calm = self.START_CREDIT, 4.0, 0.0
         self.answered_at = self.sent_at = -math.inf
         self.eased_at = -math.inf
         self.failures, self.outcomes = [0, 0], [0, 0]  # this half of the 10 s, and the half before
@@ -521,7 +521,7 @@
         promised = x.type.promised_time
         late = latency > promised
         self.answers += 1
-        endpoint.answered(now, forward.sent, latency, x.hint, self.calm or promised, promised / 2)
+        endpoint.answered(now, forward.sent, latency, x.hint, endpoint.calm or self.calm or promised, promised / 2)
         if x.hint:
             self.pace.add(latency / x.hint)
             self.wait.add(max(0.0, latency - x.hint * self.usual_pace))
@@ -601,6 +601,8 @@
         for e in self.endpoints.values():
             if e.breaker:
                 e.breaker.sweep(now, FailoverTable.TRIAL_DELAY)
+            if e.latency.total >= 4:
+                e.calm = min(e.calm * 1.01 or math.inf, e.latency.quantile(0.5))
             if now - self.halved >= self.HALF:
                 e.failures, e.outcomes = [0, e.failures[0]], [0, e.outcomes[0]]
             if now - self.forgot >= self.FORGET:
