--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -209,7 +209,8 @@
         self.died = False  # the failures since the trip began looked like a dead process
         self.ramp_from, self.ramp_length = line.started if line.started else -math.inf, 0.0
 
-    def answered(self, now: float, sent: float, latency: float, hint: float, calm: float, most: float) -> None:
+    def answered(self, now: float, sent: float, latency: float, hint: float, calm: float,
+                 most: float) -> None:
         self.answered_at = now
         self.latency.add(latency)
         if hint:
@@ -225,7 +226,8 @@
         if sent > self.eased_at:  # at most once for what was out together
             self.window, self.eased_at = max(self.LEAST_WINDOW, self.window * 0.5), now
 
-    def predicted(self, now: float, hint: float, usual: float, usual_wait: float, usual_pace: float) -> float:
+    def predicted(self, now: float, hint: float, usual: float, usual_wait: float,
+                  usual_pace: float) -> float:
         oldest = now - next(iter(self.out.values())).sent if self.out else 0.0
         if not hint:
             return max(self.latency.quantile(0.75, usual, 2.0), oldest)
@@ -521,7 +523,8 @@
         promised = x.type.promised_time
         late = latency > promised
         self.answers += 1
-        endpoint.answered(now, forward.sent, latency, x.hint, endpoint.calm or self.calm or promised, promised / 2)
+        calm = endpoint.calm or self.calm or promised
+        endpoint.answered(now, forward.sent, latency, x.hint, calm, promised / 2)
         if x.hint:
             self.pace.add(latency / x.hint)
             self.wait.add(max(0.0, latency - x.hint * self.usual_pace))
