An endpoint's window by what waits there, shared among all sidecars

What waits is the window less the part in work (window x calm/median); all sidecars together may let 1 wait at an endpoint.

--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -188,12 +188,10 @@
 
     START_CREDIT, MOST_CREDIT, EARNED = 3.0, 10.0, 0.2
     LEAST_WINDOW, MOST_WINDOW = 1.0, 64.0
-    # Guards against overdriving: a queue shows in the median long before the promised time is in danger.
-    QUEUED = 1.0
     FAILURES, SHARE = 2, 0.25  # the keyless trip: more failures than this in 10 s, and over this share
 
-    def __init__(self, line: Listed) -> None:
-        self.id = line.id
+    def __init__(self, line: Listed, may_wait: float) -> None:
+        self.id, self.may_wait = line.id, may_wait
         self.cold_sends: deque[float] = deque()
         self.reset(line)
 
@@ -217,10 +215,13 @@
             self.pace.add(latency / hint)
             self.wait.add(max(0.0, latency - hint * self.pace.quantile(0.3)))
         self.credit = min(self.credit + self.EARNED, self.MOST_CREDIT)
-        if latency < most and self.latency.quantile(0.5, calm, 1.0) < self.QUEUED * calm:
-            self.window = min(self.window + 1 / self.window, self.MOST_WINDOW)
-        else:
+        # Guards against overdriving: a queue shows in the median long before the promised time is in
+        # danger. What this sidecar has waiting there is its window less the part that is in work.
+        waiting = self.window * (1 - calm / max(self.latency.quantile(0.5, calm, 1.0), calm))
+        if latency > most or waiting > self.may_wait:
             self.ease(now, sent)
+        else:
+            self.window = min(self.window + 1 / self.window, self.MOST_WINDOW)
 
     def ease(self, now: float, sent: float) -> None:
         if sent > self.eased_at:  # at most once for what was out together
@@ -246,13 +247,15 @@
 class Balancer:
     TICK, SWEEP, HALF, FORGET = 0.1, 1.0, 5.0, 2.0
     SKIP_FACTOR, SKIP_PLUS = 1.25, 2
+    QUEUE = 1.0  # exchanges that all sidecars together let wait at one endpoint
     BACK_RAMP = 5.0  # seconds over which an endpoint's keys come back after a good trial
 
-    def __init__(self, host: Host, seed: int, now: float, *, zone: int, types: list[TrafficType],
+    def __init__(self, host: Host, seed: int, now: float, *, peers: int, zone: int, types: list[TrafficType],
                  max_forwards: int, parallel: bool, may_call_off: bool, max_hold_off: float,
                  asks_list: bool, ask_within: float, use_shares: bool, cross_price: float,
                  budget: ColdBudget) -> None:
         self.host, self.seed, self.zone, self.types = host, seed, zone, types
+        self.peers = max(peers, 1)
         self.max_forwards, self.parallel, self.may_call_off = max_forwards, parallel, may_call_off
         self.max_hold_off, self.asks_list, self.ask_within = max_hold_off, asks_list, ask_within
         self.use_shares, self.local_boost, self.budget = use_shares, math.exp(cross_price * 20), budget
@@ -291,7 +294,7 @@
             named.add(line.id)
             known = self.endpoints.get(line.id)
             if known is None:
-                self.endpoints[line.id] = Endpoint(line)
+                self.endpoints[line.id] = Endpoint(line, self.QUEUE / self.peers)
             elif line.started and line.started != known.line.started:
                 out = known.out
                 known.reset(line)
