--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -187,7 +187,7 @@
     """What this sidecar knows of one endpoint: as listed, and as its own forwards found it."""
 
     START_CREDIT, MOST_CREDIT, EARNED = 3.0, 10.0, 0.2
-    LEAST_WINDOW, MOST_WINDOW = 1.0, 64.0
+    LEAST_WINDOW, MOST_WINDOW = 0.2, 64.0
     FAILURES, SHARE = 2, 0.25  # the keyless trip: more failures than this in 10 s, and over this share
 
     def __init__(self, line: Listed, may_wait: float) -> None:
@@ -221,12 +221,20 @@
         if latency > most or waiting > self.may_wait:
             self.ease(now, sent)
         else:
-            self.window = min(self.window + 1 / self.window, self.MOST_WINDOW)
+            self.window = min(self.window + 1 / max(self.window, 1.0), self.MOST_WINDOW)
 
     def ease(self, now: float, sent: float) -> None:
         if sent > self.eased_at:  # at most once for what was out together
             self.window, self.eased_at = max(self.LEAST_WINDOW, self.window * 0.5), now
 
+    def open(self, now: float) -> bool:
+        """A window under 1 holds one forward at a time and a pause after it.
+
+        Guards against many sidecars, each with one forward out, overdriving an endpoint together."""
+        if self.window >= 1 or self.out:
+            return len(self.out) < self.window
+        return now - self.answered_at >= (1 / self.window - 1) * self.latency.quantile(0.5)
+
     def predicted(self, now: float, hint: float, usual: float, usual_wait: float,
                   usual_pace: float) -> float:
         oldest = now - next(iter(self.out.values())).sent if self.out else 0.0
@@ -474,7 +482,7 @@
 
     def room(self, e: Endpoint, mean: float, now: float) -> bool:
         """Below the design's skip line, below its window, and within the budget if cold."""
-        if len(e.out) > self.SKIP_FACTOR * mean + self.SKIP_PLUS or len(e.out) >= e.window:
+        if len(e.out) > self.SKIP_FACTOR * mean + self.SKIP_PLUS or not e.open(now):
             return False
         age = self.cold_age(e, now)
         return age is None or self.budget.allows(e.cold_sends, age, now, self.warm_rate)
