--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -187,11 +187,11 @@
     """What this sidecar knows of one endpoint: as listed, and as its own forwards found it."""
 
     START_CREDIT, MOST_CREDIT, EARNED = 3.0, 10.0, 0.2
-    LEAST_WINDOW, MOST_WINDOW = 0.2, 64.0
+    MOST_WINDOW = 64.0
     FAILURES, SHARE = 2, 0.25  # the keyless trip: more failures than this in 10 s, and over this share
 
-    def __init__(self, line: Listed, may_wait: float) -> None:
-        self.id, self.may_wait = line.id, may_wait
+    def __init__(self, line: Listed, may_wait: float, least_window: float) -> None:
+        self.id, self.may_wait, self.least_window = line.id, may_wait, least_window
         self.cold_sends: deque[float] = deque()
         self.reset(line)
 
@@ -225,7 +225,7 @@
 
     def ease(self, now: float, sent: float) -> None:
         if sent > self.eased_at:  # at most once for what was out together
-            self.window, self.eased_at = max(self.LEAST_WINDOW, self.window * 0.5), now
+            self.window, self.eased_at = max(self.least_window, self.window * 0.5), now
 
     def open(self, now: float) -> bool:
         """A window under 1 holds one forward at a time and a pause after it.
@@ -256,6 +256,7 @@
     TICK, SWEEP, HALF, FORGET = 0.1, 1.0, 5.0, 2.0
     SKIP_FACTOR, SKIP_PLUS = 1.25, 2
     QUEUE = 1.0  # exchanges that all sidecars together let wait at one endpoint
+    HELD = 8.0  # forwards that all sidecars together may always have out at one endpoint
     BACK_RAMP = 5.0  # seconds over which an endpoint's keys come back after a good trial
 
     def __init__(self, host: Host, seed: int, now: float, *, peers: int, zone: int, types: list[TrafficType],
@@ -302,7 +303,8 @@
             named.add(line.id)
             known = self.endpoints.get(line.id)
             if known is None:
-                self.endpoints[line.id] = Endpoint(line, self.QUEUE / self.peers)
+                self.endpoints[line.id] = Endpoint(line, self.QUEUE / self.peers,
+                                                   min(1.0, self.HELD / self.peers))
             elif line.started and line.started != known.line.started:
                 out = known.out
                 known.reset(line)
