--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -187,11 +187,11 @@
     """What this sidecar knows of one endpoint: as listed, and as its own forwards found it."""
 
     START_CREDIT, MOST_CREDIT, EARNED = 3.0, 10.0, 0.2
-    MOST_WINDOW = 64.0
+    LEAST_WINDOW, MOST_WINDOW = 1.0, 64.0
     FAILURES, SHARE = 2, 0.25  # the keyless trip: more failures than this in 10 s, and over this share
 
-    def __init__(self, line: Listed, may_wait: float, least_window: float) -> None:
-        self.id, self.may_wait, self.least_window = line.id, may_wait, least_window
+    def __init__(self, line: Listed, may_wait: float) -> None:
+        self.id, self.may_wait = line.id, may_wait
         self.cold_sends: deque[float] = deque()
         self.reset(line)
 
@@ -221,19 +221,11 @@
         if latency > most or waiting > self.may_wait:
             self.ease(now, sent)
         else:
-            self.window = min(self.window + 1 / max(self.window, 1.0), self.MOST_WINDOW)
+            self.window = min(self.window + 1 / self.window, self.MOST_WINDOW)
 
     def ease(self, now: float, sent: float) -> None:
         if sent > self.eased_at:  # at most once for what was out together
-            self.window, self.eased_at = max(self.least_window, self.window * 0.5), now
-
-    def open(self, now: float) -> bool:
-        """A window under 1 holds one forward at a time and a pause after it.
-
-        Guards against many sidecars, each with one forward out, overdriving an endpoint together."""
-        if self.window >= 1 or self.out:
-            return len(self.out) < self.window
-        return now - self.answered_at >= (1 / self.window - 1) * self.latency.quantile(0.5)
+            self.window, self.eased_at = max(self.LEAST_WINDOW, self.window * 0.5), now
 
     def predicted(self, now: float, hint: float, usual: float, usual_wait: float,
                   usual_pace: float) -> float:
@@ -256,7 +248,6 @@
     TICK, SWEEP, HALF, FORGET = 0.1, 1.0, 5.0, 2.0
     SKIP_FACTOR, SKIP_PLUS = 1.25, 2
     QUEUE = 1.0  # exchanges that all sidecars together let wait at one endpoint
-    HELD = 8.0  # forwards that all sidecars together may always have out at one endpoint
     BACK_RAMP = 5.0  # seconds over which an endpoint's keys come back after a good trial
 
     def __init__(self, host: Host, seed: int, now: float, *, peers: int, zone: int, types: list[TrafficType],
@@ -303,8 +294,7 @@
             named.add(line.id)
             known = self.endpoints.get(line.id)
             if known is None:
-                self.endpoints[line.id] = Endpoint(line, self.QUEUE / self.peers,
-                                                   min(1.0, self.HELD / self.peers))
+                self.endpoints[line.id] = Endpoint(line, self.QUEUE / self.peers)
             elif line.started and line.started != known.line.started:
                 out = known.out
                 known.reset(line)
@@ -484,7 +474,7 @@
 
     def room(self, e: Endpoint, mean: float, now: float) -> bool:
         """Below the design's skip line, below its window, and within the budget if cold."""
-        if len(e.out) > self.SKIP_FACTOR * mean + self.SKIP_PLUS or not e.open(now):
+        if len(e.out) > self.SKIP_FACTOR * mean + self.SKIP_PLUS or len(e.out) >= e.window:
             return False
         age = self.cold_age(e, now)
         return age is None or self.budget.allows(e.cold_sends, age, now, self.warm_rate)
