--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -167,7 +167,6 @@
     forwards: int = 0
     out: int = 0
     tried: list[Endpoint] = field(default_factory=list)
-    wait_until: float = math.inf
     ran_at: float = math.inf  # when the first forward that may have run was sent
     ran_where: Endpoint | None = None
 
@@ -249,7 +248,6 @@
     TICK, SWEEP, HALF, FORGET = 0.1, 1.0, 5.0, 2.0
     SKIP_FACTOR, SKIP_PLUS = 1.25, 2
     QUEUE = 1.0  # exchanges that all sidecars together let wait at one endpoint
-    WAIT = 0.3  # share of the promised time that an exchange may wait here for room
     BACK_RAMP = 5.0  # seconds over which an endpoint's keys come back after a good trial
 
     def __init__(self, host: Host, seed: int, now: float, *, peers: int, zone: int, types: list[TrafficType],
@@ -267,7 +265,6 @@
         self.ranks: dict[str, list[Endpoint]] = {}
         self.table = FailoverTable()
         self.exchanges: dict[int, Exchange] = {}
-        self.waiting: deque[Exchange] = deque()
         self.forwards: dict[tuple[int, int], Forward] = {}
         self.latency, self.wait, self.pace = Histogram(), Histogram(), Histogram()
         self.usual = self.usual_wait = self.usual_pace = self.slow = self.calm = 0.0
@@ -330,7 +327,7 @@
         promised = min(kind.promised_time + kind.stretch * (hint or 0.0), kind.expiry)
         x = Exchange(id, kind, key or f"{self.chance()}", hint or 0.0, now + promised, expires_at)
         self.exchanges[id] = x
-        if (self.waiting or not self.advance(x, now)) and not self.hold(x, now):
+        if not self.advance(x, now):
             self.give_up(x, now)
 
     def answer_started(self, now: float, id: int, number: int, elapsed: float) -> None:
@@ -362,7 +359,6 @@
             self.forget(x)
         elif id in self.exchanges and not x.out and not self.advance(x, now):
             self.give_up(x, now)
-        self.release(now)
 
     def client_left(self, now: float, id: int) -> None:
         x = self.exchanges.get(id)
@@ -423,29 +419,6 @@
         self.host.forward(x.id, endpoint.id, self.patience(x, now))
         return True
 
-    def hold(self, x: Exchange, now: float) -> bool:
-        """Let a new exchange wait for room, if those before it leave by answers in good time.
-
-        Guards against rejecting in a burst of a moment what is predicted to be served in time."""
-        may_wait = min(self.WAIT * (x.promised_at - now), x.expires_at - now)
-        rate = self.warm_rate * len(self.ready)
-        if not self.forwards or len(self.waiting) + 1 > rate * may_wait:
-            return False
-        x.wait_until = now + may_wait
-        self.waiting.append(x)
-        self.host.wake(may_wait, "waited")
-        return True
-
-    def release(self, now: float) -> None:
-        while self.waiting:
-            x = self.waiting[0]
-            if x.id in self.exchanges:
-                if now >= x.wait_until:
-                    self.give_up(x, now)
-                elif not self.advance(x, now):
-                    return
-            self.waiting.popleft()
-
     def group(self, x: Exchange) -> Callable[[Endpoint], bool] | None:
         assert x.ran_where is not None
         where = x.ran_where.line
@@ -610,9 +583,6 @@
         if token == "list":
             self.host.watch_list()
             return
-        self.release(now)
-        if token == "waited":
-            return
         self.host.wake(self.TICK, "tick")
         # Before there is an answer to go by, silence is judged by the promised time alone.
         overdue = 3 * self.slow if self.slow else max(t.promised_time for t in self.types)
