--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -31,10 +31,10 @@
         self.bins = [0.0] * self.BINS
         self.total = 0.0
 
-    def add(self, seconds: float) -> None:
+    def add(self, seconds: float, weight: float = 1.0) -> None:
         n = int(math.log(seconds / self.FIRST, self.STEP)) + 1 if seconds > self.FIRST else 0
-        self.bins[min(n, self.BINS - 1)] += 1.0
-        self.total += 1.0
+        self.bins[min(n, self.BINS - 1)] += weight
+        self.total += weight
 
     def halve(self) -> None:
         self.bins = [b / 2 if b > 0.02 else 0.0 for b in self.bins]
@@ -212,7 +212,7 @@
         self.answered_at = now
         self.latency.add(latency)
         if hint:
-            self.pace.add(latency / hint)
+            self.pace.add(latency / hint, hint / 0.1)  # by weight: short work tells of waits, not pace
             self.wait.add(max(0.0, latency - hint * self.pace.quantile(0.3)))
         self.credit = min(self.credit + self.EARNED, self.MOST_CREDIT)
         # Guards against overdriving: a queue shows in the median long before the promised time is in
@@ -529,7 +529,7 @@
         calm = endpoint.calm or self.calm or promised
         endpoint.answered(now, forward.sent, latency, x.hint, calm, promised / 2)
         if x.hint:
-            self.pace.add(latency / x.hint)
+            self.pace.add(latency / x.hint, x.hint / 0.1)
             self.wait.add(max(0.0, latency - x.hint * self.usual_pace))
         self.latency.add(latency)
         if forward.trial and self.table.entries.get(x.key) is forward.trial:
