--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -186,7 +186,6 @@
 class Endpoint:
     """What this sidecar knows of one endpoint: as listed, and as its own forwards found it."""
 
-    CROWDED = 1.5
     START_CREDIT, MOST_CREDIT, EARNED = 3.0, 10.0, 0.2
     LEAST_WINDOW, MOST_WINDOW = 1.0, 64.0
     FAILURES, SHARE = 2, 0.25  # the keyless trip: more failures than this in 10 s, and over this share
@@ -218,9 +217,8 @@
         self.credit = min(self.credit + self.EARNED, self.MOST_CREDIT)
         # Guards against overdriving: a queue shows in the median long before the promised time is in
         # danger. What this sidecar has waiting there is its window less the part that is in work.
-        median = max(self.latency.quantile(0.5, calm, 1.0), calm)
-        waiting = self.window * (1 - calm / median)
-        if latency > most or (waiting > self.may_wait and median > self.CROWDED * calm):
+        waiting = self.window * (1 - calm / max(self.latency.quantile(0.5, calm, 1.0), calm))
+        if latency > most or waiting > self.may_wait:
             self.ease(now, sent)
         else:
             self.window = min(self.window + 1 / self.window, self.MOST_WINDOW)
