--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -381,7 +381,9 @@
         harmless = (x.ran_where is None and not x.out) or x.type.effect is Effect.RETRIABLE or (
             x.type.effect is Effect.FINGERPRINTED and x.type.group is Group.ALL)
         if harmless:
-            self.host.reject(x.id, min(self.max_hold_off, max(self.usual, 0.05) * 4))
+            soon = max(self.usual, 0.05)  # a client that comes back after this may still be in time
+            hopeful = x.promised_at - now > 3 * soon
+            self.host.reject(x.id, min(self.max_hold_off, soon) if hopeful else self.max_hold_off)
         else:
             self.host.terminate(x.id)
         self.forget(x)
