--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -164,6 +164,7 @@
     hint: float
     promised_at: float
     expires_at: float
+    repeat: bool
     forwards: int = 0
     out: int = 0
     tried: list[Endpoint] = field(default_factory=list)
@@ -322,10 +323,10 @@
     # Exchanges.
 
     def exchange_arrived(self, now: float, id: int, type_index: int, key: str | None, hint: float | None,
-                         expires_at: float) -> None:
+                         expires_at: float, repeat: bool = False) -> None:
         kind = self.types[type_index]
         promised = min(kind.promised_time + kind.stretch * (hint or 0.0), kind.expiry)
-        x = Exchange(id, kind, key or f"{self.chance()}", hint or 0.0, now + promised, expires_at)
+        x = Exchange(id, kind, key or f"{self.chance()}", hint or 0.0, now + promised, expires_at, repeat)
         self.exchanges[id] = x
         if not self.advance(x, now):
             self.give_up(x, now)
@@ -382,7 +383,7 @@
             x.type.effect is Effect.FINGERPRINTED and x.type.group is Group.ALL)
         if harmless:
             soon = max(self.usual, 0.05)  # a client that comes back after this may still be in time
-            hopeful = x.promised_at - now > 3 * soon
+            hopeful = x.promised_at - now > 3 * soon and not x.repeat
             self.host.reject(x.id, min(self.max_hold_off, soon) if hopeful else self.max_hold_off)
         else:
             self.host.terminate(x.id)
--- a/rainspindle/simhost/adapter.py
+++ b/rainspindle/simhost/adapter.py
@@ -101,7 +101,8 @@
             case "Incoming":
                 hint = m.get("predicted")
                 instance.exchange_arrived(now, m["corr"], m["lane"], m.get("route-key"),
-                                          None if hint is None else hint / 1000, m["not-after"] / 1000)
+                                          None if hint is None else hint / 1000, m["not-after"] / 1000,
+                                          bool(m.get("repeat")))
             case "Verdict":
                 instance.forward_ended(now, m["corr"], m["try"], bool(m.get("over")), OUTCOMES[m["how"]])
             case "DeadlineHit":
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -52,7 +52,7 @@
         self.cold_sent: dict[str, list[float]] = {}
         self.timers: list[tuple[float, str]] = []
         self.logs: list[str] = []
-        self.watches = 0
+        self.watches, self.held_off = 0, -1.0
         self.balancer = Balancer(
             self, 7, self.now, peers=4, zone=0, types=types, max_forwards=max_forwards, parallel=parallel,
             may_call_off=call_off, max_hold_off=1.0, asks_list=True, ask_within=10.0, use_shares=shares,
@@ -79,9 +79,9 @@
         self.check()
 
     def arrive(self, id: int, type_index: int = 0, key: str | None = "k", wait: float = 2.0,
-               hint: float | None = None) -> Held:
+               hint: float | None = None, repeat: bool = False) -> Held:
         held = self.held[id] = Held(self.types[type_index], self.now + wait)
-        self.balancer.exchange_arrived(self.now, id, type_index, key, hint, held.expires)
+        self.balancer.exchange_arrived(self.now, id, type_index, key, hint, held.expires, repeat)
         self.check()
         return held
 
@@ -171,6 +171,7 @@
 
     def reject(self, exchange: int, hold_off: float) -> None:
         assert 0 <= hold_off <= 1.0
+        self.held_off = hold_off
         self.final(exchange, "rejected")
 
     def terminate(self, exchange: int) -> None:
--- a/tests/test_cases.py
+++ b/tests/test_cases.py
@@ -158,6 +158,25 @@
     assert fleet.arrive(3, wait=-1.0).answer == "rejected"
 
 
+def test_hold_off_lets_a_first_try_be_in_time_and_keeps_a_hopeless_one_away() -> None:
+    fleet = Fleet([kind()], [line(0)])  # rough days: repeats came back just too late, and were served
+    serve_some(fleet, 0, 60)
+    fleet.tell([line(0, State.DRAINING)])
+    fleet.arrive(100)
+    assert 0 < fleet.held_off < 0.1
+    fleet.arrive(101, repeat=True)
+    assert fleet.held_off == 1.0
+
+
+def test_heavy_work_is_not_judged_by_the_waits_of_short_work() -> None:
+    fleet = Fleet([kind()], [line(0)])
+    for id in range(40):
+        fleet.arrive(id, hint=0.2 if id % 2 else 0.002)
+        fleet.wait(0.2 if id % 2 else 0.05)
+        fleet.end(id, 0, Outcome.SERVED)
+    assert fleet.balancer.ready[0].pace.quantile(0.5) < 2
+
+
 def test_watch_is_asked_again_after_a_failure() -> None:
     fleet = Fleet([kind()], [line(0)])
     for _ in range(8):
