--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -437,7 +437,7 @@
             return left  # nothing is gained by an early time-out: it could not go again
         promised = x.promised_at - now
         again = promised - 0.5 * self.usual  # the last moment at which another forward could be in time
-        if x.forwards < self.max_forwards and again > 0 and not self.heavy(x):
+        if x.forwards < self.max_forwards and again > 0:
             return min(again, left)
         if x.type.late_value <= 0 and promised > 0:
             return min(promised, left)
@@ -524,18 +524,13 @@
 
     # Health.
 
-    def heavy(self, x: Exchange) -> bool:
-        """Guards against long work: it may take most of the promised time on a sound endpoint."""
-        return x.hint * self.usual_pace > x.type.promised_time / 2
-
     def note_answer(self, forward: Forward, now: float) -> None:
         x, endpoint, latency = forward.exchange, forward.endpoint, now - forward.sent
         promised = x.type.promised_time
-        late = latency > promised and not self.heavy(x)
+        late = latency > promised
         self.answers += 1
         calm = endpoint.calm or self.calm or promised
-        most = x.expires_at if self.heavy(x) else promised / 2
-        endpoint.answered(now, forward.sent, latency, x.hint, calm, most)
+        endpoint.answered(now, forward.sent, latency, x.hint, calm, promised / 2)
         if x.hint:
             self.pace.add(latency / x.hint, x.hint / 0.1)
             self.wait.add(max(0.0, latency - x.hint * self.usual_pace))
@@ -554,10 +549,10 @@
         x, endpoint = forward.exchange, forward.endpoint
         if outcome in (Outcome.UNCONNECTED, Outcome.RESET):
             endpoint.died = True
-        if outcome is Outcome.FULL or (outcome is Outcome.TIMED_OUT and not self.heavy(x)):
+        if outcome in (Outcome.FULL, Outcome.TIMED_OUT):
             endpoint.ease(now, forward.sent)
         # Guards against long work: a time-out says nothing of an endpoint that answered since.
-        sound = outcome is Outcome.TIMED_OUT and (endpoint.answered_at > forward.sent or self.heavy(x))
+        sound = outcome is Outcome.TIMED_OUT and endpoint.answered_at > forward.sent
         if forward.trial:
             forward.trial.failed(now)
         if not sound:
