--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -249,6 +249,7 @@
     TICK, SWEEP, HALF, FORGET = 0.1, 1.0, 5.0, 2.0
     SKIP_FACTOR, SKIP_PLUS = 1.25, 2
     QUEUE = 1.0  # exchanges that all sidecars together let wait at one endpoint
+    DEPTH = 7  # endpoints in service that a key may be sent to, so that its work is saved where it is known
     BACK_RAMP = 5.0  # seconds over which an endpoint's keys come back after a good trial
 
     def __init__(self, host: Host, seed: int, now: float, *, peers: int, zone: int, types: list[TrafficType],
@@ -503,7 +504,11 @@
             ranked = [entry.current] + [e for e in ranked if e not in entry.tried]
         left = x.promised_at - now
         best, best_time = None, math.inf
+        looked = 0
         for e in ranked:
+            if looked >= self.DEPTH:
+                break
+            looked += not e.breaker
             if e.line.state is not State.READY or not open_to(e):
                 continue
             if e.breaker:
