--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -249,7 +249,7 @@
     TICK, SWEEP, HALF, FORGET = 0.1, 1.0, 5.0, 2.0
     SKIP_FACTOR, SKIP_PLUS = 1.25, 2
     QUEUE = 1.0  # exchanges that all sidecars together let wait at one endpoint
-    DEPTH = 7  # endpoints in service that a key may be sent to, so that its work is saved where it is known
+    DEPTH = 6  # endpoints in service that a key may be sent to, so that its work is saved where it is known
     BACK_RAMP = 5.0  # seconds over which an endpoint's keys come back after a good trial
 
     def __init__(self, host: Host, seed: int, now: float, *, peers: int, zone: int, types: list[TrafficType],
@@ -260,7 +260,7 @@
         self.peers = max(peers, 1)
         self.max_forwards, self.parallel, self.may_call_off = max_forwards, parallel, may_call_off
         self.max_hold_off, self.asks_list, self.ask_within = max_hold_off, asks_list, ask_within
-        self.use_shares, self.local_boost, self.budget = use_shares, math.exp(cross_price * 20), budget
+        self.use_shares, self.local_boost, self.budget = use_shares, math.exp(cross_price * 25), budget
         self.draws = 0
         self.endpoints: dict[str, Endpoint] = {}
         self.ready: list[Endpoint] = []
