--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -250,7 +250,6 @@
     SKIP_FACTOR, SKIP_PLUS = 1.25, 2
     QUEUE = 1.0  # exchanges that all sidecars together let wait at one endpoint
     DEPTH = 6  # endpoints in service that a key may be sent to, so that its work is saved where it is known
-    SLOW = 4.0  # an endpoint whose median is this multiple of its calm time is rested
     BACK_RAMP = 5.0  # seconds over which an endpoint's keys come back after a good trial
 
     def __init__(self, host: Host, seed: int, now: float, *, peers: int, zone: int, types: list[TrafficType],
@@ -588,19 +587,6 @@
         endpoint.ramp_from, endpoint.ramp_length = now, 0.0 if endpoint.died else self.BACK_RAMP
         endpoint.died = False
 
-    def rest_slow(self, now: float) -> None:
-        """Take out the endpoint that is slowest against its own calm time, if most others are not.
-
-        Guards against work for an endpoint that has turned slow and needs a pause to recover."""
-        resting = sum(e.breaker is not None for e in self.ready)
-        known = [e for e in self.ready if not e.breaker and e.calm and e.latency.total >= 3]
-        if not known or resting + 1 > len(self.ready) / 4:
-            return
-        slowness, _, e = max((e.latency.quantile(0.5) / e.calm, e.id, e) for e in known)
-        if slowness > self.SLOW:
-            e.breaker = Breaker(now)
-            self.host.log(f"{e.id} out: slow, {slowness:.1f} times its calm {e.calm:.3f} s")
-
     def woken(self, now: float, token: str) -> None:
         if token == "list":
             self.host.watch_list()
@@ -626,7 +612,6 @@
         self.usual, self.slow = self.latency.quantile(0.5), self.latency.quantile(0.9)
         self.calm = min(self.calm * 1.01, self.usual) if self.calm else self.usual
         self.usual_wait, self.usual_pace = self.wait.quantile(0.5), self.pace.quantile(0.4)
-        self.rest_slow(now)
         for e in self.endpoints.values():
             if e.breaker:
                 e.breaker.sweep(now, FailoverTable.TRIAL_DELAY)
