--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -518,7 +518,7 @@
             if not self.ramped(e, x.key, now):
                 continue
             time = e.predicted(now, x.hint, self.usual, self.usual_wait, self.usual_pace)
-            if time <= left * 0.75:
+            if time <= left / 2:
                 return e, None, False
             # Guards against a lock-out: where nothing is out, one forward may always ask again.
             if not e.out and now - e.sent_at > 1.0 and not further:
