Do not take an endpoint for cold when its trial is quick

Told from restarts by the list, which named none, and from overload by calm times (p50 63 to 90 ms) beside 50 to 60% rejected.

--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -584,7 +584,9 @@
         endpoint.failures, endpoint.outcomes = [0, 0], [0, 0]
         endpoint.latency, endpoint.wait = Histogram(), Histogram()
         # Guards against one good trial sending all keys back at once; a process that died is cold.
-        endpoint.ramp_from, endpoint.ramp_length = now, 0.0 if endpoint.died else self.BACK_RAMP
+        # A network cut looks like a death; a quick trial tells that the process kept its warmth.
+        cold = endpoint.died and latency > 2 * (endpoint.calm or self.calm)
+        endpoint.ramp_from, endpoint.ramp_length = now, 0.0 if cold else self.BACK_RAMP
         endpoint.died = False
 
     def woken(self, now: float, token: str) -> None:
--- a/tests/test_cases.py
+++ b/tests/test_cases.py
@@ -109,6 +109,19 @@
     assert share[0] < 15  # not all keys at once
 
 
+@pytest.mark.parametrize("took, cold", [(0.02, False), (0.2, True)])
+def test_only_a_slow_trial_after_refused_connections_means_cold(took: float, cold: bool) -> None:
+    fleet = Fleet([kind()], [line(0), line(1)])  # a network cut had sound servers ramped for the cold time
+    serve_some(fleet, 0, 60)
+    for id in range(100, 140):
+        for n, sent in enumerate(fleet.arrive(id, key=f"key{id}").sent):
+            fleet.end(id, n, Outcome.UNCONNECTED if sent.endpoint == "e0" else Outcome.SERVED)
+    fleet.wait(6.5)
+    serve_some(fleet, 500, 30, took=took)
+    endpoint = fleet.balancer.endpoints["e0"]
+    assert endpoint.breaker is None and (endpoint.ramp_length == 0) == cold
+
+
 def test_timeout_of_long_work_is_not_held_against_an_endpoint_that_answers() -> None:
     fleet = Fleet([kind()], [line(0)])
     serve_some(fleet, 0, 20)
