--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -201,6 +201,7 @@
         self.latency, self.wait, self.pace = Histogram(), Histogram(), Histogram()
         self.out: dict[tuple[int, int], Forward] = {}
         self.credit, self.window, self.calm = self.START_CREDIT, 4.0, 0.0
+        self.answers, self.busy = 0, 0.0  # answers of this second, and cores kept busy by this sidecar
         self.answered_at = self.sent_at = -math.inf
         self.eased_at = -math.inf
         self.failures, self.outcomes = [0, 0], [0, 0]  # this half of the 10 s, and the half before
@@ -219,7 +220,8 @@
         # Guards against overdriving: a queue shows in the median long before the promised time is in
         # danger. What this sidecar has waiting there is its window less the part that is in work.
         waiting = self.window * (1 - calm / max(self.latency.quantile(0.5, calm, 1.0), calm))
-        if latency > most or waiting > self.may_wait:
+        self.answers += 1
+        if latency > most or waiting > max(self.may_wait, self.busy):
             self.ease(now, sent)
         else:
             self.window = min(self.window + 1 / self.window, self.MOST_WINDOW)
@@ -609,7 +611,7 @@
 
     def sweep(self, now: float) -> None:
         self.warm_rate += 0.2 * (self.answers / (now - self.swept) / max(1, len(self.ready)) - self.warm_rate)
-        self.answers, self.swept = 0, now
+        self.answers = 0
         self.table.sweep(now)
         self.usual, self.slow = self.latency.quantile(0.5), self.latency.quantile(0.9)
         self.calm = min(self.calm * 1.01, self.usual) if self.calm else self.usual
@@ -617,6 +619,8 @@
         for e in self.endpoints.values():
             if e.breaker:
                 e.breaker.sweep(now, FailoverTable.TRIAL_DELAY)
+            e.busy += 0.3 * (e.answers * e.calm / (now - self.swept) - e.busy)
+            e.answers = 0
             if e.latency.total >= 4:
                 e.calm = min(e.calm * 1.01 or math.inf, e.latency.quantile(0.5))
             if now - self.halved >= self.HALF:
@@ -624,6 +628,7 @@
             if now - self.forgot >= self.FORGET:
                 for histogram in (e.latency, e.wait, e.pace):
                     histogram.halve()
+        self.swept = now
         if now - self.halved >= self.HALF:
             self.halved = now
         if now - self.forgot >= self.FORGET:
