--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -209,8 +209,7 @@
         self.died = False  # the failures since the trip began looked like a dead process
         self.ramp_from, self.ramp_length = line.started if line.started else -math.inf, 0.0
 
-    def answered(self, now: float, sent: float, latency: float, hint: float, calm: float,
-                 most: float) -> None:
+    def answered(self, now: float, sent: float, latency: float, hint: float, calm: float) -> None:
         self.answered_at = now
         self.latency.add(latency)
         if hint:
@@ -221,7 +220,7 @@
         # danger. What this sidecar has waiting there is its window less the part that is in work.
         waiting = self.window * (1 - calm / max(self.latency.quantile(0.5, calm, 1.0), calm))
         self.answers += 1
-        if latency > most or waiting > max(self.may_wait, self.busy / 2):
+        if waiting > max(self.may_wait, self.busy / 2):
             self.ease(now, sent)
         else:
             self.window = min(self.window + 1 / self.window, self.MOST_WINDOW)
@@ -537,7 +536,7 @@
         late = latency > promised
         self.answers += 1
         calm = endpoint.calm or self.calm or promised
-        endpoint.answered(now, forward.sent, latency, x.hint, calm, promised / 2)
+        endpoint.answered(now, forward.sent, latency, x.hint, calm)
         if x.hint:
             self.pace.add(latency / x.hint, x.hint / 0.1)
             self.wait.add(max(0.0, latency - x.hint * self.usual_pace))
