--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -621,8 +621,7 @@
             e.busy += 0.3 * (e.answers * e.calm / (now - self.swept) - e.busy)
             e.answers = 0
             if e.latency.total >= 4:
-                median = e.latency.quantile(0.5)
-                e.calm += (median - e.calm) * (0.2 if median < e.calm else 0.02) if e.calm else median
+                e.calm = min(e.calm * 1.01 or math.inf, e.latency.quantile(0.5))
             if now - self.halved >= self.HALF:
                 e.failures, e.outcomes = [0, e.failures[0]], [0, e.outcomes[0]]
             if now - self.forgot >= self.FORGET:
