--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -220,7 +220,7 @@
         # danger. What this sidecar has waiting there is its window less the part that is in work.
         waiting = self.window * (1 - calm / max(self.latency.quantile(0.5, calm, 1.0), calm))
         self.answers += 1
-        if waiting > max(self.may_wait, self.busy / 2):
+        if waiting > max(self.may_wait, self.busy / 2, self.busy - 0.5):
             self.ease(now, sent)
         else:
             self.window = min(self.window + 1 / self.window, self.MOST_WINDOW)
