--- a/tests/test_cases.py
+++ b/tests/test_cases.py
@@ -181,6 +181,23 @@
     assert fleet.held_off == 1.0
 
 
+def test_a_key_is_not_spread_over_a_large_fleet() -> None:
+    fleet = Fleet([kind()], [line(n) for n in range(20)])  # overload: spilled keys met only cold endpoints
+    used = {s.endpoint for id in range(60) for s in fleet.arrive(id).sent}
+    assert 1 < len(used) <= 6 and fleet.held[59].answer == "rejected"
+
+
+def test_a_window_leaves_the_busiest_sidecar_what_it_keeps_in_work() -> None:
+    fleet = Fleet([kind()], [line(0)])  # servers of many cores stood idle behind windows of 1
+    for id in range(0, 600, 3):
+        for n in range(3):
+            fleet.arrive(id + n, key=f"key{id + n}")
+        fleet.wait(0.02 if id % 2 else 0.03)
+        for open_id, number in fleet.open():
+            fleet.end(open_id, number, Outcome.SERVED)
+    assert fleet.balancer.ready[0].window >= 3
+
+
 def test_heavy_work_is_not_judged_by_the_waits_of_short_work() -> None:
     fleet = Fleet([kind()], [line(0)])
     for id in range(40):
