--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -260,7 +260,7 @@
         self.host, self.seed, self.zone, self.types = host, seed, zone, types
         self.peers = max(peers, 1)
         self.max_forwards, self.parallel, self.may_call_off = max_forwards, parallel, may_call_off
-        self.max_hold_off, self.asks_list, self.ask_within = max_hold_off, asks_list, ask_within
+        self.max_hold_off, self.ask_within = max_hold_off, ask_within
         self.use_shares, self.local_boost, self.budget = use_shares, math.exp(cross_price * 25), budget
         self.draws = 0
         self.endpoints: dict[str, Endpoint] = {}
--- a/rainspindle/simhost/adapter.py
+++ b/rainspindle/simhost/adapter.py
@@ -58,6 +58,9 @@
     def ask_list(self) -> None:
         self.act("Refresh")
 
+    def close_idle(self, endpoint: str) -> None:
+        self.act("ShutIdle", endpoint=endpoint)
+
     def log(self, line: str) -> None:
         self.act("Log", **{"reason-text": line})
 
--- a/rainspindle/simhost/settings.py
+++ b/rainspindle/simhost/settings.py
@@ -31,6 +31,13 @@
 
 
 def make_balancer(host: Host, seed: int, now: float, s: dict[str, Any]) -> Balancer:
+    try:
+        return balancer(host, seed, now, s)
+    except KeyError as e:
+        raise ValueError(f"the settings lack {e}") from None
+
+
+def balancer(host: Host, seed: int, now: float, s: dict[str, Any]) -> Balancer:
     limits, contract = s["policy-limits"], s["contract"]
     budget = ColdBudget(contract["fall-multiple"], seconds(contract["tip-after"]), contract["cold-from"],
                         seconds(contract["cold"]))
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -192,6 +192,9 @@
     def ask_list(self) -> None:
         self.watches += 1
 
+    def close_idle(self, endpoint: str) -> None:
+        raise AssertionError("connections are left to the host")
+
     def log(self, line: str) -> None:
         assert "\n" not in line and len(line) < 120
         self.logs.append(line)
--- a/tests/test_cases.py
+++ b/tests/test_cases.py
@@ -270,7 +270,7 @@
     (b"{", "not JSON"), (b"[]", "without 'now'"),
     (batch({"event_type": "Odd", "sidecar-id": "sidecar/9"}), "never started"),
     (batch(HELLO, {"event_type": "Odd", "sidecar-id": "sidecar/0"}), "Odd"), (batch({"x": 1}), "event_type"),
-    (batch({**HELLO, "settings": {**SETTINGS, "contract": {}}}), "fall-multiple"),
+    (batch({**HELLO, "settings": {**SETTINGS, "contract": {}}}), "settings lack 'fall-multiple'"),
     (batch({**HELLO, "settings": {**SETTINGS, "traffic-types": [
         {"effect": "odd", "expiry": 1, "promised-time": 1}]}}), "unknown effect 'odd'"),
     (batch({**HELLO, "settings": {**SETTINGS, "traffic-types": [
