--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -187,7 +187,7 @@
 class Endpoint:
     """What this sidecar knows of one endpoint: as listed, and as its own forwards found it."""
 
-    START_CREDIT, MOST_CREDIT, EARNED = 3.0, 10.0, 0.1
+    START_CREDIT, MOST_CREDIT, EARNED = 3.0, 10.0, 0.2
     LEAST_WINDOW, MOST_WINDOW = 1.0, 64.0
     FAILURES, SHARE = 2, 0.25  # the keyless trip: more failures than this in 10 s, and over this share
 
