--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -165,7 +165,6 @@
     promised_at: float
     expires_at: float
     repeat: bool
-    depth: float
     forwards: int = 0
     out: int = 0
     tried: list[Endpoint] = field(default_factory=list)
@@ -257,13 +256,12 @@
     def __init__(self, host: Host, seed: int, now: float, *, peers: int, zone: int, types: list[TrafficType],
                  max_forwards: int, parallel: bool, may_call_off: bool, max_hold_off: float,
                  asks_list: bool, ask_within: float, use_shares: bool, cross_price: float,
-                 warm_keys: bool, budget: ColdBudget) -> None:
+                 budget: ColdBudget) -> None:
         self.host, self.seed, self.zone, self.types = host, seed, zone, types
         self.peers = max(peers, 1)
         self.max_forwards, self.parallel, self.may_call_off = max_forwards, parallel, may_call_off
         self.max_hold_off, self.ask_within = max_hold_off, ask_within
         self.use_shares, self.local_boost, self.budget = use_shares, math.exp(cross_price * 25), budget
-        self.warm_keys = warm_keys
         self.draws = 0
         self.endpoints: dict[str, Endpoint] = {}
         self.ready: list[Endpoint] = []
@@ -330,8 +328,7 @@
                          expires_at: float, repeat: bool = False) -> None:
         kind = self.types[type_index]
         promised = min(kind.promised_time + kind.stretch * (hint or 0.0), kind.expiry)
-        depth = self.DEPTH if key and self.warm_keys else math.inf
-        x = Exchange(id, kind, key or f"{self.chance()}", hint or 0.0, now + promised, expires_at, repeat, depth)
+        x = Exchange(id, kind, key or f"{self.chance()}", hint or 0.0, now + promised, expires_at, repeat)
         self.exchanges[id] = x
         if not self.advance(x, now):
             self.give_up(x, now)
@@ -510,7 +507,7 @@
         best, best_time = None, math.inf
         looked = 0
         for e in ranked:
-            if looked >= x.depth:
+            if looked >= self.DEPTH:
                 break
             looked += not e.breaker
             if e.line.state is not State.READY or not open_to(e):
--- a/rainspindle/simhost/settings.py
+++ b/rainspindle/simhost/settings.py
@@ -49,5 +49,4 @@
         max_hold_off=seconds(limits.get("max-retry-after")) if limits.get("retry-after") else 0.0,
         asks_list=s["discovery"] == "on_request", ask_within=seconds(contract["ask-within"]),
         use_shares=s.get("weight-kind") in ("nominal", "rough"),
-        cross_price=(s.get("prices") or {}).get("cross-zone") or 0.0,
-        warm_keys=bool((s.get("extra") or {}).get("warm-keys")), budget=budget)
+        cross_price=(s.get("prices") or {}).get("cross-zone") or 0.0, budget=budget)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -56,7 +56,7 @@
         self.balancer = Balancer(
             self, 7, self.now, peers=4, zone=0, types=types, max_forwards=max_forwards, parallel=parallel,
             may_call_off=call_off, max_hold_off=1.0, asks_list=True, ask_within=10.0, use_shares=shares,
-            cross_price=cross_price, warm_keys=True, budget=ColdBudget(MULTIPLE, WINDOW, COLD_FROM, COLD))
+            cross_price=cross_price, budget=ColdBudget(MULTIPLE, WINDOW, COLD_FROM, COLD))
         self.tell(lines, whole=True)
 
     # What can happen.
