--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -439,6 +439,8 @@
             return left  # nothing is gained by an early time-out: it could not go again
         promised = x.promised_at - now
         again = promised - 0.5 * self.usual  # the last moment at which another forward could be in time
+        if x.type.late_value > 0:
+            again = max(again, 3 * self.slow)  # a late answer still earns something
         if x.forwards < self.max_forwards and again > 0:
             return min(again, left)
         if x.type.late_value <= 0 and promised > 0:
