--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -191,8 +191,8 @@
     LEAST_WINDOW, MOST_WINDOW = 1.0, 64.0
     FAILURES, SHARE = 2, 0.25  # the keyless trip: more failures than this in 10 s, and over this share
 
-    def __init__(self, line: Listed, may_wait: float) -> None:
-        self.id, self.may_wait = line.id, may_wait
+    def __init__(self, line: Listed, may_wait: float, window: float) -> None:
+        self.id, self.may_wait, self.first_window = line.id, may_wait, window
         self.cold_sends: deque[float] = deque()
         self.reset(line)
 
@@ -200,7 +200,7 @@
         self.line = line
         self.latency, self.wait, self.pace = Histogram(), Histogram(), Histogram()
         self.out: dict[tuple[int, int], Forward] = {}
-        self.credit, self.window, self.calm = self.START_CREDIT, 4.0, 0.0
+        self.credit, self.window, self.calm = self.START_CREDIT, self.first_window, 0.0
         self.answers, self.busy = 0, 0.0  # answers of this second, and cores kept busy by this sidecar
         self.answered_at = self.sent_at = -math.inf
         self.eased_at = -math.inf
@@ -251,6 +251,7 @@
     SKIP_FACTOR, SKIP_PLUS = 1.25, 2
     QUEUE = 1.0  # exchanges that all sidecars together let wait at one endpoint
     DEPTH = 6  # endpoints in service that a key may be sent to, so that its work is saved where it is known
+    START = 16.0  # windows of all sidecars together at an endpoint before it has answered, 1 at least each
     BACK_RAMP = 5.0  # seconds over which an endpoint's keys come back after a good trial
 
     def __init__(self, host: Host, seed: int, now: float, *, peers: int, zone: int, types: list[TrafficType],
@@ -297,7 +298,8 @@
             named.add(line.id)
             known = self.endpoints.get(line.id)
             if known is None:
-                self.endpoints[line.id] = Endpoint(line, self.QUEUE / self.peers)
+                self.endpoints[line.id] = Endpoint(line, self.QUEUE / self.peers,
+                                                   max(1.0, self.START / self.peers))
             elif line.started and line.started != known.line.started:
                 out = known.out
                 known.reset(line)
