--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -222,7 +222,7 @@
         self.answers += 1
         if waiting > max(self.may_wait, self.busy / 2, self.busy - 0.5):
             self.ease(now, sent)
-        else:
+        elif len(self.out) + 1 >= self.window:  # earned by use: idle times must not allow a burst
             self.window = min(self.window + 1 / self.window, self.MOST_WINDOW)
 
     def ease(self, now: float, sent: float) -> None:
