--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -165,6 +165,7 @@
     promised_at: float
     expires_at: float
     repeat: bool
+    keyed: bool
     forwards: int = 0
     out: int = 0
     tried: list[Endpoint] = field(default_factory=list)
@@ -275,7 +276,6 @@
         self.answers, self.warm_rate = 0, 0.0
         self.list_failures = 0
         self.list_lost = False
-        self.rejecting = False
         self.swept = self.halved = self.forgot = now
         if asks_list:
             host.watch_list()
@@ -330,7 +330,8 @@
                          expires_at: float, repeat: bool = False) -> None:
         kind = self.types[type_index]
         promised = min(kind.promised_time + kind.stretch * (hint or 0.0), kind.expiry)
-        x = Exchange(id, kind, key or f"{self.chance()}", hint or 0.0, now + promised, expires_at, repeat)
+        x = Exchange(id, kind, key or f"{self.chance()}", hint or 0.0, now + promised, expires_at, repeat,
+                     keyed=bool(key))
         self.exchanges[id] = x
         if not self.advance(x, now):
             self.give_up(x, now)
@@ -468,18 +469,21 @@
         return ranked
 
     def cold_age(self, e: Endpoint, now: float) -> float | None:
-        age = now - e.ramp_from
-        return age if age < self.budget.cold and not e.ramp_length else None
+        # Guards against a trip and a good trial within the cold time lifting the budget of a listed start.
+        for since in (e.line.started or -math.inf, -math.inf if e.ramp_length else e.ramp_from):
+            if now - since < self.budget.cold:
+                return now - since
+        return None
 
     def ramped(self, e: Endpoint, key: str, now: float) -> bool:
         """Whether the key is among those that a starting or restored endpoint takes by now.
 
         The same keys at every sidecar, so that they are warm when the rest comes."""
-        age = now - e.ramp_from
-        if age > max(e.ramp_length, self.budget.cold):
-            return True
-        share = age / e.ramp_length if e.ramp_length else self.budget.capacity(age)
-        return zlib.crc32(f"{e.id}|{key}".encode()) / 2**32 < share
+        age = self.cold_age(e, now)
+        share = 1.0 if age is None else self.budget.capacity(age)
+        if e.ramp_length:
+            share = min(share, (now - e.ramp_from) / e.ramp_length)
+        return share >= 1.0 or zlib.crc32(f"{e.id}|{key}".encode()) / 2**32 < share
 
     def room(self, e: Endpoint, mean: float, now: float) -> bool:
         """Below the design's skip line, below its window, and within the budget if cold."""
@@ -565,7 +569,7 @@
         sound = outcome is Outcome.TIMED_OUT and endpoint.answered_at > forward.sent
         if forward.trial:
             forward.trial.failed(now)
-        if not sound:
+        if not sound and x.keyed:  # without a key only the endpoint's own trip counts
             def next_untried(tried: list[Endpoint]) -> Endpoint | None:
                 return next((e for e in self.rank(x.key) if e not in tried and not e.breaker), None)
             self.table.failure(x.key, endpoint, x.type.effect is Effect.RETRIABLE, now, next_untried)
--- a/tests/test_cases.py
+++ b/tests/test_cases.py
@@ -188,6 +188,27 @@
     assert fleet.held_off == 1.0
 
 
+def test_a_good_trial_does_not_lift_the_budget_of_a_listed_start() -> None:
+    fleet = Fleet([kind()], [line(n) for n in range(3)])
+    serve_some(fleet, 0, 60)
+    fleet.tell([line(0, started=fleet.now - 1.0)])
+    for id in range(100, 220):
+        for n, sent in enumerate(fleet.arrive(id, key=f"key{id}").sent):
+            fleet.end(id, n, Outcome.ERROR if sent.endpoint == "e0" else Outcome.SERVED)
+        fleet.wait(0.05)
+    serve_some(fleet, 500, 150, gap=0.03)
+    endpoint = fleet.balancer.endpoints["e0"]
+    assert any("back" in x for x in fleet.logs) and fleet.balancer.cold_age(endpoint, fleet.now) is not None
+
+
+def test_a_keyless_exchange_leaves_no_entry() -> None:
+    fleet = Fleet([kind()], [line(0)])
+    for id in range(2):
+        fleet.arrive(id, key=None)
+        fleet.end(id, 0, Outcome.ERROR)
+    assert not fleet.balancer.table.entries
+
+
 def test_a_key_is_not_spread_over_a_large_fleet() -> None:
     fleet = Fleet([kind()], [line(n) for n in range(20)])  # overload: spilled keys met only cold endpoints
     used = {s.endpoint for id in range(60) for s in fleet.arrive(id).sent}
