--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -37,8 +37,9 @@
         self.total += weight
 
     def halve(self) -> None:
-        self.bins = [b / 2 if b > 0.02 else 0.0 for b in self.bins]
-        self.total = sum(self.bins)
+        if self.total:
+            self.bins = [b / 2 if b > 0.02 else 0.0 for b in self.bins]
+            self.total = sum(self.bins)
 
     def quantile(self, share: float, prior: float = 0.0, weight: float = 0.0) -> float:
         """The value under which this share lies, `prior` counting as `weight` further values."""
@@ -267,6 +268,7 @@
         self.draws = 0
         self.endpoints: dict[str, Endpoint] = {}
         self.ready: list[Endpoint] = []
+        self.touched: dict[Endpoint, None] = {}  # those with anything to sweep; a dict keeps the order
         self.ranks: dict[str, list[Endpoint]] = {}
         self.table = FailoverTable()
         self.exchanges: dict[int, Exchange] = {}
@@ -420,6 +422,7 @@
             endpoint.cold_sends.append(now)
         forward = Forward(x, x.forwards, endpoint, now, trial, endpoint_trial)
         self.forwards[x.id, x.forwards] = endpoint.out[x.id, x.forwards] = forward
+        self.touched[endpoint] = None
         endpoint.sent_at = now
         x.forwards += 1
         x.out += 1
@@ -605,14 +608,14 @@
         self.host.wake(self.TICK, "tick")
         # Before there is an answer to go by, silence is judged by the promised time alone.
         overdue = 3 * self.slow if self.slow else max(t.promised_time for t in self.types)
-        for e in self.endpoints.values():
-            for forward in e.out.values():
-                if now - forward.sent < overdue or e.breaker:
-                    break
-                # Silence: a forward long overdue at an endpoint that has answered nothing since.
-                if not forward.overdue and e.answered_at < forward.sent:
-                    forward.overdue = True
-                    self.judge(e, True, now, "silent")
+        for forward in self.forwards.values():  # the oldest first
+            if now - forward.sent < overdue:
+                break
+            e = forward.endpoint
+            # Silence: a forward long overdue at an endpoint that has answered nothing since.
+            if not forward.overdue and not e.breaker and e.answered_at < forward.sent:
+                forward.overdue = True
+                self.judge(e, True, now, "silent")
         if now - self.swept >= self.SWEEP:
             self.sweep(now)
 
@@ -623,22 +626,25 @@
         self.usual, self.slow = self.latency.quantile(0.5), self.latency.quantile(0.9)
         self.calm = min(self.calm * 1.01, self.usual) if self.calm else self.usual
         self.usual_wait, self.usual_pace = self.wait.quantile(0.5), self.pace.quantile(0.4)
-        for e in self.endpoints.values():
+        halve, forget = now - self.halved >= self.HALF, now - self.forgot >= self.FORGET
+        for e in list(self.touched):
             if e.breaker:
                 e.breaker.sweep(now, FailoverTable.TRIAL_DELAY)
             e.busy += 0.3 * (e.answers * e.calm / (now - self.swept) - e.busy)
             e.answers = 0
             if e.latency.total >= 4:
                 e.calm = min(e.calm * 1.01 or math.inf, e.latency.quantile(0.5))
-            if now - self.halved >= self.HALF:
+            if halve:
                 e.failures, e.outcomes = [0, e.failures[0]], [0, e.outcomes[0]]
-            if now - self.forgot >= self.FORGET:
+            if forget:
                 for histogram in (e.latency, e.wait, e.pace):
                     histogram.halve()
+            if halve and not (e.out or e.breaker or e.latency.total or any(e.outcomes)):
+                del self.touched[e]  # nothing left to sweep: most endpoints, where traffic is thin
         self.swept = now
-        if now - self.halved >= self.HALF:
+        if halve:
             self.halved = now
-        if now - self.forgot >= self.FORGET:
+        if forget:
             self.forgot = now
             for histogram in (self.latency, self.wait, self.pace):
                 histogram.halve()
