--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -11,7 +11,6 @@
 
 import math
 import zlib
-from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from hashlib import blake2b
@@ -150,11 +149,20 @@
             return 1.0
         return self.cold_from + (1 - self.cold_from) * max(age, 0.0) / self.cold
 
-    def allows(self, sent: deque[float], age: float, now: float, warm_rate: float) -> bool:
-        while sent and now - sent[0] > self.window:
-            sent.popleft()
-        room = self.MARGIN * self.multiple * self.capacity(age - self.window) * self.window * warm_rate
-        return len(sent) < max(1.0, room)
+    def allows(self, bucket: Bucket, age: float, now: float, warm_rate: float) -> bool:
+        """Whether one more forward fits. Of many sidecars each has a part under one forward: it saves up
+        from a start drawn by chance, so that the sum holds however many they are, and however uneven."""
+        rate = self.MARGIN * self.multiple * self.capacity(age - self.window) * warm_rate
+        bucket.level = min(bucket.level + rate * (now - bucket.at), max(1.0, rate * self.window / 2))
+        bucket.at = now
+        return bucket.level >= 1
+
+
+class Bucket:
+    """What a sidecar has saved up to send to one cold endpoint."""
+
+    def __init__(self, level: float, now: float) -> None:
+        self.level, self.at = level, now
 
 
 @dataclass(eq=False, slots=True)
@@ -193,13 +201,12 @@
     LEAST_WINDOW, MOST_WINDOW = 1.0, 64.0
     FAILURES, SHARE = 2, 0.25  # the keyless trip: more failures than this in 10 s, and over this share
 
-    def __init__(self, line: Listed, may_wait: float, window: float) -> None:
+    def __init__(self, line: Listed, may_wait: float, window: float, bucket: Bucket) -> None:
         self.id, self.may_wait, self.first_window = line.id, may_wait, window
-        self.cold_sends: deque[float] = deque()
-        self.reset(line)
+        self.reset(line, bucket)
 
-    def reset(self, line: Listed) -> None:
-        self.line = line
+    def reset(self, line: Listed, bucket: Bucket) -> None:
+        self.line, self.bucket = line, bucket
         self.latency, self.wait, self.pace = Histogram(), Histogram(), Histogram()
         self.out: dict[tuple[int, int], Forward] = {}
         self.credit, self.window, self.calm = self.START_CREDIT, self.first_window, 0.0
@@ -301,10 +308,11 @@
             known = self.endpoints.get(line.id)
             if known is None:
                 self.endpoints[line.id] = Endpoint(line, self.QUEUE / self.peers,
-                                                   max(1.0, self.START / self.peers))
+                                                   max(1.0, self.START / self.peers),
+                                                   Bucket(self.chance(), now))
             elif line.started and line.started != known.line.started:
                 out = known.out
-                known.reset(line)
+                known.reset(line, Bucket(self.chance(), now))
                 known.out = out
                 self.host.log(f"{line.id} restarted {now - line.started:.1f} s ago: cold")
             else:
@@ -419,7 +427,7 @@
         if x.forwards:
             endpoint.credit -= 1
         if self.cold_age(endpoint, now) is not None:
-            endpoint.cold_sends.append(now)
+            endpoint.bucket.level -= 1
         forward = Forward(x, x.forwards, endpoint, now, trial, endpoint_trial)
         self.forwards[x.id, x.forwards] = endpoint.out[x.id, x.forwards] = forward
         self.touched[endpoint] = None
@@ -493,7 +501,7 @@
         if len(e.out) > self.SKIP_FACTOR * mean + self.SKIP_PLUS or len(e.out) >= e.window:
             return False
         age = self.cold_age(e, now)
-        return age is None or self.budget.allows(e.cold_sends, age, now, self.warm_rate)
+        return age is None or self.budget.allows(e.bucket, age, now, self.warm_rate)
 
     def pick(self, x: Exchange, now: float, within: Callable[[Endpoint], bool] | None
              ) -> tuple[Endpoint, Breaker | None, bool] | None:
@@ -599,7 +607,7 @@
         # A network cut looks like a death; a quick trial tells that the process kept its warmth.
         cold = endpoint.died and latency > 2 * (endpoint.calm or self.calm)
         endpoint.ramp_from, endpoint.ramp_length = now, 0.0 if cold else self.BACK_RAMP
-        endpoint.died = False
+        endpoint.died, endpoint.bucket = False, Bucket(self.chance(), now)
 
     def woken(self, now: float, token: str) -> None:
         if token == "list":
