--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -218,12 +218,8 @@
         self.died = False  # the failures since the trip began looked like a dead process
         self.ramp_from, self.ramp_length = line.started if line.started else -math.inf, 0.0
 
-    def answered(self, now: float, sent: float, latency: float, hint: float, calm: float) -> None:
+    def answered(self, now: float, sent: float, calm: float) -> None:
         self.answered_at = now
-        self.latency.add(latency)
-        if hint:
-            self.pace.add(latency / hint, hint / 0.1)  # by weight: short work tells of waits, not pace
-            self.wait.add(max(0.0, latency - hint * self.pace.quantile(0.3)))
         self.credit = min(self.credit + self.EARNED, self.MOST_CREDIT)
         # Guards against overdriving: a queue shows in the median long before the promised time is in
         # danger. What this sidecar has waiting there is its window less the part that is in work.
@@ -541,7 +537,7 @@
             if time <= left / 2:
                 return e, None, False
             # Guards against a lock-out: where nothing is out, one forward may always ask again.
-            if not e.out and now - e.sent_at > 1.0 and not further:
+            if not e.out and now - e.sent_at > max(1.0, self.peers * 0.25) and not further:
                 return e, None, False
             if time < best_time and time <= left:
                 best, best_time = e, time
@@ -555,11 +551,11 @@
         late = latency > promised
         self.answers += 1
         calm = endpoint.calm or self.calm or promised
-        endpoint.answered(now, forward.sent, latency, x.hint, calm)
         if x.hint:
-            self.pace.add(latency / x.hint, x.hint / 0.1)
-            self.wait.add(max(0.0, latency - x.hint * self.usual_pace))
-        self.latency.add(latency)
+            for at in (endpoint, self):  # by weight: short work tells of waits, not pace
+                at.pace.add(latency / x.hint, x.hint / 0.1)
+        self.measure(endpoint, latency, x.hint)
+        endpoint.answered(now, forward.sent, calm)
         if forward.trial and self.table.entries.get(x.key) is forward.trial:
             del self.table.entries[x.key]
         if endpoint.breaker:
@@ -570,12 +566,21 @@
         else:
             self.judge(endpoint, late and not forward.overdue, now, "late")
 
+    def measure(self, endpoint: Endpoint, latency: float, hint: float) -> None:
+        for at, pace in ((endpoint, endpoint.pace.quantile(0.3)), (self, self.usual_pace)):
+            at.latency.add(latency)
+            if hint:
+                at.wait.add(max(0.0, latency - hint * pace))
+
     def note_failure(self, forward: Forward, outcome: Outcome, now: float) -> None:
         x, endpoint = forward.exchange, forward.endpoint
         if outcome in (Outcome.UNCONNECTED, Outcome.RESET):
             endpoint.died = True
         if outcome in (Outcome.FULL, Outcome.TIMED_OUT):
             endpoint.ease(now, forward.sent)
+        if outcome is Outcome.TIMED_OUT:
+            # Guards against seeing the quick answers alone: a time-out took at least this long.
+            self.measure(endpoint, now - forward.sent, x.hint)
         # Guards against long work: a time-out says nothing of an endpoint that answered since.
         sound = outcome is Outcome.TIMED_OUT and endpoint.answered_at > forward.sent
         if forward.trial:
