Kinds of machine weighted by measured speed; exchanges turned away by chance as the mean time rises

Ranks now weigh kinds by a low quantile of their times; an exchange is turned away by chance as the mean of the lower three quarters of the sidecar's own times rises from 0.2 to 0.5 of the promised time; further forwards also need credit of the whole sidecar.

--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -12,7 +12,7 @@
 import math
 import zlib
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from hashlib import blake2b
 
 from .host import Effect, Group, Host, Listed, Outcome, State, TrafficType
@@ -40,6 +40,15 @@
             self.bins = [b / 2 if b > 0.02 else 0.0 for b in self.bins]
             self.total = sum(self.bins)
 
+    def low_mean(self, weight: float) -> float:
+        """The mean of the lower three quarters, with this many further values of 0."""
+        left, middle, sum_ = 0.75 * self.total, self.FIRST / 1.25, 0.0
+        for count in self.bins:
+            sum_ += min(count, left) * middle
+            left -= min(count, left)
+            middle *= self.STEP
+        return sum_ / (0.75 * self.total + weight)
+
     def quantile(self, share: float, prior: float = 0.0, weight: float = 0.0) -> float:
         """The value under which this share lies, `prior` counting as `weight` further values."""
         if self.total + weight <= 0:
@@ -257,6 +266,7 @@
     QUEUE = 1.0  # exchanges that all sidecars together let wait at one endpoint
     DEPTH = 6  # endpoints in service that a key may be sent to, so that its work is saved where it is known
     START = 16.0  # windows of all sidecars together at an endpoint before it has answered, 1 at least each
+    CROWDED, FULL = 0.2, 0.5
     BACK_RAMP = 5.0  # seconds over which an endpoint's keys come back after a good trial
 
     def __init__(self, host: Host, seed: int, now: float, *, peers: int, zone: int, types: list[TrafficType],
@@ -279,6 +289,9 @@
         self.latency, self.wait, self.pace = Histogram(), Histogram(), Histogram()
         self.usual = self.usual_wait = self.usual_pace = self.slow = self.calm = 0.0
         self.answers, self.warm_rate = 0, 0.0
+        self.credit = Endpoint.START_CREDIT
+        self.paces: dict[int, Histogram] = {}  # by kind of machine, -1 for all: times, or times over hints
+        self.speeds: dict[int, float] = {}
         self.list_failures = 0
         self.list_lost = False
         self.swept = self.halved = self.forgot = now
@@ -317,7 +330,7 @@
             for known in self.endpoints.values():
                 if known.id not in named:
                     old = known.line
-                    known.line = Listed(old.id, old.cell, old.zone, old.share, State.GONE, old.started)
+                    known.line = replace(old, state=State.GONE)
         self.ready = [e for e in self.endpoints.values() if e.line.state is State.READY]
         self.ready.sort(key=lambda e: e.id)
         self.ranks.clear()
@@ -339,9 +352,17 @@
         x = Exchange(id, kind, key or f"{self.chance()}", hint or 0.0, now + promised, expires_at, repeat,
                      keyed=bool(key))
         self.exchanges[id] = x
-        if not self.advance(x, now):
+        if self.crowded(x) or not self.advance(x, now):
             self.give_up(x, now)
 
+    def crowded(self, x: Exchange) -> bool:
+        """Whether to turn an exchange away, by chance: none while the mean time is under 0.3 of the promised time.
+
+        Guards against queues that many sidecars make together with one forward each: none of them knows an
+        endpoint's queue, but the times at all endpoints together tell each how crowded the fleet is."""
+        times = self.latency.low_mean(2.0) / x.type.promised_time
+        return self.chance() < min((times - self.CROWDED) / (self.FULL - self.CROWDED), 0.95)
+
     def answer_started(self, now: float, id: int, number: int, elapsed: float) -> None:
         forward = self.forwards.get((id, number))
         if forward is not None:
@@ -369,7 +390,7 @@
             x.ran_at, x.ran_where = forward.sent, endpoint
         if over or outcome is Outcome.SERVED:
             self.forget(x)
-        elif id in self.exchanges and not x.out and not self.advance(x, now):
+        elif id in self.exchanges and not x.out and (self.crowded(x) or not self.advance(x, now)):
             self.give_up(x, now)
 
     def client_left(self, now: float, id: int) -> None:
@@ -422,6 +443,7 @@
             endpoint.breaker.begin()
         if x.forwards:
             endpoint.credit -= 1
+            self.credit -= 1
         if self.cold_age(endpoint, now) is not None:
             endpoint.bucket.level -= 1
         forward = Forward(x, x.forwards, endpoint, now, trial, endpoint_trial)
@@ -469,6 +491,7 @@
             def distance(e: Endpoint) -> float:
                 word = blake2b(f"{key}|{e.id}".encode(), digest_size=8).digest()
                 weight = e.line.share if self.use_shares and e.line.share > 0 else 1.0
+                weight *= self.speeds.get(e.line.kind, 1.0)
                 if e.line.zone == self.zone:
                     weight *= self.local_boost
                 return -math.log((int.from_bytes(word, "big") + 1) / 2**64) / weight
@@ -511,7 +534,7 @@
 
         def open_to(e: Endpoint) -> bool:
             return (e not in x.tried and (within is None or within(e))
-                    and not (further and e.credit < 1) and self.room(e, mean, now))
+                    and not (further and min(e.credit, self.credit) < 1) and self.room(e, mean, now))
 
         if entry and entry.due and not further and entry.first.line.state is State.READY \
                 and not entry.first.breaker and open_to(entry.first):
@@ -551,9 +574,12 @@
         late = latency > promised
         self.answers += 1
         calm = endpoint.calm or self.calm or promised
+        self.credit = min(self.credit + Endpoint.EARNED / 2, Endpoint.MOST_CREDIT)
         if x.hint:
             for at in (endpoint, self):  # by weight: short work tells of waits, not pace
                 at.pace.add(latency / x.hint, x.hint / 0.1)
+        for kind in (endpoint.line.kind, -1):
+            self.paces.setdefault(kind, Histogram()).add(latency / (x.hint or 1.0))
         self.measure(endpoint, latency, x.hint)
         endpoint.answered(now, forward.sent, calm)
         if forward.trial and self.table.entries.get(x.key) is forward.trial:
@@ -581,6 +607,8 @@
         if outcome is Outcome.TIMED_OUT:
             # Guards against seeing the quick answers alone: a time-out took at least this long.
             self.measure(endpoint, now - forward.sent, x.hint)
+        elif outcome is Outcome.FULL:
+            self.latency.add(x.type.promised_time)
         # Guards against long work: a time-out says nothing of an endpoint that answered since.
         sound = outcome is Outcome.TIMED_OUT and endpoint.answered_at > forward.sent
         if forward.trial:
@@ -632,12 +660,27 @@
         if now - self.swept >= self.SWEEP:
             self.sweep(now)
 
+    def weigh_kinds(self) -> None:
+        """Weights of the rank by the measured speed of each kind of machine.
+
+        Guards against slow kinds overdriven, where each sidecar knows too little of a single endpoint.
+        By low quantiles, so that waits and sick endpoints count little; kept as long as few answers come."""
+        fleet = self.paces[-1].quantile(0.3) if -1 in self.paces else 0.0
+        for kind, h in self.paces.items():
+            speed = fleet / max(h.quantile(0.3, fleet, 10.0), 1e-6)
+            if fleet and not 0.87 < speed / self.speeds.get(kind, 1.0) < 1.15:
+                self.speeds[kind] = speed
+                self.ranks.clear()
+            if h.total > 100:
+                h.halve()
+
     def sweep(self, now: float) -> None:
         self.warm_rate += 0.2 * (self.answers / (now - self.swept) / max(1, len(self.ready)) - self.warm_rate)
         self.answers = 0
         self.table.sweep(now)
         self.usual, self.slow = self.latency.quantile(0.5), self.latency.quantile(0.9)
-        self.calm = min(self.calm * 1.01, self.usual) if self.calm else self.usual
+        if self.latency.total >= 8:
+            self.calm = min(self.calm * 1.01, self.usual) if self.calm else self.usual
         self.usual_wait, self.usual_pace = self.wait.quantile(0.5), self.pace.quantile(0.4)
         halve, forget = now - self.halved >= self.HALF, now - self.forgot >= self.FORGET
         for e in list(self.touched):
@@ -657,7 +700,9 @@
         self.swept = now
         if halve:
             self.halved = now
+            self.weigh_kinds()
         if forget:
             self.forgot = now
             for histogram in (self.latency, self.wait, self.pace):
-                histogram.halve()
+                if histogram.total > 8 or halve:  # where little comes, it is kept longer
+                    histogram.halve()
