--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -247,9 +247,9 @@
                   usual_pace: float) -> float:
         oldest = now - next(iter(self.out.values())).sent if self.out else 0.0
         if not hint:
-            return max(self.latency.quantile(0.75, usual, 2.0), oldest)
+            return max(self.latency.quantile(0.75, usual, 1.0), oldest)
         work = hint * self.pace.quantile(0.5, usual_pace, 2.0)
-        return max(self.wait.quantile(0.75, usual_wait, 2.0), oldest) + work
+        return max(self.wait.quantile(0.75, usual_wait, 1.0), oldest) + work
 
     def outcome(self, failed: bool) -> None:
         self.outcomes[0] += 1
@@ -261,7 +261,7 @@
 
 
 class Balancer:
-    TICK, SWEEP, HALF, FORGET = 0.1, 1.0, 5.0, 2.0
+    TICK, SWEEP, HALF, FORGET, AGE = 0.1, 1.0, 5.0, 2.0, 10.0
     SKIP_FACTOR, SKIP_PLUS = 1.25, 2
     QUEUE = 1.0  # exchanges that all sidecars together let wait at one endpoint
     DEPTH = 6  # endpoints in service that a key may be sent to, so that its work is saved where it is known
@@ -294,7 +294,7 @@
         self.speeds: dict[int, float] = {}
         self.list_failures = 0
         self.list_lost = False
-        self.swept = self.halved = self.forgot = now
+        self.swept = self.halved = self.forgot = self.aged = now
         if asks_list:
             host.watch_list()
         host.wake(self.TICK, "tick")
@@ -356,7 +356,7 @@
             self.give_up(x, now)
 
     def crowded(self, x: Exchange) -> bool:
-        """Whether to turn an exchange away, by chance: none while the mean time is under 0.3 of the promised time.
+        """Whether to turn an exchange away, by chance: none while the mean time is low.
 
         Guards against queues that many sidecars make together with one forward each: none of them knows an
         endpoint's queue, but the times at all endpoints together tell each how crowded the fleet is."""
@@ -682,6 +682,9 @@
         if self.latency.total >= 8:
             self.calm = min(self.calm * 1.01, self.usual) if self.calm else self.usual
         self.usual_wait, self.usual_pace = self.wait.quantile(0.5), self.pace.quantile(0.4)
+        age = now - self.aged >= self.AGE
+        if age:
+            self.aged = now
         halve, forget = now - self.halved >= self.HALF, now - self.forgot >= self.FORGET
         for e in list(self.touched):
             if e.breaker:
@@ -694,7 +697,8 @@
                 e.failures, e.outcomes = [0, e.failures[0]], [0, e.outcomes[0]]
             if forget:
                 for histogram in (e.latency, e.wait, e.pace):
-                    histogram.halve()
+                    if histogram.total > 8 or age:
+                        histogram.halve()
             if halve and not (e.out or e.breaker or e.latency.total or any(e.outcomes)):
                 del self.touched[e]  # nothing left to sweep: most endpoints, where traffic is thin
         self.swept = now
