--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -470,14 +470,12 @@
         if x.type.effect is Effect.BINDING:
             return left  # nothing is gained by an early time-out: it could not go again
         promised = x.promised_at - now
-        again = promised - 0.5 * self.usual  # the last moment at which another forward could be in time
-        if x.type.late_value > 0:
-            again = max(again, 3 * self.slow)  # a late answer still earns something
-        if x.forwards < self.max_forwards and again > 0:
-            return min(again, left)
-        if x.type.late_value <= 0 and promised > 0:
-            return min(promised, left)
-        return left
+        if x.type.late_value <= 0:
+            # Guards against waste: a forward sent after a time-out had hardly a chance, yet endpoints do both.
+            return min(promised, left) if promised > 0 else left
+        # The last moment at which another forward could be in time, but a late answer still earns something.
+        again = max(promised - 0.5 * self.usual, 3 * self.slow)
+        return min(again, left) if x.forwards < self.max_forwards and again > 0 else left
 
     # The pick.
 
