--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -691,7 +691,7 @@
             e.answers = 0
             if e.latency.total >= 4:
                 e.calm = min(e.calm * 1.01 or math.inf, e.latency.quantile(0.5))
-            if halve:
+            if halve and (age or sum(e.outcomes) > 8):  # where little comes, it is kept longer
                 e.failures, e.outcomes = [0, e.failures[0]], [0, e.outcomes[0]]
             if forget:
                 for histogram in (e.latency, e.wait, e.pace):
