--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -40,14 +40,14 @@
             self.bins = [b / 2 if b > 0.02 else 0.0 for b in self.bins]
             self.total = sum(self.bins)
 
-    def low_mean(self, weight: float) -> float:
-        """The mean of the lower three quarters, with this many further values of 0."""
-        left, middle, sum_ = 0.75 * self.total, self.FIRST / 1.25, 0.0
-        for count in self.bins:
-            sum_ += min(count, left) * middle
+    def low_mean(self, prior: float, weight: float) -> float:
+        """The mean of the lower three quarters, `prior` counting as `weight` further values."""
+        left, middle, found = 0.75 * self.total, self.FIRST / 1.25, prior * weight
+        for count in self.bins if left else ():
+            found += min(count, left) * middle
             left -= min(count, left)
             middle *= self.STEP
-        return sum_ / (0.75 * self.total + weight)
+        return found / (0.75 * self.total + weight)
 
     def quantile(self, share: float, prior: float = 0.0, weight: float = 0.0) -> float:
         """The value under which this share lies, `prior` counting as `weight` further values."""
@@ -266,7 +266,7 @@
     QUEUE = 1.0  # exchanges that all sidecars together let wait at one endpoint
     DEPTH = 6  # endpoints in service that a key may be sent to, so that its work is saved where it is known
     START = 16.0  # windows of all sidecars together at an endpoint before it has answered, 1 at least each
-    CROWDED, FULL = 0.2, 0.5
+    CROWDED, CROWDED_OUT = 0.2, 0.5  # mean times, in parts of the promised time
     BACK_RAMP = 5.0  # seconds over which an endpoint's keys come back after a good trial
 
     def __init__(self, host: Host, seed: int, now: float, *, peers: int, zone: int, types: list[TrafficType],
@@ -288,7 +288,7 @@
         self.forwards: dict[tuple[int, int], Forward] = {}
         self.latency, self.wait, self.pace = Histogram(), Histogram(), Histogram()
         self.usual = self.usual_wait = self.usual_pace = self.slow = self.calm = 0.0
-        self.answers, self.warm_rate = 0, 0.0
+        self.answers, self.warm_rate, self.low_mean = 0, 0.0, 0.0
         self.credit = Endpoint.START_CREDIT
         self.paces: dict[int, Histogram] = {}  # by kind of machine, -1 for all: times, or times over hints
         self.speeds: dict[int, float] = {}
@@ -352,16 +352,16 @@
         x = Exchange(id, kind, key or f"{self.chance()}", hint or 0.0, now + promised, expires_at, repeat,
                      keyed=bool(key))
         self.exchanges[id] = x
-        if self.crowded(x) or not self.advance(x, now):
+        if not self.advance(x, now):
             self.give_up(x, now)
 
-    def crowded(self, x: Exchange) -> bool:
-        """Whether to turn an exchange away, by chance: none while the mean time is low.
+    def crowding(self, e: Endpoint, promised: float) -> float:
+        """The chance with which an exchange passes an endpoint by: none while the mean time there is low.
 
         Guards against queues that many sidecars make together with one forward each: none of them knows an
-        endpoint's queue, but the times at all endpoints together tell each how crowded the fleet is."""
-        times = self.latency.low_mean(2.0) / x.type.promised_time
-        return self.chance() < min((times - self.CROWDED) / (self.FULL - self.CROWDED), 0.95)
+        endpoint's queue, but the times at all endpoints, as a prior, tell each how crowded the fleet is."""
+        times = e.latency.low_mean(self.low_mean, 2.0) / promised
+        return min((times - self.CROWDED) / (self.CROWDED_OUT - self.CROWDED), 0.95)
 
     def answer_started(self, now: float, id: int, number: int, elapsed: float) -> None:
         forward = self.forwards.get((id, number))
@@ -390,7 +390,7 @@
             x.ran_at, x.ran_where = forward.sent, endpoint
         if over or outcome is Outcome.SERVED:
             self.forget(x)
-        elif id in self.exchanges and not x.out and (self.crowded(x) or not self.advance(x, now)):
+        elif id in self.exchanges and not x.out and not self.advance(x, now):
             self.give_up(x, now)
 
     def client_left(self, now: float, id: int) -> None:
@@ -541,9 +541,10 @@
             ranked = [entry.current] + [e for e in ranked if e not in entry.tried]
         left = x.promised_at - now
         best, best_time = None, math.inf
+        self.low_mean, drawn = self.latency.low_mean(0.0, 2.0), self.chance()
         looked = 0
         for e in ranked:
-            if looked >= self.DEPTH:
+            if looked >= max(self.DEPTH, len(ranked) / 3):
                 break
             looked += not e.breaker
             if e.line.state is not State.READY or not open_to(e):
@@ -554,6 +555,8 @@
                 continue
             if not self.ramped(e, x.key, now):
                 continue
+            if drawn < self.crowding(e, x.type.promised_time):
+                continue
             time = e.predicted(now, x.hint, self.usual, self.usual_wait, self.usual_pace)
             if time <= left / 2:
                 return e, None, False
