--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -263,6 +263,7 @@
 class Balancer:
     TICK, SWEEP, HALF, FORGET, AGE = 0.1, 1.0, 5.0, 2.0, 10.0
     SKIP_FACTOR, SKIP_PLUS = 1.25, 2
+    COUNTED = 128.0  # exchanges by which a sidecar knows its hot keys
     QUEUE = 1.0  # exchanges that all sidecars together let wait at one endpoint
     DEPTH = 6  # endpoints in service that a key may be sent to, so that its work is saved where it is known
     START = 16.0  # windows of all sidecars together at an endpoint before it has answered, 1 at least each
@@ -288,6 +289,8 @@
         self.forwards: dict[tuple[int, int], Forward] = {}
         self.latency, self.wait, self.pace = Histogram(), Histogram(), Histogram()
         self.usual = self.usual_wait = self.usual_pace = self.slow = self.calm = 0.0
+        self.counts: dict[str, float] = {}  # exchanges by key, halved now and then
+        self.counted = 0.0
         self.answers, self.warm_rate, self.low_mean = 0, 0.0, 0.0
         self.credit = Endpoint.START_CREDIT
         self.paces: dict[int, Histogram] = {}  # by kind of machine, -1 for all: times, or times over hints
@@ -352,9 +355,25 @@
         x = Exchange(id, kind, key or f"{self.chance()}", hint or 0.0, now + promised, expires_at, repeat,
                      keyed=bool(key))
         self.exchanges[id] = x
+        self.count(x.key)
         if not self.advance(x, now):
             self.give_up(x, now)
 
+    def count(self, key: str) -> None:
+        self.counts[key] = self.counts.get(key, 0.0) + 1
+        self.counted += 1
+        if self.counted >= self.COUNTED:
+            self.counts = {k: n / 2 for k, n in self.counts.items() if n > 1}
+            self.counted = sum(self.counts.values())
+
+    def spread(self, key: str, ranked: list[Endpoint]) -> list[Endpoint]:
+        """The ranks, the first ones turned by chance for a key that is more than one endpoint's part of the traffic.
+
+        Guards against a hot key: no sidecar has enough of its exchanges outstanding for the skip line to act."""
+        share = (self.counts.get(key, 1.0) - 1) / max(self.counted, self.COUNTED / 2)
+        first = int(self.chance() * share * len(ranked) / self.SKIP_FACTOR)
+        return ranked[first:] + ranked[:first] if first else ranked
+
     def crowding(self, e: Endpoint, promised: float) -> float:
         """The chance with which an exchange passes an endpoint by: none while the mean time there is low.
 
@@ -539,6 +558,7 @@
             return entry.first, entry, False  # step 5: the key's next exchange alone is the trial
         if entry and self.table.moved(entry):
             ranked = [entry.current] + [e for e in ranked if e not in entry.tried]
+        ranked = self.spread(x.key, ranked)
         left = x.promised_at - now
         best, best_time = None, math.inf
         self.low_mean, drawn = self.latency.low_mean(0.0, 2.0), self.chance()
