--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -292,7 +292,6 @@
         self.counts: dict[str, float] = {}  # exchanges by key, halved now and then
         self.counted = 0.0
         self.answers, self.warm_rate, self.low_mean = 0, 0.0, 0.0
-        self.credit = Endpoint.START_CREDIT
         self.paces: dict[int, Histogram] = {}  # by kind of machine, -1 for all: times, or times over hints
         self.speeds: dict[int, float] = {}
         self.list_failures = 0
@@ -462,7 +461,6 @@
             endpoint.breaker.begin()
         if x.forwards:
             endpoint.credit -= 1
-            self.credit -= 1
         if self.cold_age(endpoint, now) is not None:
             endpoint.bucket.level -= 1
         forward = Forward(x, x.forwards, endpoint, now, trial, endpoint_trial)
@@ -551,7 +549,7 @@
 
         def open_to(e: Endpoint) -> bool:
             return (e not in x.tried and (within is None or within(e))
-                    and not (further and min(e.credit, self.credit) < 1) and self.room(e, mean, now))
+                    and not (further and e.credit < 1) and self.room(e, mean, now))
 
         if entry and entry.due and not further and entry.first.line.state is State.READY \
                 and not entry.first.breaker and open_to(entry.first):
@@ -595,7 +593,6 @@
         late = latency > promised
         self.answers += 1
         calm = endpoint.calm or self.calm or promised
-        self.credit = min(self.credit + Endpoint.EARNED / 2, Endpoint.MOST_CREDIT)
         if x.hint:
             for at in (endpoint, self):  # by weight: short work tells of waits, not pace
                 at.pace.add(latency / x.hint, x.hint / 0.1)
