--- a/rainspindle/host.py
+++ b/rainspindle/host.py
@@ -61,7 +61,6 @@
     share: float
     state: State
     started: float | None
-    kind: int = 0  # of machine: endpoints of one kind are alike in speed
 
 
 class Host(Protocol):
--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -292,8 +292,6 @@
         self.counts: dict[str, float] = {}  # exchanges by key, halved now and then
         self.counted = 0.0
         self.answers, self.warm_rate, self.low_mean = 0, 0.0, 0.0
-        self.paces: dict[int, Histogram] = {}  # by kind of machine, -1 for all: times, or times over hints
-        self.speeds: dict[int, float] = {}
         self.list_failures = 0
         self.list_lost = False
         self.swept = self.halved = self.forgot = self.aged = now
@@ -506,7 +504,6 @@
             def distance(e: Endpoint) -> float:
                 word = blake2b(f"{key}|{e.id}".encode(), digest_size=8).digest()
                 weight = e.line.share if self.use_shares and e.line.share > 0 else 1.0
-                weight *= self.speeds.get(e.line.kind, 1.0)
                 if e.line.zone == self.zone:
                     weight *= self.local_boost
                 return -math.log((int.from_bytes(word, "big") + 1) / 2**64) / weight
@@ -596,8 +593,6 @@
         if x.hint:
             for at in (endpoint, self):  # by weight: short work tells of waits, not pace
                 at.pace.add(latency / x.hint, x.hint / 0.1)
-        for kind in (endpoint.line.kind, -1):
-            self.paces.setdefault(kind, Histogram()).add(latency / (x.hint or 1.0))
         self.measure(endpoint, latency, x.hint)
         endpoint.answered(now, forward.sent, calm)
         if forward.trial and self.table.entries.get(x.key) is forward.trial:
@@ -678,20 +673,6 @@
         if now - self.swept >= self.SWEEP:
             self.sweep(now)
 
-    def weigh_kinds(self) -> None:
-        """Weights of the rank by the measured speed of each kind of machine.
-
-        Guards against slow kinds overdriven, where each sidecar knows too little of a single endpoint.
-        By low quantiles, so that waits and sick endpoints count little; kept as long as few answers come."""
-        fleet = self.paces[-1].quantile(0.3) if -1 in self.paces else 0.0
-        for kind, h in self.paces.items():
-            speed = fleet / max(h.quantile(0.3, fleet, 10.0), 1e-6)
-            if fleet and not 0.87 < speed / self.speeds.get(kind, 1.0) < 1.15:
-                self.speeds[kind] = speed
-                self.ranks.clear()
-            if h.total > 100:
-                h.halve()
-
     def sweep(self, now: float) -> None:
         self.warm_rate += 0.2 * (self.answers / (now - self.swept) / max(1, len(self.ready)) - self.warm_rate)
         self.answers = 0
@@ -722,7 +703,6 @@
         self.swept = now
         if halve:
             self.halved = now
-            self.weigh_kinds()
         if forget:
             self.forgot = now
             for histogram in (self.latency, self.wait, self.pace):
--- a/rainspindle/simhost/adapter.py
+++ b/rainspindle/simhost/adapter.py
@@ -134,7 +134,7 @@
     share = entry.get("share")
     return Listed(entry["endpoint"], entry.get("block") or 0, entry.get("locality") or 0,
                   1.0 if share is None else share, STATES[entry["mode"]],
-                  started / 1000 if started else None, entry.get("model") or 0)
+                  started / 1000 if started else None)
 
 
 def serve(source: BinaryIO, sink: BinaryIO) -> int:
