--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -201,8 +201,8 @@
     LEAST_WINDOW, MOST_WINDOW = 1.0, 64.0
     FAILURES, SHARE = 2, 0.25  # the keyless trip: more failures than this in 10 s, and over this share
 
-    def __init__(self, line: Listed, may_wait: float, window: float) -> None:
-        self.id, self.may_wait, self.first_window = line.id, may_wait, window
+    def __init__(self, line: Listed, may_wait: float) -> None:
+        self.id, self.may_wait = line.id, may_wait
         self.reset(line)
 
     def reset(self, line: Listed) -> None:
@@ -210,7 +210,7 @@
         self.cold_left, self.cold_until = 0, -math.inf  # forwards left in this window of the cold budget
         self.latency, self.wait, self.pace = Histogram(), Histogram(), Histogram()
         self.out: dict[tuple[int, int], Forward] = {}
-        self.credit, self.window, self.calm = self.START_CREDIT, self.first_window, 0.0
+        self.credit, self.window, self.calm = self.START_CREDIT, self.LEAST_WINDOW, 0.0
         self.answers, self.busy = 0, 0.0  # answers of this second, and cores kept busy by this sidecar
         self.answered_at = self.sent_at = -math.inf
         self.eased_at = -math.inf
@@ -259,7 +259,6 @@
     COUNTED = 128.0  # exchanges by which a sidecar knows its hot keys
     QUEUE = 1.0  # exchanges that all sidecars together let wait at one endpoint
     DEPTH = 6  # endpoints in service that a key may be sent to, so that its work is saved where it is known
-    START = 16.0  # windows of all sidecars together at an endpoint before it has answered, 1 at least each
     CROWDED, CROWDED_OUT = 0.2, 0.5  # mean times, in parts of the promised time
     BACK_RAMP = 5.0  # seconds over which an endpoint's keys come back after a good trial
 
@@ -309,8 +308,7 @@
             named.add(line.id)
             known = self.endpoints.get(line.id)
             if known is None:
-                self.endpoints[line.id] = Endpoint(line, self.QUEUE / self.peers,
-                                                   max(1.0, self.START / self.peers))
+                self.endpoints[line.id] = Endpoint(line, self.QUEUE / self.peers)
             elif line.started and line.started != known.line.started:
                 out = known.out
                 known.reset(line)
