--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -274,7 +274,7 @@
         self.usual = self.usual_wait = self.usual_pace = self.slow = self.calm = 0.0
         self.counts: dict[str, float] = {}  # exchanges by key, halved now and then
         self.counted = 0.0
-        self.answers, self.warm_rate, self.low_mean = 0, 0.0, 0.0
+        self.answers, self.warm_rate = 0, 0.0
         self.list_failures = 0
         self.list_lost = False
         self.swept, self.sweeps = now, 0
@@ -348,13 +348,12 @@
         first = int(self.chance() * share * len(ranked) / self.SKIP_FACTOR)
         return ranked[first:] + ranked[:first]
 
-    def crowding(self, e: Endpoint, promised: float) -> float:
-        """The chance with which an exchange passes an endpoint by: none while the mean time there is low.
+    def crowding(self, times: float, promised: float) -> float:
+        """The chance with which an exchange is turned away: none while the mean time is low.
 
         Guards against queues that many sidecars make together with one forward each: none of them knows an
-        endpoint's queue, but the times at all endpoints, as a prior, tell each how crowded the fleet is."""
-        times = e.latency.low_mean(self.low_mean, 2.0) / promised
-        return min((times - self.CROWDED) / (self.CROWDED_OUT - self.CROWDED), 0.95)
+        endpoint's queue, but the times at all endpoints together tell each how crowded the fleet is."""
+        return min((times / promised - self.CROWDED) / (self.CROWDED_OUT - self.CROWDED), 0.95)
 
     def answer_started(self, now: float, id: int, number: int, elapsed: float) -> None:
         forward = self.forwards.get((id, number))
@@ -531,8 +530,9 @@
             ranked = self.spread(x.key, ranked)
         left = x.promised_at - now
         best, best_time = None, math.inf
-        self.low_mean, drawn = self.latency.low_mean(0.0, 2.0), self.chance()
-        looked = 0
+        usual, drawn, looked = self.latency.low_mean(0.0, 2.0), self.chance(), 0
+        if drawn < self.crowding(usual, x.type.promised_time):
+            return None
         for e in ranked:
             if looked >= max(self.DEPTH, len(ranked) / 3):
                 break
@@ -543,7 +543,8 @@
                 if e.breaker.due and not further and x.type.effect is not Effect.BINDING:
                     return e, None, True
                 continue
-            if not self.ramped(e, x.key, now) or drawn < self.crowding(e, x.type.promised_time):
+            if not self.ramped(e, x.key, now) or drawn < self.crowding(
+                    e.latency.low_mean(usual, 2.0), x.type.promised_time):
                 continue
             time = e.predicted(now, x.hint, self.usual, self.usual_wait, self.usual_pace)
             if time <= left / 2:
