--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -211,7 +211,7 @@
         self.credit, self.window, self.calm = self.START_CREDIT, self.LEAST_WINDOW, 0.0
         self.answers, self.busy = 0, 0.0  # answers of this second, and cores kept busy by this sidecar
         self.answered_at = self.sent_at = self.eased_at = self.back_at = -math.inf
-        self.failures, self.outcomes = [0, 0], [0, 0]  # this half of the 10 s, and the half before
+        self.failures, self.outcomes = [0, 0], [0, 0]  # this half of the 10 s or more, and the half before
         self.breaker: Breaker | None = None
 
     def answered(self, now: float, sent: float, calm: float) -> None:
@@ -349,10 +349,9 @@
         return ranked[first:] + ranked[:first]
 
     def crowding(self, times: float, promised: float) -> float:
-        """The chance with which an exchange is turned away: none while the mean time is low.
+        """The chance with which an exchange is turned away, none while the mean time is low.
 
-        Guards against queues that many sidecars make together with one forward each: none of them knows an
-        endpoint's queue, but the times at all endpoints together tell each how crowded the fleet is."""
+        Guards against queues that many sidecars make with one forward each, which none of them sees."""
         return min((times / promised - self.CROWDED) / (self.CROWDED_OUT - self.CROWDED), 0.95)
 
     def answer_started(self, now: float, id: int, number: int, elapsed: float) -> None:
