--- /dev/null
+++ b/rainspindle/__main__.py
@@ -0,0 +1,7 @@
+"""python -m rainspindle: the command line of the real sidecar."""
+
+import sys
+
+from .program.main import main
+
+sys.exit(main())
--- /dev/null
+++ b/rainspindle/program/__init__.py
@@ -0,0 +1,1 @@
+"""The program: command line, configuration, logging, signals."""
--- /dev/null
+++ b/rainspindle/program/config.py
@@ -0,0 +1,79 @@
+"""The configuration of one sidecar: a JSON file, and the environment for what it leaves out."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from ..protocol.client import Unreadable
+from ..protocol.discovery import ListChange, ListDecoder
+from ..protocol.settings import SocketSettings, make_balancer, socket_settings
+from ..routing.facade import Facade
+from ..transport.connection import Address, parse_address
+
+
+class ConfigFault(Exception):
+    """A configuration that cannot be served, named in one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    known: ListChange
+    decoder: ListDecoder
+    settings: SocketSettings
+    raw_settings: dict[str, Any]
+
+    def facade(self, now: float) -> Facade:
+        return Facade(now, lambda host: make_balancer(host, self.seed, now, self.raw_settings))
+
+
+def load(path: str | None, environment: Mapping[str, str]) -> Config:
+    path = path or environment.get("RELAY_CONFIG")
+    if not path:
+        raise ConfigFault("no configuration: give --config or RELAY_CONFIG")
+    try:
+        with open(path, "rb") as file:
+            raw = orjson.loads(file.read())
+    except OSError as fault:
+        raise ConfigFault(f"{path}: {fault.strerror}") from None
+    except orjson.JSONDecodeError as fault:
+        raise ConfigFault(f"{path}: not JSON: {fault}") from None
+    if not isinstance(raw, dict):
+        raise ConfigFault(f"{path}: not an object")
+    try:
+        return decode(raw, environment)
+    except KeyError as fault:
+        raise ConfigFault(f"{path}: lacks {fault}") from None
+    except (Unreadable, ValueError, TypeError, AttributeError) as fault:
+        raise ConfigFault(f"{path}: {fault}") from None
+
+
+def decode(raw: dict[str, Any], environment: Mapping[str, str]) -> Config:
+    def told(name: str) -> str:
+        return str(raw.get(name) or environment.get(f"RELAY_{name.upper()}") or missing(name))
+
+    settings = socket_settings(raw["settings"])
+    decoder = ListDecoder(settings.zones, time.monotonic() - time.time())
+    known = raw.get("known") or {"generation": 0, "reset": True, "instances": []}
+    seed = raw.get("seed", 0)
+    config = Config(
+        told("name"), parse_address(told("listen")), parse_address(told("discovery")),
+        seed if isinstance(seed, int) else int(seed, 16), int((raw.get("limits") or {}).get("sockets", 1024)),
+        decoder.decode(known), decoder, settings, raw["settings"])
+    for text in config.known.addresses.values():
+        parse_address(text)
+    config.facade(0.0)  # the settings that only the module needs
+    return config
+
+
+def missing(name: str) -> str:
+    raise KeyError(name)
--- /dev/null
+++ b/rainspindle/program/serve.py
@@ -0,0 +1,109 @@
+"""One sidecar in service: its parts put together, and its way out on SIGTERM."""
+
+from __future__ import annotations
+
+import contextlib
+import gc
+import logging
+import signal
+import socket
+import traceback
+from collections.abc import Callable, Iterator
+
+from .. import must
+from ..routing.follow import Follower
+from ..routing.relay import Relay
+from ..transport.connection import Listener
+from ..transport.loop import Coroutine, Loop
+from ..transport.pool import Pool
+from .config import Config
+
+log = logging.getLogger("rainspindle.program")
+
+SPARE_SOCKETS = 48  # standard streams, epoll, signals, discovery, files, and room to accept in
+CLIENTS_PART = 0.5
+STILL_COMING = 0.5  # how long clients may still come after SIGTERM
+QUIET = 0.15
+
+
+class Signals:
+    """SIGTERM and SIGINT, told through a socket so that they end the loop's wait."""
+
+    def __init__(self, loop: Loop) -> None:
+        self.closed = False
+        self.told, self.teller = socket.socketpair()
+        self.told.setblocking(False)
+        self.teller.setblocking(False)
+        signal.set_wakeup_fd(self.teller.fileno(), warn_on_full_buffer=False)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: None)
+        signal.signal(signal.SIGPIPE, signal.SIG_IGN)
+        self.wake: Callable[[], None] = lambda: None
+        loop.watch(self.told.fileno(), self)
+
+    def on_events(self, events: int) -> None:
+        # Guards against leaving at once: the first event only says that the socket can be written.
+        with contextlib.suppress(BlockingIOError):
+            while self.told.recv(64):
+                self.wake()
+
+
+class Sidecar:
+    def __init__(self, config: Config) -> None:
+        self.loop = Loop(self.fault)
+        self.faults = 0
+        room = max(config.sockets - SPARE_SOCKETS, 16)
+        clients = int(room * CLIENTS_PART)
+        self.pool = Pool(self.loop, room - clients, config.settings.idle_time)
+        self.follower = Follower(self.loop, config.discovery, config.decoder, config.settings.ask_within)
+        self.relay = Relay(self.loop, config.facade(self.loop.now()), self.pool, config.settings, clients,
+                           self.follower.want)
+        known = config.known
+        if known.lines:
+            self.relay.list_changed(known.lines, known.addresses, whole=True, stale=True)
+        self.follower.relay = self.relay
+        self.listener = Listener(self.loop, config.listen, self.relay.accepted, self.relay.make_room)
+        self.signals = Signals(self.loop)
+        self.out = self.loop.spawn(self.way_out())
+        self.signals.wake = self.asked_to_leave
+        self.asked = False
+
+    def fault(self, fault: BaseException) -> None:
+        self.faults += 1
+        where = traceback.extract_tb(fault.__traceback__)[-1]
+        log.error("fault", extra={"fields": {
+            "kind": type(fault).__name__, "text": fault, "at": f"{where.name}:{where.lineno}"}})
+
+    def asked_to_leave(self) -> None:
+        self.asked = True
+        self.out.wake()
+
+    def way_out(self) -> Coroutine[None]:
+        """Waits for SIGTERM; then serves whoever still comes, finishes all that was taken, and leaves."""
+        while not self.asked:
+            yield float("inf")
+        asked_at = self.loop.now()
+        log.info("leaving", extra={"fields": {"held": len(self.relay.held),
+                                              "clients": len(self.relay.clients)}})
+        self.relay.leaving = True
+        while self.loop.now() < asked_at + STILL_COMING:
+            yield asked_at + STILL_COMING
+        self.listener.close()
+        while self.relay.clients and not self.relay.finish_clients():
+            yield self.loop.now() + 0.02
+        self.loop.stopped = True
+
+    def run(self) -> None:
+        gc.collect()
+        gc.freeze()
+        host, port = self.listener.address
+        log.info("serving", extra={"fields": {"listen": f"{host}:{port}"}})
+        self.loop.run()
+        log.info("left", extra={"fields": {**dict(self.figures())}})
+
+    def figures(self) -> Iterator[tuple[str, object]]:
+        yield "taken", self.relay.taken
+        yield "connections_made", self.pool.made
+        yield "connections_reused", self.pool.reused
+        yield "faults", self.faults
+        yield "broken", dict(must.broken)
--- /dev/null
+++ b/rainspindle/protocol/application.py
@@ -0,0 +1,174 @@
+"""The application's messages: what it asks its sidecar, and what the sidecar answers."""
+
+from __future__ import annotations
+
+import contextlib
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import h11
+
+MOST_BODY = 64 * 1024
+MOST_HEAD = 16 * 1024
+
+REJECTED, TERMINATED, EXPIRED = 503, 502, 504
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """One exchange as the application asked for it."""
+
+    request_id: bytes
+    method: bytes
+    target: bytes
+    body: bytes
+    content_type: bytes | None
+    type_index: int
+    key: str | None
+    wait: float | None  # how long the client waits, counted from its sending
+    hint: float | None
+    repeat: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AskReady:
+    """GET /ready."""
+
+
+@dataclass(frozen=True, slots=True)
+class Bad:
+    """A request that cannot be taken."""
+
+    status: int
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """The client has ended the connection between requests."""
+
+
+Message = Ask | AskReady | Bad | Ended
+
+
+def attributes(text: bytes) -> dict[str, str]:
+    pairs = (part.partition("=") for part in text.decode("latin-1").split(","))
+    return {name.strip(): value.strip() for name, _, value in pairs}
+
+
+def cookie(text: bytes, name: str) -> str | None:
+    for part in text.decode("latin-1").split(";"):
+        found, _, value = part.strip().partition("=")
+        if found == name:
+            return value or None
+    return None
+
+
+def number(text: bytes | str) -> float:
+    """A finite number that is not negative; float() alone would take `nan`."""
+    value = float(text)
+    if not 0 <= value < math.inf:
+        raise ValueError(text)
+    return value
+
+
+class ApplicationSide:
+    """One connection from the application, request after request."""
+
+    def __init__(self, type_names: Sequence[str]) -> None:
+        self.types = {name.encode(): n for n, name in enumerate(type_names)}
+        self.connection = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
+        self.request: h11.Request | None = None
+        self.body = bytearray()
+
+    def receive(self, data: bytes) -> None:
+        """Takes what has come, b"" for the end."""
+        with contextlib.suppress(RuntimeError):  # bytes after the end: the next event says what is wrong
+            self.connection.receive_data(data)
+
+    @property
+    def begun(self) -> bool:
+        """Whether a part of the next request is there."""
+        return self.request is not None or bool(self.connection.trailing_data[0])
+
+    @property
+    def wants_continue(self) -> bool:
+        return self.connection.they_are_waiting_for_100_continue
+
+    def go_on(self) -> bytes:
+        return self.connection.send(h11.InformationalResponse(status_code=100, headers=[])) or b""
+
+    def next(self) -> Message | None:
+        """The next whole message, or None while more must come."""
+        try:
+            while True:
+                event = self.connection.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return None
+                if isinstance(event, h11.Request):
+                    self.request, self.body = event, bytearray()
+                elif isinstance(event, h11.Data):
+                    self.body += event.data
+                    if len(self.body) > MOST_BODY:
+                        return Bad(413, f"a body over {MOST_BODY} bytes")
+                elif isinstance(event, h11.EndOfMessage):
+                    assert self.request is not None
+                    request, self.request = self.request, None
+                    return self.decode(request, bytes(self.body))
+                else:
+                    return Ended()
+        except h11.RemoteProtocolError as fault:
+            if self.connection.their_state is h11.ERROR and not self.connection.trailing_data[0] \
+                    and self.connection.trailing_data[1]:
+                return Ended()  # it left in the middle of a request
+            return Bad(fault.error_status_hint, str(fault))
+
+    def decode(self, request: h11.Request, body: bytes) -> Message:
+        headers = dict(request.headers)
+        path = request.target.partition(b"?")[0]
+        if path == b"/ready":
+            return AskReady() if request.method == b"GET" else Bad(405, "only GET here")
+        id = headers.get(b"x-request-id")
+        if not id:
+            return Bad(400, "no X-Request-ID")
+        name = headers.get(b"x-priority-class", b"")
+        if name not in self.types:
+            return Bad(400, "an unknown X-Priority-Class")
+        try:
+            wait = headers.get(b"x-timeout-ms")
+            hint = headers.get(b"x-cost") or attributes(headers.get(b"x-attrs", b"")).get("predicted")
+            return Ask(
+                id, request.method, request.target, body, headers.get(b"content-type"), self.types[name],
+                cookie(headers.get(b"cookie", b""), "user"), None if wait is None else number(wait) / 1000,
+                None if hint is None else number(hint) / 1000, headers.get(b"x-retried") == b"1")
+        except ValueError:
+            return Bad(400, "X-Timeout-Ms or X-Attrs is not a number")
+
+    # Answers.
+
+    def finished(self, body: bytes, close: bool) -> bytes:
+        return self.answer(200, body, close)
+
+    def rejected(self, hold_off: float, close: bool) -> bytes:
+        headers = [(b"Retry-After", f"{hold_off:.3f}".encode())] if hold_off > 0 else []
+        return self.answer(REJECTED, b"", close, headers)
+
+    def answer(self, status: int, body: bytes, close: bool,
+               headers: Sequence[tuple[bytes, bytes]] = ()) -> bytes:
+        all_headers = [*headers, (b"Content-Length", str(len(body)).encode())]
+        if close:
+            all_headers.append((b"Connection", b"close"))
+        send = self.connection.send
+        out = send(h11.Response(status_code=status, headers=all_headers)) or b""
+        if body:
+            out += send(h11.Data(data=body)) or b""
+        return out + (send(h11.EndOfMessage()) or b"")
+
+    def next_cycle(self) -> bool:
+        """Whether the connection can carry a further request; made ready for it if so."""
+        c = self.connection
+        if c.our_state is not h11.DONE or c.their_state is not h11.DONE:
+            return False
+        c.start_next_cycle()
+        return True
--- /dev/null
+++ b/rainspindle/protocol/client.py
@@ -0,0 +1,66 @@
+"""The asking side of one HTTP exchange: a request encoded, an answer gathered from what comes back."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import h11
+
+Headers = Iterable[tuple[bytes, bytes]]
+
+
+class Unreadable(Exception):
+    """What came is not an answer, or not a whole one."""
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+    reusable: bool  # whether the connection can carry a further request
+
+
+class Call:
+    """One request and its answer; the next one on the same connection is a new Call."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.connection = h11.Connection(h11.CLIENT)
+        self.response: h11.Response | None = None
+        self.body = bytearray()
+
+    def request(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> bytes:
+        send = self.connection.send
+        head = send(h11.Request(method=method, target=target, headers=list(headers))) or b""
+        if body:
+            head += send(h11.Data(data=body)) or b""
+        return head + (send(h11.EndOfMessage()) or b"")
+
+    def receive(self, data: bytes) -> Reply | None:
+        """Takes what has come, b"" for the end; gives the answer once it is whole."""
+        try:
+            self.connection.receive_data(data)
+            while True:
+                event = self.connection.next_event()
+                if event is h11.NEED_DATA:
+                    return None
+                if isinstance(event, h11.Response):
+                    self.response = event
+                elif isinstance(event, h11.Data):
+                    self.body += event.data
+                    if len(self.body) > self.most:
+                        raise Unreadable(f"an answer over {self.most} bytes")
+                elif isinstance(event, h11.EndOfMessage):
+                    return self.reply()
+                elif not isinstance(event, h11.InformationalResponse):
+                    raise Unreadable("the connection ended before the answer")
+        except h11.RemoteProtocolError as fault:
+            raise Unreadable(str(fault)) from None
+
+    def reply(self) -> Reply:
+        assert self.response is not None
+        c = self.connection
+        reusable = c.our_state is h11.DONE and c.their_state is h11.DONE and not c.trailing_data[0]
+        return Reply(self.response.status_code, dict(self.response.headers), bytes(self.body), reusable)
--- /dev/null
+++ b/rainspindle/protocol/endpoint.py
@@ -0,0 +1,47 @@
+"""The endpoints' messages: an exchange forwarded, and what came of it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..host import Outcome
+from .application import MOST_BODY, Ask
+from .client import Call, Reply
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """How a forward ended, as far as the endpoint said so."""
+
+    outcome: Outcome
+    body: bytes
+    reusable: bool
+
+
+class EndpointSide:
+    """One forward on a connection to an endpoint."""
+
+    def __init__(self) -> None:
+        self.call = Call(MOST_BODY)
+
+    def forward(self, ask: Ask, host: bytes, patience: float) -> bytes:
+        headers = [(b"Host", host), (b"X-Request-ID", ask.request_id),
+                   (b"X-Timeout-Ms", str(max(1, int(patience * 1000))).encode())]
+        if ask.content_type is not None:
+            headers.append((b"Content-Type", ask.content_type))
+        if ask.body or ask.method not in (b"GET", b"HEAD"):
+            headers.append((b"Content-Length", str(len(ask.body)).encode()))
+        return self.call.request(ask.method, ask.target, headers, ask.body)
+
+    def receive(self, data: bytes) -> Ended | None:
+        """Takes what has come; gives the end once the answer is whole. Raises Unreadable."""
+        reply = self.call.receive(data)
+        return None if reply is None else Ended(outcome(reply), reply.body, reply.reusable)
+
+
+def outcome(reply: Reply) -> Outcome:
+    if reply.status == 200:
+        return Outcome.SERVED
+    if reply.status in (503, 504) and reply.headers.get(b"x-not-processed") == b"1":
+        return Outcome.FULL
+    return Outcome.ERROR  # whatever it says, it may have run
--- a/rainspindle/simhost/settings.py
+++ b/rainspindle/protocol/settings.py
@@ -1,7 +1,8 @@
-"""The wire's settings, handed to the parts of the decision module that need them."""
+"""The settings of a deployment, handed to the parts that need them; both hosts decode them here."""
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import Any
 
 from ..host import Effect, Group, Host, TrafficType
@@ -50,3 +51,28 @@
         asks_list=s["discovery"] == "on_request", ask_within=seconds(contract["ask-within"]),
         use_shares=s.get("weight-kind") in ("nominal", "rough"),
         cross_price=(s.get("prices") or {}).get("cross-zone") or 0.0, budget=budget)
+
+
+@dataclass(frozen=True, slots=True)
+class SocketSettings:
+    """What the network code needs of them."""
+
+    type_names: tuple[str, ...]
+    expiries: tuple[float, ...]  # by traffic type
+    zones: tuple[str, ...]
+    idle_time: float  # an endpoint closes a connection that stood idle for this long
+    connect_time: float
+    ask_within: float
+    answer_slack: float
+
+
+def socket_settings(s: dict[str, Any]) -> SocketSettings:
+    try:
+        limits, contract = s["policy-limits"], s["contract"]
+        return SocketSettings(
+            tuple(t["name"] for t in s["traffic-types"]),
+            tuple(seconds(t["expiry"]) for t in s["traffic-types"]), tuple(s["failure-domains"]),
+            seconds(limits.get("conn-idle")), seconds(limits.get("connect-timeout")) or 1.0,
+            seconds(contract["ask-within"]), seconds(contract.get("answer-slack")))
+    except KeyError as e:
+        raise ValueError(f"the settings lack {e}") from None
--- /dev/null
+++ b/rainspindle/routing/facade.py
@@ -0,0 +1,142 @@
+"""The decision module in blocking style: pick, report, tick.
+
+Each call gives back what the module did within it. The network code acts on these answers and sees nothing
+else of the module.
+"""
+
+from __future__ import annotations
+
+import heapq
+import logging
+import math
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from ..host import Host, Listed, Outcome
+from ..logic import Balancer
+from ..must import must
+
+log = logging.getLogger("rainspindle.decisions")
+
+
+@dataclass(frozen=True, slots=True)
+class SendThere:
+    endpoint: str
+    number: int  # forwards of one exchange count 0, 1, 2 ...
+    patience: float
+
+
+@dataclass(frozen=True, slots=True)
+class Reject:
+    hold_off: float
+
+
+@dataclass(frozen=True, slots=True)
+class Terminate:
+    pass
+
+
+Step = SendThere | Reject | Terminate
+
+
+@dataclass(slots=True)
+class Did:
+    """All that the module did within one call."""
+
+    steps: list[tuple[int, Step]] = field(default_factory=list)  # by exchange
+    called_off: list[tuple[int, int]] = field(default_factory=list)  # exchange and number of the forward
+    watch: bool = False  # the list is to be watched from now on
+    wake_at: float = math.inf  # when `tick` wants to be called next
+
+
+class Facade:
+    """The module's host."""
+
+    def __init__(self, now: float, make: Callable[[Host], Balancer]) -> None:
+        self.now = now
+        self.wakes: list[tuple[float, int, str]] = []
+        self.wakes_set = 0
+        self.sent: dict[int, int] = {}  # forwards by exchange, for those without a final answer
+        self.did = Did()
+        self.balancer = make(self)
+
+    def pick(self, now: float, exchange: int, type_index: int, key: str | None, hint: float | None,
+             expires_at: float, repeat: bool) -> Did:
+        self.now, self.sent[exchange] = now, 0
+        self.balancer.exchange_arrived(now, exchange, type_index, key, hint, expires_at, repeat)
+        return self.taken()
+
+    def report(self, now: float, exchange: int, number: int, outcome: Outcome, over: bool = False) -> Did:
+        """How a forward ended; `over` where the client has its answer or has left."""
+        self.now = now
+        if outcome is Outcome.SERVED:
+            self.sent.pop(exchange, None)
+        self.balancer.forward_ended(now, exchange, number, over, outcome)
+        return self.taken()
+
+    def left(self, now: float, exchange: int) -> Did:
+        self.now = now
+        self.sent.pop(exchange, None)
+        self.balancer.client_left(now, exchange)
+        return self.taken()
+
+    def list_changed(self, now: float, lines: Iterable[Listed], whole: bool, stale: bool) -> Did:
+        self.now = now
+        self.balancer.list_changed(now, lines, whole, stale)
+        return self.taken()
+
+    def list_failed(self, now: float) -> Did:
+        self.now = now
+        self.balancer.list_failed(now)
+        return self.taken()
+
+    def tick(self, now: float) -> Did:
+        """Lets the module do what it set itself to do by now."""
+        self.now = now
+        while self.wakes and self.wakes[0][0] <= now:
+            self.balancer.woken(now, heapq.heappop(self.wakes)[2])
+        return self.taken()
+
+    def taken(self) -> Did:
+        did, self.did = self.did, Did()
+        did.wake_at = self.wakes[0][0] if self.wakes else math.inf
+        return did
+
+    # The module's side.
+
+    def forward(self, exchange: int, endpoint: str, patience: float) -> None:
+        must(exchange in self.sent, "a forward only for an exchange without a final answer")
+        number = self.sent.get(exchange, 0)
+        self.sent[exchange] = number + 1
+        self.did.steps.append((exchange, SendThere(endpoint, number, patience)))
+
+    def reject(self, exchange: int, hold_off: float) -> None:
+        self.final(exchange, Reject(hold_off))
+
+    def terminate(self, exchange: int) -> None:
+        self.final(exchange, Terminate())
+
+    def final(self, exchange: int, step: Step) -> None:
+        must(self.sent.pop(exchange, None) is not None, "one final answer for each exchange")
+        self.did.steps.append((exchange, step))
+
+    def call_off(self, exchange: int, number: int) -> None:
+        self.did.called_off.append((exchange, number))
+
+    def wake(self, delay: float, token: str) -> None:
+        self.wakes_set += 1
+        heapq.heappush(self.wakes, (self.now + delay, self.wakes_set, token))
+
+    def watch_list(self) -> None:
+        self.did.watch = True
+
+    ask_list = watch_list
+
+    def probe(self, endpoint: str) -> None:
+        must(False, "no probes: the trials are real exchanges")
+
+    def close_idle(self, endpoint: str) -> None:
+        must(False, "idle connections are the pool's")
+
+    def log(self, line: str) -> None:
+        log.info(line)
--- /dev/null
+++ b/rainspindle/routing/relay.py
@@ -0,0 +1,271 @@
+"""The coroutines that relay exchanges: taken from the application, forwarded as the facade answers."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Callable
+
+from ..host import Listed, Outcome, State
+from ..must import must
+from ..protocol.application import TERMINATED, ApplicationSide, Ask, AskReady, Bad, Ended
+from ..protocol.client import Unreadable
+from ..protocol.endpoint import EndpointSide
+from ..protocol.settings import SocketSettings
+from ..transport.connection import Address, Broken, Connection, Late, OutOfSockets, parse_address
+from ..transport.loop import Coroutine, Loop, Task
+from ..transport.pool import Pool
+from .facade import Did, Facade, Reject, SendThere, Step, Terminate
+
+ANSWER_TIME = 0.015  # kept back before the expiry, to write the final answer
+LINGER = 1.0
+
+
+class Held:
+    """An exchange under way: what the module has decided for it and its coroutine has not yet done."""
+
+    def __init__(self, task: Task) -> None:
+        self.task = task
+        self.steps: deque[Step] = deque()
+        self.out: int | None = None  # the number of the forward that is out
+        self.called_off = False
+
+
+class Relay:
+    def __init__(self, loop: Loop, facade: Facade, pool: Pool, settings: SocketSettings, most_clients: int,
+                 on_watch: Callable[[], None]) -> None:
+        self.loop, self.facade, self.pool, self.settings = loop, facade, pool, settings
+        self.most_clients, self.on_watch = most_clients, on_watch
+        self.addresses: dict[str, Address] = {}
+        self.started: dict[str, float | None] = {}
+        self.held: dict[int, Held] = {}
+        self.taken = 0
+        self.clients: dict[Connection, None] = {}  # the longest unused first
+        self.waiting: dict[Connection, None] = {}  # those between requests
+        self.leaving = False  # SIGTERM has come
+        self.ready = False
+        self.ticker = loop.spawn(self.tick())
+        self.apply(facade.taken())
+
+    # What the module did.
+
+    def apply(self, did: Did) -> None:
+        for exchange, step in did.steps:
+            held = self.held[exchange]
+            held.steps.append(step)
+            if held.task is not self.loop.current:
+                held.task.wake()
+        for exchange, number in did.called_off:
+            waiting = self.held.get(exchange)
+            if waiting is not None and waiting.out == number:
+                waiting.called_off = True
+                waiting.task.wake()
+        if did.watch:
+            self.on_watch()
+
+    def tick(self) -> Coroutine[None]:
+        while True:
+            did = self.facade.tick(self.loop.now())
+            self.apply(did)
+            self.pool.sweep()
+            yield min(did.wake_at, self.loop.now() + 1.0)
+
+    # The list.
+
+    def list_changed(self, lines: tuple[Listed, ...], addresses: dict[str, str], whole: bool, stale: bool
+                     ) -> None:
+        before = self.addresses
+        told = {id: parse_address(text) for id, text in addresses.items()}
+        self.addresses = told if whole else {**before, **told}
+        for line in lines:
+            # Guards against connections to a machine that has vanished: they stay open and silent.
+            restarted = line.started is not None and line.started != self.started.get(line.id)
+            self.started[line.id] = line.started
+            if line.id in before and (restarted or line.state is State.GONE):
+                self.pool.drop_all(before[line.id])
+        self.apply(self.facade.list_changed(self.loop.now(), lines, whole, stale))
+        self.ready = self.ready or bool(lines) or not stale
+
+    def list_failed(self) -> None:
+        self.apply(self.facade.list_failed(self.loop.now()))
+
+    # Clients.
+
+    def accepted(self, connection: Connection) -> None:
+        if len(self.clients) >= self.most_clients:
+            self.close_idle_client()
+        self.clients[connection] = None
+        self.loop.spawn(self.serve(connection), lambda: self.gone(connection))
+
+    def gone(self, connection: Connection) -> None:
+        self.clients.pop(connection, None)
+        self.waiting.pop(connection, None)
+        connection.close()
+
+    def close_idle_client(self) -> bool:
+        """Ends the connection that has waited the longest for a request; its coroutine sees the end."""
+        for connection in self.waiting:
+            if connection.sound():
+                self.gone(connection)
+                return True
+        return False
+
+    def finish_clients(self) -> bool:
+        """On the way out: ends the connections between requests; whether none is left."""
+        while self.close_idle_client():
+            pass
+        return not self.clients
+
+    def make_room(self) -> bool:
+        return self.pool.make_room() or self.close_idle_client()
+
+    def serve(self, client: Connection) -> Coroutine[None]:
+        side = ApplicationSide(self.settings.type_names)
+        first_byte = client.came
+        while True:
+            message = side.next()
+            if message is None:
+                if not side.begun:
+                    self.waiting[client] = None
+                if side.wants_continue:
+                    yield from client.send(side.go_on(), math.inf)
+                try:
+                    data = yield from client.await_bytes(math.inf, lambda: client.closed)
+                except Broken:
+                    return
+                if data is None:
+                    return
+                self.waiting.pop(client, None)
+                if not side.begun:
+                    first_byte = client.came
+                side.receive(data)
+                continue
+            if isinstance(message, Ended):
+                return
+            try:
+                if isinstance(message, Ask):
+                    out = yield from self.relay(client, side, message, first_byte)
+                elif isinstance(message, AskReady):
+                    out = side.answer(200 if self.ready else 503, b"", self.leaving)
+                else:
+                    out = self.refuse(side, message)
+                if out is None:
+                    return
+                yield from client.send(out, self.loop.now() + 5.0)
+            except (Broken, Late):
+                return
+            if isinstance(message, Bad):
+                yield from self.linger(client)
+                return
+            if not side.next_cycle():
+                return
+            first_byte = self.loop.now()
+
+    def refuse(self, side: ApplicationSide, bad: Bad) -> bytes:
+        return side.answer(bad.status, bad.reason.encode() + b"\n", close=True)
+
+    def linger(self, client: Connection) -> Coroutine[None]:
+        """Reads on for a moment: an answer given before all was read would be lost in a reset."""
+        until = self.loop.now() + LINGER
+        client.end_sending()
+        try:
+            while (yield from client.await_bytes(until)):
+                pass
+        except (Broken, Late):
+            pass
+
+    # One exchange.
+
+    def relay(self, client: Connection, side: ApplicationSide, ask: Ask, first_byte: float
+              ) -> Coroutine[bytes | None]:
+        """The bytes of the final answer; None when the client has left."""
+        task = self.loop.current
+        assert task is not None
+        wait = self.settings.expiries[ask.type_index] if ask.wait is None else ask.wait
+        expires_at = first_byte + wait - ANSWER_TIME
+        self.taken += 1
+        exchange = self.taken  # the request's own id may come twice, when a client sends it once more
+        held = self.held[exchange] = Held(task)
+        try:
+            self.apply(self.facade.pick(self.loop.now(), exchange, ask.type_index, ask.key, ask.hint,
+                                        expires_at, ask.repeat))
+            return (yield from self.follow(client, side, ask, exchange, held, expires_at))
+        finally:
+            del self.held[exchange]
+
+    def follow(self, client: Connection, side: ApplicationSide, ask: Ask, exchange: int, held: Held,
+               expires_at: float) -> Coroutine[bytes | None]:
+        """Does the steps that the module decides, until there is a final answer."""
+        left = False
+
+        def give_up() -> bool:
+            nonlocal left
+            if client.ended and not left:
+                left = True
+                self.apply(self.facade.left(self.loop.now(), exchange))
+            return held.called_off
+
+        while held.steps:
+            step = held.steps.popleft()
+            must(not held.steps, "one step at a time for an exchange")
+            if isinstance(step, Reject):
+                return side.rejected(step.hold_off, self.leaving)
+            if isinstance(step, Terminate):
+                return side.answer(TERMINATED, b"", self.leaving)
+            held.out = step.number
+            until = min(self.loop.now() + step.patience, expires_at)
+            outcome, body = yield from self.forward(ask, step, until, give_up)
+            held.out = None
+            self.apply(self.facade.report(self.loop.now(), exchange, step.number, outcome, left))
+            if left:
+                return None
+            if outcome is Outcome.SERVED:
+                return side.finished(body, self.leaving)
+        must(False, "an exchange is held with nothing sent")
+        return side.answer(TERMINATED, b"", self.leaving)
+
+    def forward(self, ask: Ask, step: SendThere, until: float, give_up: Callable[[], bool]
+                ) -> Coroutine[tuple[Outcome, bytes]]:
+        """One forward: what came of it, and the body if it was served."""
+        address = self.addresses.get(step.endpoint)
+        if address is None:
+            return Outcome.UNSENT, b""
+        connection = self.pool.take(address)
+        if connection is None:
+            try:
+                connect_until = min(until, self.loop.now() + self.settings.connect_time)
+                connection = yield from self.pool.connect(address, connect_until)
+            except OutOfSockets:
+                return Outcome.UNSENT, b""
+            except (Broken, Late):
+                return Outcome.UNCONNECTED, b""
+        kept = False
+        try:
+            if give_up():  # the client left while the connection came up: nothing is sent for it any more
+                return Outcome.CALLED_OFF, b""
+            call = EndpointSide()
+            host = f"{address[0]}:{address[1]}".encode()
+            out = call.forward(ask, host, until - self.loop.now())
+            try:
+                yield from connection.send(out, until)
+            except (Broken, Late):
+                # An endpoint begins when the last byte has come, and it was not written.
+                return Outcome.UNCONNECTED, b""
+            try:
+                ended = None
+                while ended is None:
+                    data = yield from connection.await_bytes(until, give_up)
+                    if data is None:
+                        return Outcome.CALLED_OFF, b""
+                    ended = call.receive(data)
+            except Late:
+                return Outcome.TIMED_OUT, b""
+            except (Broken, Unreadable):
+                return Outcome.RESET, b""
+            kept = ended.reusable
+            return ended.outcome, ended.body
+        finally:
+            if kept:
+                self.pool.keep_idle(address, connection)
+            else:
+                self.pool.close(connection)
--- a/rainspindle/simhost/adapter.py
+++ b/rainspindle/simhost/adapter.py
@@ -9,7 +9,7 @@
 
 from ..host import Listed, Outcome, State
 from ..logic import Balancer
-from .settings import make_balancer
+from ..protocol.settings import make_balancer
 
 Message = dict[str, Any]
 
--- /dev/null
+++ b/rainspindle/transport/connection.py
@@ -0,0 +1,225 @@
+"""One TCP connection, read and written by coroutines, and the listening socket."""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import select
+import socket
+from collections.abc import Callable
+
+from .loop import Coroutine, Loop
+
+Address = tuple[str, int]
+
+CHUNK = 65536
+ENDED = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
+SHORT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+class Broken(Exception):
+    """The connection was refused, reset, or ended where more was due."""
+
+
+class Late(Exception):
+    """The time until which the coroutine would wait has come."""
+
+
+class OutOfSockets(Exception):
+    """No descriptor is left for one more connection."""
+
+
+def parse_address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"not an address: {text!r}")
+    return host.strip("[]"), int(port)
+
+
+def family(address: Address) -> socket.AddressFamily:
+    return socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+
+
+class Connection:
+    """Edge-triggered: what epoll told is kept in flags until the socket says that it would block."""
+
+    def __init__(self, loop: Loop, sock: socket.socket, connected: bool) -> None:
+        self.loop, self.sock, self.connected = loop, sock, connected
+        self.closed = False
+        self.readable = self.writable = connected
+        self.ended = False  # the other side has closed or broken it, or its sending half
+        self.came = loop.came  # the earliest that the last bytes read can have come
+        self.idle_since = 0.0
+        self.wake: Callable[[], None] = lambda: None
+        loop.watch(sock.fileno(), self)
+
+    def on_events(self, events: int) -> None:
+        if events & (select.EPOLLIN | ENDED):
+            self.readable, self.came = True, self.loop.came
+        if events & (select.EPOLLOUT | select.EPOLLERR | select.EPOLLHUP):
+            self.writable = True
+        if events & ENDED:
+            self.ended = True
+        self.wake()
+
+    def mine(self) -> None:
+        """From now on the running coroutine is the one to wake."""
+        task = self.loop.current
+        assert task is not None
+        self.wake = task.wake
+
+    def establish(self, until: float) -> Coroutine[None]:
+        self.mine()
+        while not self.writable:
+            if self.loop.now() >= until:
+                raise Late
+            yield until
+        error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            raise Broken(errno.errorcode.get(error, str(error)))
+        self.connected = True
+
+    def receive(self) -> bytes | None:
+        """What has come: None while there is nothing, b"" at the end."""
+        if not self.readable:
+            return None
+        try:
+            return self.sock.recv(CHUNK)
+        except BlockingIOError:
+            self.readable = False
+            return None
+        except OSError as fault:
+            self.ended = True
+            raise Broken(str(fault)) from None
+
+    def await_bytes(self, until: float, unless: Callable[[], bool] | None = None) -> Coroutine[bytes | None]:
+        """The next bytes, b"" at the end; None as soon as `unless` holds."""
+        self.mine()
+        while True:
+            if unless is not None and unless():
+                return None
+            data = self.receive()
+            if data is not None:
+                return data
+            if self.loop.now() >= until:
+                raise Late
+            yield until
+
+    def send(self, data: bytes, until: float) -> Coroutine[None]:
+        """Returns when the last byte is written, and only then."""
+        self.mine()
+        view = memoryview(data)
+        while view:
+            if self.writable:
+                try:
+                    view = view[self.sock.send(view):]
+                except BlockingIOError:
+                    self.writable = False
+                except OSError as fault:
+                    self.ended = True
+                    raise Broken(str(fault)) from None
+                continue
+            if self.loop.now() >= until:
+                raise Late
+            yield until
+
+    def sound(self) -> bool:
+        """Whether an idle connection can still be used: nothing has come and nothing has ended."""
+        if self.closed or self.ended:
+            return False
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False
+
+    def end_sending(self) -> None:
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_WR)
+
+    def close(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self.wake = lambda: None
+            self.loop.unwatch(self.sock.fileno())
+            self.sock.close()
+
+
+def open_connection(loop: Loop, address: Address) -> Connection:
+    """A connection under way; the caller waits for it with `establish`."""
+    try:
+        sock = socket.socket(family(address), socket.SOCK_STREAM)
+    except OSError as fault:
+        raise OutOfSockets(str(fault)) from None
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        error = sock.connect_ex(address)
+    except OSError as fault:
+        sock.close()
+        raise Broken(str(fault)) from None
+    if error not in (0, errno.EINPROGRESS):
+        sock.close()
+        raise Broken(errno.errorcode.get(error, str(error)))
+    return Connection(loop, sock, connected=False)
+
+
+class Listener:
+    """The listening socket: hands over every connection as it comes."""
+
+    BACKLOG = 1024
+
+    def __init__(self, loop: Loop, address: Address, accepted: Callable[[Connection], None],
+                 make_room: Callable[[], bool]) -> None:
+        self.loop, self.accepted, self.make_room = loop, accepted, make_room
+        self.closed = False
+        self.sock = socket.socket(family(address), socket.SOCK_STREAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.setblocking(False)
+        self.sock.bind(address)
+        self.sock.listen(self.BACKLOG)
+        self.last_accepted = loop.now()
+        loop.watch(self.sock.fileno(), self)
+
+    @property
+    def address(self) -> Address:
+        host, port = self.sock.getsockname()[:2]
+        return host, port
+
+    def on_events(self, events: int) -> None:
+        self.accept_all()
+
+    def accept_all(self) -> None:
+        while not self.closed:
+            try:
+                sock, _ = self.sock.accept()
+            except BlockingIOError:
+                return
+            except OSError as fault:
+                # Guards against EMFILE: the edge is gone, so room is made or the accepting tried again.
+                if fault.errno in SHORT and not self.make_room():
+                    self.loop.spawn(self.again())
+                    return
+                continue
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.last_accepted = self.loop.now()
+            self.accepted(Connection(self.loop, sock, connected=True))
+
+    def again(self) -> Coroutine[None]:
+        at = self.loop.now() + 0.02
+        while self.loop.now() < at:
+            yield at
+        self.accept_all()
+
+    def close(self) -> None:
+        """Takes what the machine has accepted already, then closes."""
+        self.accept_all()
+        if not self.closed:
+            self.closed = True
+            self.loop.unwatch(self.sock.fileno())
+            self.sock.close()
+
+
--- /dev/null
+++ b/rainspindle/transport/loop.py
@@ -0,0 +1,132 @@
+"""select.epoll with generators as coroutines.
+
+A coroutine yields the time until which it will wait (math.inf: no limit) and goes on when somebody wakes it
+or that time has come. It may be woken for nothing, so every wait stands in a loop that looks again.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import select
+import time
+from collections import deque
+from collections.abc import Callable, Generator
+from typing import Protocol, TypeVar
+
+T = TypeVar("T")
+Coroutine = Generator[float, None, T]
+
+EVENTS = select.EPOLLIN | select.EPOLLOUT | select.EPOLLRDHUP | select.EPOLLET
+BATCH = 64
+
+
+class Watched(Protocol):
+    """What the loop tells of events: a file descriptor's owner."""
+
+    closed: bool
+
+    def on_events(self, events: int) -> None: ...
+
+
+class Task:
+    """One coroutine under way."""
+
+    __slots__ = ("coroutine", "done", "loop", "parked", "queued", "then")
+
+    def __init__(self, loop: Loop, coroutine: Coroutine[None], then: Callable[[], None] | None) -> None:
+        self.loop, self.coroutine, self.then = loop, coroutine, then
+        self.done = self.queued = False
+        self.parked = 0  # counts the waits, so that a timer of an earlier wait is known as such
+
+    def wake(self) -> None:
+        if not self.queued and not self.done:
+            self.queued = True
+            self.loop.ready.append(self)
+
+
+class Loop:
+    def __init__(self, on_fault: Callable[[BaseException], None]) -> None:
+        self.on_fault = on_fault
+        self.epoll = select.epoll()
+        self.watched: dict[int, Watched] = {}
+        self.ready: deque[Task] = deque()
+        self.timers: list[tuple[float, int, int, Task]] = []
+        self.timers_set = 0
+        self.tasks: set[Task] = set()
+        self.current: Task | None = None
+        self.looked = self.came = self.now()  # the last look; the earliest that what it found can have come
+        self.stopped = False
+
+    @staticmethod
+    def now() -> float:
+        return time.monotonic()
+
+    def spawn(self, coroutine: Coroutine[None], then: Callable[[], None] | None = None) -> Task:
+        task = Task(self, coroutine, then)
+        self.tasks.add(task)
+        task.wake()
+        return task
+
+    def watch(self, fd: int, owner: Watched) -> None:
+        self.epoll.register(fd, EVENTS)
+        self.watched[fd] = owner
+
+    def unwatch(self, fd: int) -> None:
+        if self.watched.pop(fd, None) is not None:
+            self.epoll.unregister(fd)
+
+    def run(self) -> None:
+        while not self.stopped:
+            self.step()
+        self.epoll.close()
+
+    def step(self) -> None:
+        """One round: what is ready, then one look at the descriptors and the clock."""
+        for _ in range(len(self.ready)):
+            self.resume(self.ready.popleft())
+        if self.stopped:
+            return
+        before = self.now()
+        wait = 0.0 if self.ready else self.timers[0][0] - before if self.timers else None
+        # epoll takes whole milliseconds, rounded up: a timer is late by one at the most.
+        events = self.epoll.poll(wait if wait is None else max(wait, 0.0), BATCH)
+        now = self.now()
+        # What ended a wait is new; what was there at once may have come just after the last look.
+        self.came, self.looked = now if now - before > 0.001 else self.looked, now
+        # Guards against events for a descriptor closed in this batch, or opened anew under its number:
+        # the owners are looked up before any of them acts.
+        owners = [(self.watched.get(fd), mask) for fd, mask in events]
+        for owner, mask in owners:
+            if owner is not None and not owner.closed:
+                owner.on_events(mask)
+        while self.timers and self.timers[0][0] <= now:
+            _, _, parked, task = heapq.heappop(self.timers)
+            if parked == task.parked:
+                task.wake()
+
+    def resume(self, task: Task) -> None:
+        task.queued = False
+        if task.done:
+            return
+        task.parked += 1
+        self.current = task
+        try:
+            until = next(task.coroutine)
+        except StopIteration:
+            self.finish(task)
+        except Exception as fault:  # one coroutine's fault must not end the others
+            self.finish(task)
+            self.on_fault(fault)
+        else:
+            if until != math.inf and not task.queued:
+                self.timers_set += 1
+                heapq.heappush(self.timers, (until, self.timers_set, task.parked, task))
+        finally:
+            self.current = None
+
+    def finish(self, task: Task) -> None:
+        task.done = True
+        self.tasks.discard(task)
+        if task.then is not None:
+            task.then()
