Discovery watches go on from the known list; tests of the relay over sockets with the clock by hand

Seen in the tests: of ten clients that connect at once none could be ended for the cap (none was waiting yet, relay.py accepted), and a client connection ended by the cap left its coroutine parked for good (close_idle_client did not wake it). A head over 16 KiB that came in one piece was taken: h11 bounds only one that comes in pieces.

One call to discovery at start instead of two: its capacity is a few calls a second.

--- a/rainspindle/program/serve.py
+++ b/rainspindle/program/serve.py
@@ -55,7 +55,8 @@
         room = max(config.sockets - SPARE_SOCKETS, 16)
         clients = int(room * CLIENTS_PART)
         self.pool = Pool(self.loop, room - clients, config.settings.idle_time)
-        self.follower = Follower(self.loop, config.discovery, config.decoder, config.settings.ask_within)
+        self.follower = Follower(self.loop, config.discovery, config.decoder,
+                                 config.settings.ask_within, config.known)
         self.relay = Relay(self.loop, config.facade(self.loop.now()), self.pool, config.settings, clients,
                            self.follower.want)
         known = config.known
--- a/rainspindle/protocol/application.py
+++ b/rainspindle/protocol/application.py
@@ -108,6 +108,9 @@
                     return None
                 if isinstance(event, h11.Request):
                     self.request, self.body = event, bytearray()
+                    # h11 bounds only a head that comes in pieces.
+                    if len(event.target) + sum(len(k) + len(v) for k, v in event.headers) > MOST_HEAD:
+                        return Bad(431, f"a head over {MOST_HEAD} bytes")
                 elif isinstance(event, h11.Data):
                     self.body += event.data
                     if len(self.body) > MOST_BODY:
--- a/rainspindle/routing/follow.py
+++ b/rainspindle/routing/follow.py
@@ -12,15 +12,16 @@
 
 
 class Follower:
-    WATCH, MOST_WATCH = 0.5, 20.0  # a watch waits for this part of the asking period, and no longer
-    ANSWER_TIME = 2.0  # an answer later than this after the wait is a failure
+    MOST_WATCH = 20.0
+    LATE, LATE_WHOLE = 2.0, 4.0  # an answer later than this, after the wait if there is one, is a failure
 
-    def __init__(self, loop: Loop, address: Address, decoder: ListDecoder, ask_within: float) -> None:
+    def __init__(self, loop: Loop, address: Address, decoder: ListDecoder, ask_within: float,
+                 known: ListChange) -> None:
+        """Watches go on from the `known` list, where there is one: what it lacks is told first."""
         self.loop, self.address, self.decoder = loop, address, decoder
         self.host = f"{address[0]}:{address[1]}".encode()
-        self.watch = min(self.WATCH * ask_within, self.MOST_WATCH) if ask_within else self.MOST_WATCH
-        self.version = 0
-        self.fresh = False  # whether discovery has told the whole list since the start
+        self.wait = min(ask_within or self.MOST_WATCH, self.MOST_WATCH)
+        self.version = known.version if known.lines else None
         self.wanted = False
         self.connection: Connection | None = None
         self.task = loop.spawn(self.idle())
@@ -46,18 +47,19 @@
                 self.close()
                 relay.list_failed()
                 return
-            self.version, self.fresh = change.version, self.fresh or change.whole
+            self.version = change.version
             relay.list_changed(change.lines, change.addresses, change.whole, stale=False)
 
     def ask(self) -> Coroutine[ListChange]:
-        wait = self.watch if self.fresh else 0.0
-        until = self.loop.now() + wait + self.ANSWER_TIME
+        whole = self.version is None
+        until = self.loop.now() + (self.LATE_WHOLE if whole else self.wait + self.LATE)
         if self.connection is None or not self.connection.sound():
             self.close()
             self.connection = open_connection(self.loop, self.address)
             yield from self.connection.establish(until)
         call = DiscoverySide(self.decoder)
-        out = call.watch(self.host, self.version, self.watch) if self.fresh else call.whole(self.host)
+        out = call.whole(self.host) if self.version is None else call.watch(
+            self.host, self.version, self.wait)
         yield from self.connection.send(out, until)
         told = None
         while told is None:
--- a/rainspindle/routing/relay.py
+++ b/rainspindle/routing/relay.py
@@ -40,8 +40,8 @@
         self.started: dict[str, float | None] = {}
         self.held: dict[int, Held] = {}
         self.taken = 0
-        self.clients: dict[Connection, None] = {}  # the longest unused first
-        self.waiting: dict[Connection, None] = {}  # those between requests
+        self.clients: dict[Connection, None] = {}
+        self.waiting: dict[Connection, None] = {}  # those between requests, the longest unused first
         self.leaving = False  # SIGTERM has come
         self.ready = False
         self.ticker = loop.spawn(self.tick())
@@ -94,7 +94,8 @@
     def accepted(self, connection: Connection) -> None:
         if len(self.clients) >= self.most_clients:
             self.close_idle_client()
-        self.clients[connection] = None
+        # Waiting from the start, or of many that come at once none could be ended for the next.
+        self.clients[connection] = self.waiting[connection] = None
         self.loop.spawn(self.serve(connection), lambda: self.gone(connection))
 
     def gone(self, connection: Connection) -> None:
@@ -106,6 +107,7 @@
         """Ends the connection that has waited the longest for a request; its coroutine sees the end."""
         for connection in self.waiting:
             if connection.sound():
+                connection.wake()
                 self.gone(connection)
                 return True
         return False
--- a/rainspindle/transport/loop.py
+++ b/rainspindle/transport/loop.py
@@ -46,8 +46,9 @@
 
 
 class Loop:
-    def __init__(self, on_fault: Callable[[BaseException], None]) -> None:
-        self.on_fault = on_fault
+    def __init__(self, on_fault: Callable[[BaseException], None],
+                 clock: Callable[[], float] = time.monotonic) -> None:
+        self.on_fault, self.now = on_fault, clock
         self.epoll = select.epoll()
         self.watched: dict[int, Watched] = {}
         self.ready: deque[Task] = deque()
@@ -58,10 +59,6 @@
         self.looked = self.came = self.now()  # the last look; the earliest that what it found can have come
         self.stopped = False
 
-    @staticmethod
-    def now() -> float:
-        return time.monotonic()
-
     def spawn(self, coroutine: Coroutine[None], then: Callable[[], None] | None = None) -> Task:
         task = Task(self, coroutine, then)
         self.tasks.add(task)
@@ -90,7 +87,7 @@
         before = self.now()
         wait = 0.0 if self.ready else self.timers[0][0] - before if self.timers else None
         # epoll takes whole milliseconds, rounded up: a timer is late by one at the most.
-        events = self.epoll.poll(wait if wait is None else max(wait, 0.0), BATCH)
+        events = self.look(wait)
         now = self.now()
         # What ended a wait is new; what was there at once may have come just after the last look.
         self.came, self.looked = now if now - before > 0.001 else self.looked, now
@@ -105,6 +102,9 @@
             if parked == task.parked:
                 task.wake()
 
+    def look(self, wait: float | None) -> list[tuple[int, int]]:
+        return self.epoll.poll(wait if wait is None else max(wait, 0.0), BATCH)
+
     def resume(self, task: Task) -> None:
         task.queued = False
         if task.done:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,12 +1,26 @@
-"""A recording host that checks the four rules at every act; it answers nothing by itself."""
+"""A recording host that checks the four rules at every act, and stand-ins for the sockets' other ends."""
 
 from __future__ import annotations
 
+import contextlib
+import json
+import socket
+import struct
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import Any
+
+import h11
 
 from rainspindle.host import Effect, Group, Listed, Outcome, State, TrafficType
 from rainspindle.logic import NEVER_RAN, Balancer, ColdBudget
+from rainspindle.protocol.discovery import ListDecoder
+from rainspindle.protocol.settings import make_balancer, socket_settings
+from rainspindle.routing.facade import Facade
+from rainspindle.routing.relay import Relay
+from rainspindle.transport.connection import Listener
+from rainspindle.transport.loop import Loop
+from rainspindle.transport.pool import Pool
 
 MULTIPLE, WINDOW, COLD_FROM, COLD, GRACE = 2.5, 3.0, 0.15, 24.0, 0.5
 
@@ -198,3 +212,263 @@
     def log(self, line: str) -> None:
         assert "\n" not in line and len(line) < 120
         self.logs.append(line)
+
+
+# On sockets: a loop whose clock the test moves, and a stand-in for endpoints and discovery.
+
+
+class SteppedLoop(Loop):
+    """Never waits: the clock is moved by hand, and a round ends when nothing more is to be done."""
+
+    def __init__(self) -> None:
+        self.time = 5000.0
+        self.faults: list[BaseException] = []
+        super().__init__(self.faults.append, lambda: self.time)
+
+    def look(self, wait: float | None) -> list[tuple[int, int]]:
+        self.seen = super().look(0.0)
+        return self.seen
+
+    def settle(self) -> None:
+        self.step()
+        while self.seen or self.ready:
+            self.step()
+        assert not self.faults, self.faults
+
+    def wait(self, seconds: float) -> None:
+        """Lets time pass, stopping at each timer on the way."""
+        until = self.time + seconds
+        self.settle()
+        while self.timers and self.timers[0][0] <= until:
+            self.time = max(self.time, self.timers[0][0])
+            self.settle()
+        self.time = until
+        self.settle()
+
+
+class Got:
+    """A request that a stand-in has read whole."""
+
+    def __init__(self, stand: Stand, sock: socket.socket, request: h11.Request, body: bytes) -> None:
+        self.stand, self.sock, self.target, self.method, self.body = (
+            stand, sock, request.target.decode(), request.method, body)
+        self.headers = {k.decode(): v.decode() for k, v in request.headers}
+        self.id = self.headers.get("x-request-id", "")
+
+    def answer(self, status: int = 200, body: bytes = b"", headers: str = "") -> None:
+        self.raw(f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n{headers}\r\n".encode() + body)
+
+    def tell(self, version: int, whole: bool, *entries: dict[str, object]) -> None:
+        self.answer(200, json.dumps({"generation": version, "reset": whole, "instances": entries}).encode())
+
+    def raw(self, data: bytes) -> None:
+        self.sock.sendall(data)
+
+    def gone(self) -> bool:
+        """Whether the other side has ended the connection."""
+        try:
+            return self.sock.recv(1, socket.MSG_PEEK) == b""
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    def reset(self) -> None:
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.close()
+
+    def close(self) -> None:
+        self.stand.readers.pop(self.sock, None)
+        self.sock.close()
+
+
+class Stand:
+    """A server that reads requests and answers what the test says."""
+
+    def __init__(self, port: int = 0, backlog: int = 64, receive_buffer: int = 0) -> None:
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if receive_buffer:
+            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        self.listener.bind(("127.0.0.1", port))
+        self.listener.listen(backlog)
+        self.listener.setblocking(False)
+        self.port: int = self.listener.getsockname()[1]
+        self.readers: dict[socket.socket, tuple[h11.Connection, list[h11.Request], bytearray]] = {}
+        self.accepted = 0
+        self.unread: list[Got] = []
+
+    def look(self, read: bool = True) -> None:
+        with contextlib.suppress(BlockingIOError):
+            while self.listener.fileno() >= 0:
+                sock, _ = self.listener.accept()
+                sock.setblocking(False)
+                self.accepted += 1
+                self.readers[sock] = h11.Connection(h11.SERVER), [], bytearray()
+        for sock in list(self.readers) if read else ():
+            self.read(sock)
+
+    def read(self, sock: socket.socket) -> None:
+        try:
+            data = sock.recv(1 << 20)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        if not data:
+            del self.readers[sock]
+            sock.close()
+            return
+        parser, request, body = self.readers[sock]
+        parser.receive_data(data)
+        while (event := parser.next_event()) is not h11.NEED_DATA:
+            if isinstance(event, h11.Request):
+                request.append(event)
+            elif isinstance(event, h11.Data):
+                body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                self.unread.append(Got(self, sock, request[0], bytes(body)))
+                self.readers[sock] = h11.Connection(h11.SERVER), [], bytearray()
+                return
+
+    def close(self) -> None:
+        for sock in [self.listener, *self.readers]:
+            sock.close()
+        self.readers.clear()
+
+
+SETTINGS: dict[str, Any] = {
+    "contract": {"answer-slack": 20.0, "ask-within": 10000.0, "cold": 24000.0, "cold-from": 0.15,
+                 "fall-multiple": 2.5, "stop-sending-within": 500.0, "tip-after": 3000.0},
+    "discovery": "on_request", "failure-domains": ["north", "south"], "peers-total": 1, "zone": 0,
+    "policy-limits": {"cancel": True, "conn-idle": 30000.0, "connect-timeout": 250.0, "max-forwards": 4,
+                      "max-retry-after": 2000.0, "parallel-tries": False, "retry-after": True},
+    "traffic-types": [
+        {"name": "look", "effect": "read_like", "promised-time": 600.0, "expiry": 2500.0},
+        {"name": "book", "effect": "non_idempotent", "promised-time": 600.0, "expiry": 1500.0},
+        {"name": "note", "effect": "idempotency_key", "dedup-scope": "zone", "memory-span": 5000.0,
+         "promised-time": 600.0, "expiry": 2000.0, "overdue-value": 0.4}],
+}
+
+
+def entry(name: str, port: int, state: str = "SERVING", started: float = 0.0, zone: str = "north"
+          ) -> dict[str, object]:
+    return {"instanceId": name, "hostPort": f"127.0.0.1:{port}", "zone": zone, "cell": 0, "lifecycle": state,
+            "weight": 1.0, "startedAtMs": started}
+
+
+def ask(id: str, type: str = "look", body: bytes = b"", wait: int = 2000, headers: str = "") -> bytes:
+    method = "POST" if body or type == "book" else "GET"
+    length = f"Content-Length: {len(body)}\r\n" if method == "POST" else ""
+    return (f"{method} /api?q=1 HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: {id}\r\n"
+            f"X-Priority-Class: {type}\r\nCookie: a=b; user=u{id}\r\nX-Timeout-Ms: {wait}\r\n{headers}{length}\r\n").encode() + body
+
+
+class Client:
+    """One connection of the application."""
+
+    def __init__(self, port: int) -> None:
+        self.sock = socket.create_connection(("127.0.0.1", port))
+        self.sock.setblocking(False)
+        self.parser = h11.Connection(h11.CLIENT)
+        self.response: h11.Response | None = None
+        self.body = b""
+
+    def send(self, data: bytes) -> None:
+        self.sock.sendall(data)
+        with contextlib.suppress(h11.LocalProtocolError):  # the parser must know that a request is out
+            self.parser.send(h11.Request(method="GET", target="/", headers=[("Host", "x")]))
+            self.parser.send(h11.EndOfMessage())
+
+    def answer(self) -> tuple[int, bytes, dict[str, str]] | None:
+        """The answer if it has come whole."""
+        with contextlib.suppress(BlockingIOError):
+            self.parser.receive_data(self.sock.recv(1 << 20))
+        while (event := self.parser.next_event()) is not h11.NEED_DATA:
+            if isinstance(event, h11.Response):
+                self.response, self.body = event, b""
+            elif isinstance(event, h11.Data):
+                self.body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                assert self.response is not None
+                headers = {k.decode(): v.decode() for k, v in self.response.headers}
+                if self.parser.their_state is h11.DONE:
+                    self.parser.start_next_cycle()
+                return self.response.status_code, self.body, headers
+            else:
+                raise AssertionError(f"the connection ended with no answer: {event}")
+        return None
+
+    def close(self) -> None:
+        self.sock.close()
+
+
+class Rig:
+    """A sidecar without its program: loop, facade and relay over sockets, with stand-ins for endpoints."""
+
+    def __init__(self, endpoints: int = 3, *, clients: int = 50, connections: int = 50,
+                 settings: Any = SETTINGS, receive_buffer: int = 0, backlog: int = 64) -> None:
+        self.loop = SteppedLoop()
+        self.stands = [Stand(receive_buffer=receive_buffer, backlog=backlog) for _ in range(endpoints)]
+        sockets = socket_settings(settings)
+        self.pool = Pool(self.loop, connections, sockets.idle_time)
+        now = self.loop.now()
+        self.facade = Facade(now, lambda host: make_balancer(host, 7, now, settings))
+        self.watches = 0
+        self.clients: list[Client] = []  # kept, or they would leave
+        self.relay = Relay(self.loop, self.facade, self.pool, sockets, clients, self.watch)
+        self.listener = Listener(self.loop, ("127.0.0.1", 0), self.relay.accepted, self.relay.make_room)
+        self.decoder = ListDecoder(sockets.zones, 0.0)
+        self.tell(*(entry(f"e{n}", stand.port) for n, stand in enumerate(self.stands)), whole=True)
+
+    def watch(self) -> None:
+        self.watches += 1
+
+    def tell(self, *entries: dict[str, object], whole: bool = False) -> None:
+        change = self.decoder.decode({"generation": 1, "reset": whole, "instances": list(entries)})
+        self.relay.list_changed(change.lines, change.addresses, whole, stale=False)
+
+    def client(self) -> Client:
+        self.clients.append(Client(self.listener.address[1]))
+        return self.clients[-1]
+
+    def asked(self, data: bytes) -> Client:
+        client = self.client()
+        client.send(data)
+        self.settle()
+        return client
+
+    def settle(self, read: bool = True) -> None:
+        for _ in range(4):
+            self.loop.settle()
+            for stand in self.stands:
+                stand.look(read)
+
+    def wait(self, seconds: float) -> None:
+        self.loop.wait(seconds)
+        self.settle()
+
+    def got(self) -> list[Got]:
+        """What the endpoints have read since the last look."""
+        self.settle()
+        got = [g for stand in self.stands for g in stand.unread]
+        for stand in self.stands:
+            stand.unread.clear()
+        return got
+
+    def serve_all(self) -> None:
+        while got := self.got():
+            for g in got:
+                with contextlib.suppress(OSError):  # it may have been called off meanwhile
+                    g.answer(200, b"served " + g.id.encode())
+            self.settle()
+
+    def close(self) -> None:
+        for stand in self.stands:
+            stand.close()
+        for client in self.clients:
+            client.close()
+        self.listener.close()
+        for connection in [*self.relay.clients, *(c for idle in self.pool.idle.values() for c in idle)]:
+            connection.close()
+        self.loop.epoll.close()
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,335 @@
+"""Exchanges over sockets, with the clock moved by hand: what is sent, and what the client is told."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+
+import pytest
+
+from .fleet import SETTINGS, Got, Rig, Stand, ask, entry
+
+
+@pytest.fixture
+def rig() -> Iterator[Rig]:
+    made = Rig()
+    yield made
+    made.close()
+
+
+def only(got: list[Got]) -> Got:
+    assert len(got) == 1
+    return got[0]
+
+
+def status(client_answer: tuple[int, bytes, dict[str, str]] | None) -> int:
+    assert client_answer is not None, "no answer yet"
+    return client_answer[0]
+
+
+def test_body_goes_both_ways_unchanged_and_connections_are_kept(rig: Rig) -> None:
+    client = rig.client()
+    for n in range(3):
+        client.send(ask(f"x{n}", "book", body=b"\x00\xff" * 700))
+        got = only(rig.got())
+        assert (got.method, got.target, got.id, got.body) == (b"POST", "/api?q=1", f"x{n}", b"\x00\xff" * 700)
+        assert 1900 < int(got.headers["x-timeout-ms"]) <= 2000
+        got.answer(200, b"\x01\xfe" * 900)
+        rig.settle()
+        answer = client.answer()
+        assert answer and answer[:2] == (200, b"\x01\xfe" * 900)
+    assert rig.pool.made <= len(rig.stands) and rig.pool.open == rig.pool.made
+
+
+def test_never_ran_when_turned_away_or_not_connected(rig: Rig) -> None:
+    client = rig.asked(ask("a", "book"))
+    turned = only(rig.got())
+    turned.answer(503, headers="X-Not-Processed: 1\r\n")
+    again = only(rig.got())
+    assert again.stand is not turned.stand and again.id == "a"
+    again.answer(200, b"done")
+    rig.settle()
+    assert status(client.answer()) == 200
+    for stand in rig.stands:
+        stand.close()
+    refused = rig.asked(ask("b", "book"))
+    assert status(refused.answer()) == 503
+
+
+def test_error_may_have_run_so_binding_is_terminated_and_retriable_goes_again(rig: Rig) -> None:
+    for code, headers in ((500, ""), (503, ""), (404, ""), (204, "")):
+        client = rig.asked(ask(f"b{code}", "book"))
+        only(rig.got()).answer(code, headers=headers)
+        assert rig.got() == [] and status(client.answer()) == 502
+        rig.wait(40.0)  # what has failed is forgotten
+    client = rig.asked(ask("r", "look"))
+    only(rig.got()).answer(500)
+    only(rig.got()).answer(200, b"second")
+    rig.settle()
+    answer = client.answer()
+    assert answer and answer[:2] == (200, b"second")
+
+
+BROKEN = [b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", b"garbage\r\n\r\n", b"HTTP/1.1 200 OK\r\n",
+          b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + b"x" * 70000,
+          b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"]
+
+
+@pytest.mark.parametrize("data", BROKEN)
+def test_broken_answer_is_a_failed_forward(rig: Rig, data: bytes) -> None:
+    """Guards against passing on as served what no endpoint made whole."""
+    client = rig.asked(ask("x", "book"))
+    got = only(rig.got())
+    got.raw(data)
+    rig.settle()
+    got.close()
+    assert rig.got() == [] and status(client.answer()) == 502
+
+
+def test_silence_after_the_write_is_timed_out_before_the_expiry(rig: Rig) -> None:
+    client = rig.asked(ask("x", "book", wait=900))
+    got = only(rig.got())
+    rig.wait(0.88)
+    assert client.answer() is None
+    rig.wait(0.02)
+    assert status(client.answer()) == 502 and rig.got() == []
+    rig.settle()
+    assert got.gone(), "the attempt was not given up"
+
+
+def test_patience_over_before_the_last_byte_is_written_never_ran(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a termination, or a lost repeat, for what the endpoint has not even read whole."""
+    connect = socket.socket.connect_ex
+
+    def with_small_buffer(self: socket.socket, address: tuple[str, int]) -> int:
+        self.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        return connect(self, address)
+
+    monkeypatch.setattr(socket.socket, "connect_ex", with_small_buffer)
+    rig = Rig(endpoints=1, receive_buffer=2048)
+    client = rig.client()
+    client.send(ask("x", "book", body=b"x" * 60000, wait=900))
+    rig.settle(read=False)
+    assert client.answer() is None and rig.stands[0].accepted == 1
+    rig.loop.wait(0.9)
+    assert status(client.answer()) == 503
+    rig.close()
+
+
+def test_expiry_counts_from_the_first_byte(rig: Rig) -> None:
+    client = rig.client()
+    request = ask("x", "book", wait=1000)
+    client.sock.sendall(request[:40])
+    rig.wait(0.6)
+    client.send(request[40:])
+    got = only(rig.got())
+    assert int(got.headers["x-timeout-ms"]) <= 400
+    rig.wait(0.39)
+    assert status(client.answer()) == 502
+
+
+def test_reset_of_a_reused_connection_after_the_write_may_have_run(rig: Rig) -> None:
+    """Guards against a hidden resend."""
+    client = rig.client()
+    for id in ("warm", "x"):
+        client.send(ask(id, "book"))
+        got = only(rig.got())
+        if id == "warm":
+            got.answer(200)
+            rig.settle()
+            assert status(client.answer()) == 200
+    got.reset()
+    assert rig.got() == [] and status(client.answer()) == 502
+
+
+def test_idle_connections_are_dropped_well_before_their_time_and_when_they_end(rig: Rig) -> None:
+    client = rig.asked(ask("a"))
+    got = only(rig.got())
+    got.answer(200)
+    rig.settle()
+    assert rig.pool.open == 1
+    rig.wait(20.0)  # of the 30 s stated
+    assert rig.pool.open == 0 and got.gone()
+    client = rig.asked(ask("b"))
+    got = only(rig.got())
+    got.answer(200)
+    rig.settle()
+    got.close()
+    rig.settle()
+    assert status(client.answer()) == 200 and rig.pool.open == 0
+
+
+def test_connections_to_an_endpoint_that_restarted_or_went_are_dropped(rig: Rig) -> None:
+    """Guards against writing to a machine that has vanished: such connections stay open and silent."""
+    rig.asked(ask("a"))
+    got = only(rig.got())
+    got.answer(200)
+    rig.settle()
+    name = f"e{rig.stands.index(got.stand)}"
+    assert rig.pool.open == 1
+    rig.tell(entry(name, got.stand.port, started=4990_000.0))
+    assert rig.pool.open == 0
+
+
+def test_client_that_leaves_ends_the_forward_and_nothing_more_is_sent(rig: Rig) -> None:
+    client = rig.asked(ask("x"))
+    got = only(rig.got())
+    client.close()
+    rig.settle()
+    assert got.gone() and rig.relay.held == {} and rig.pool.open == 0
+    rig.wait(3.0)
+    assert rig.got() == []
+
+
+def test_client_that_leaves_while_connecting_has_nothing_sent() -> None:
+    rig = Rig(endpoints=1, backlog=0)
+    filler = [socket.socket() for _ in range(3)]
+    for s in filler:  # a full accept queue: the next connection does not come up
+        s.setblocking(False)
+        s.connect_ex(("127.0.0.1", rig.stands[0].port))
+    client = rig.client()
+    client.send(ask("x"))
+    rig.loop.settle()
+    assert len(rig.relay.held) == 1
+    client.close()
+    rig.loop.settle()
+    for s in filler:
+        s.close()
+    rig.wait(0.2)
+    rig.wait(0.2)
+    assert rig.got() == [] and rig.relay.held == {}
+    rig.close()
+
+
+def test_connection_that_does_not_come_up_never_ran() -> None:
+    rig = Rig(endpoints=2, backlog=0)
+    full = rig.stands[0]
+    fillers = [socket.socket() for _ in range(3)]
+    for s in fillers:
+        s.setblocking(False)
+        s.connect_ex(("127.0.0.1", full.port))
+    served = 0
+    for n in range(6):
+        client = rig.client()
+        client.send(ask(f"x{n}", "book"))
+        rig.loop.settle()
+        rig.loop.wait(0.26)
+        rig.stands[1].look()
+        for got in rig.stands[1].unread:
+            got.answer(200)
+        rig.stands[1].unread.clear()
+        rig.loop.settle()
+        served += status(client.answer()) == 200
+    assert served == 6
+    for s in fillers:
+        s.close()
+    rig.close()
+
+
+def test_nothing_new_to_an_endpoint_that_drains(rig: Rig) -> None:
+    rig.tell(entry("e0", rig.stands[0].port, "DRAINING"), entry("e1", rig.stands[1].port, "DELETED"))
+    for n in range(12):
+        rig.asked(ask(f"x{n}"))
+        rig.serve_all()
+    assert rig.stands[2].accepted and not rig.stands[0].accepted + rig.stands[1].accepted
+
+
+def test_pools_and_clients_are_capped() -> None:
+    rig = Rig(endpoints=1, clients=4, connections=2)
+    clients = [rig.client() for _ in range(10)]
+    rig.settle()
+    assert len(rig.relay.clients) == 4
+    late = clients[-1]
+    late.send(ask("x"))
+    rig.serve_all()
+    assert status(late.answer()) == 200
+    for n in range(20):
+        rig.asked(ask(f"y{n}"))
+        assert rig.pool.open <= 2
+        rig.serve_all()
+    rig.close()
+
+
+def test_rejection_carries_hold_off_only_where_allowed() -> None:
+    for allowed in (True, False):
+        limits = {**SETTINGS["policy-limits"], "retry-after": allowed}
+        rig = Rig(endpoints=0, settings={**SETTINGS, "policy-limits": limits})  # nothing to send to
+        answer = rig.asked(ask("x")).answer()
+        assert answer and answer[0] == 503 and ("retry-after" in answer[2]) is allowed
+        rig.close()
+
+
+def test_bad_requests_get_their_status_and_only_theirs(rig: Rig) -> None:
+    beside = rig.asked(ask("good"))
+    bad = [(b"nonsense\r\n\r\n", 400), (ask("x", "unknown"), 400), (ask("x", wait=-1), 400),
+           (ask("x").replace(b"X-Request-ID: x\r\n", b""), 400),
+           (ask("x").replace(b"X-Timeout-Ms: 2000", b"X-Timeout-Ms: nan"), 400),
+           (ask("x", "book", body=b"y" * 70000), 413),
+           (ask("x", headers="X-Long: " + "z" * 20000 + "\r\n"), 431),
+           (b"POST /ready HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", 405)]
+    for request, expected in bad:
+        client = rig.asked(request)
+        assert status(client.answer()) == expected, request[:60]
+    only(rig.got()).answer(200)
+    rig.settle()
+    assert status(beside.answer()) == 200
+
+
+def test_events_for_a_descriptor_closed_in_the_same_batch_are_dropped() -> None:
+    """Guards against the old connection's event reaching a new one under the same number."""
+    rig = Rig(endpoints=0)
+    pairs = [socket.socketpair() for _ in range(2)]
+    told: list[str] = []
+
+    class Owner:
+        def __init__(self, name: str, sock: socket.socket) -> None:
+            self.name, self.sock, self.closed = name, sock, False
+            rig.loop.watch(sock.fileno(), self)
+
+        def on_events(self, events: int) -> None:
+            told.append(self.name)
+            for other in owners:
+                if other is not self and not other.closed:
+                    number = other.sock.fileno()
+                    rig.loop.unwatch(number)
+                    other.closed = True
+                    other.sock.close()
+                    fresh = socket.socketpair()
+                    renewed.extend(fresh)
+                    assert number in (fresh[0].fileno(), fresh[1].fileno())
+                    same = fresh[0] if fresh[0].fileno() == number else fresh[1]
+                    Owner("new", same)
+
+    renewed: list[socket.socket] = []
+    owners = [Owner(f"old{n}", pair[0]) for n, pair in enumerate(pairs)]
+    rig.loop.step()
+    assert len(told) == 1 and told[0].startswith("old")
+    rig.close()
+
+
+def test_accepting_goes_on_when_descriptors_run_out(rig: Rig, monkeypatch: pytest.MonkeyPatch) -> None:
+    idle = [rig.client() for _ in range(3)]
+    rig.settle()
+    accept, fails = socket.socket.accept, [24, 24]
+
+    def short(self: socket.socket) -> tuple[socket.socket, object]:
+        if self is rig.listener.sock and fails:
+            raise OSError(fails.pop(), "too many open files")
+        return accept(self)
+
+    monkeypatch.setattr(socket.socket, "accept", short)
+    client = rig.asked(ask("x"))
+    rig.wait(0.1)
+    rig.serve_all()
+    assert status(client.answer()) == 200 and not fails
+    assert len(rig.relay.clients) < len(idle) + 1, "no room was made"
+
+
+def test_stand_in_is_found_again_at_its_new_address(rig: Rig) -> None:
+    moved = Stand()
+    rig.stands.append(moved)
+    rig.tell(entry("e0", moved.port), whole=True)
+    client = rig.asked(ask("x"))
+    only(rig.got()).answer(200)
+    rig.settle()
+    assert status(client.answer()) == 200 and moved.accepted == 1
