All end-to-end headers of a request go on to the endpoint, the mark against repeats among them

Ruled out: body, path and method, which went on unchanged. All headers go on now but those of one connection, Host, the length and X-Timeout-Ms.

--- a/rainspindle/protocol/application.py
+++ b/rainspindle/protocol/application.py
@@ -4,7 +4,7 @@
 
 import contextlib
 import math
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 import h11
@@ -12,7 +12,9 @@
 MOST_BODY = 64 * 1024
 MOST_HEAD = 16 * 1024
 
-REJECTED, TERMINATED, EXPIRED = 503, 502, 504
+REJECTED, TERMINATED = 503, 502
+OWN = frozenset((b"host", b"x-timeout-ms", b"content-length", b"transfer-encoding", b"connection", b"expect",
+                 b"keep-alive", b"te", b"trailer", b"upgrade", b"proxy-authorization", b"proxy-connection"))
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,7 +25,7 @@
     method: bytes
     target: bytes
     body: bytes
-    content_type: bytes | None
+    headers: tuple[tuple[bytes, bytes], ...]  # those that go on unchanged
     type_index: int
     key: str | None
     wait: float | None  # how long the client waits, counted from its sending
@@ -65,6 +67,15 @@
     return None
 
 
+def going_on(headers: Iterable[tuple[bytes, bytes]]) -> tuple[tuple[bytes, bytes], ...]:
+    """All but those that belong to one connection or are written anew for each forward.
+
+    Guards against dropping the mark of a fingerprinted exchange, or one that we have no use for."""
+    named = {word.strip().lower() for name, value in headers if name == b"connection"
+             for word in value.split(b",")}
+    return tuple((name, value) for name, value in headers if name not in OWN and name not in named)
+
+
 def number(text: bytes | str) -> float:
     """A finite number that is not negative; float() alone would take `nan`."""
     value = float(text)
@@ -142,7 +153,7 @@
             wait = headers.get(b"x-timeout-ms")
             hint = headers.get(b"x-cost") or attributes(headers.get(b"x-attrs", b"")).get("predicted")
             return Ask(
-                id, request.method, request.target, body, headers.get(b"content-type"), self.types[name],
+                id, request.method, request.target, body, going_on(request.headers), self.types[name],
                 cookie(headers.get(b"cookie", b""), "user"), None if wait is None else number(wait) / 1000,
                 None if hint is None else number(hint) / 1000, headers.get(b"x-retried") == b"1")
         except ValueError:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -30,9 +30,12 @@
 def test_body_goes_both_ways_unchanged_and_connections_are_kept(rig: Rig) -> None:
     client = rig.client()
     for n in range(3):
-        client.send(ask(f"x{n}", "book", body=b"\x00\xff" * 700))
+        client.send(ask(f"x{n}", "book", body=b"\x00\xff" * 700,
+                        headers="Idempotency-Key: abc\r\nConnection: X-Hop\r\nX-Hop: 1\r\n"))
         got = only(rig.got())
         assert (got.method, got.target, got.id, got.body) == (b"POST", "/api?q=1", f"x{n}", b"\x00\xff" * 700)
+        assert got.headers["idempotency-key"] == "abc" and got.headers["cookie"] == f"a=b; user=ux{n}"
+        assert not {"x-hop", "connection"} & set(got.headers)
         assert 1900 < int(got.headers["x-timeout-ms"]) <= 2000
         got.answer(200, b"\x01\xfe" * 900)
         rig.settle()
