--- a/rainspindle/protocol/endpoint.py
+++ b/rainspindle/protocol/endpoint.py
@@ -25,7 +25,8 @@
         self.call = Call(MOST_BODY)
 
     def forward(self, ask: Ask, host: bytes, patience: float) -> bytes:
-        headers = [(b"Host", host), (b"X-Timeout-Ms", str(max(1, int(patience * 1000))).encode()), *ask.headers]
+        left = str(max(1, int(patience * 1000))).encode()
+        headers = [(b"Host", host), (b"X-Timeout-Ms", left), *ask.headers]
         if ask.body or ask.method not in (b"GET", b"HEAD"):
             headers.append((b"Content-Length", str(len(ask.body)).encode()))
         return self.call.request(ask.method, ask.target, headers, ask.body)
