--- a/rainspindle/protocol/application.py
+++ b/rainspindle/protocol/application.py
@@ -151,13 +151,15 @@
             return Bad(400, "an unknown X-Priority-Class")
         try:
             wait = headers.get(b"x-timeout-ms")
-            hint = headers.get(b"x-cost") or attributes(headers.get(b"x-attrs", b"")).get("predicted")
+            cost = headers.get(b"x-cost")  # in microseconds, where X-Attrs has milliseconds
+            predicted = attributes(headers.get(b"x-attrs", b"")).get("predicted")
+            hint = number(cost) / 1e6 if cost else number(predicted) / 1000 if predicted else None
             return Ask(
                 id, request.method, request.target, body, going_on(request.headers), self.types[name],
                 cookie(headers.get(b"cookie", b""), "user"), None if wait is None else number(wait) / 1000,
-                None if hint is None else number(hint) / 1000, headers.get(b"x-retried") == b"1")
+                hint, headers.get(b"x-retried") == b"1")
         except ValueError:
-            return Bad(400, "X-Timeout-Ms or X-Attrs is not a number")
+            return Bad(400, "X-Timeout-Ms, X-Cost or X-Attrs is not a number")
 
     # Answers.
 
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -30,7 +30,7 @@
        name=st.sampled_from(NAMES), wait=st.integers(0, 10**6), repeat=st.booleans())
 def test_a_request_in_any_pieces_is_one_ask(cuts, body, name, wait, repeat):  # type: ignore[no-untyped-def]
     side = ApplicationSide(NAMES)
-    extra = ("X-Retried: 1\r\n" if repeat else "") + "X-Attrs: predicted=12.5,other=x\r\n"
+    extra = "X-Retried: 1\r\nX-Cost: 12500\r\n" if repeat else "X-Attrs: predicted=12.5,other=x\r\n"
     asks = []
     for piece in in_pieces(ask("id7", name, body, wait, extra), cuts):
         side.receive(piece)
@@ -39,7 +39,7 @@
     assert len(asks) == 1 and isinstance(asks[0], Ask)
     got = asks[0]
     assert (got.request_id, got.body, got.key, got.repeat) == (b"id7", body, "uid7", repeat)
-    assert (NAMES[got.type_index], got.wait, got.hint) == (name, wait / 1000, 0.0125)
+    assert (NAMES[got.type_index], got.wait, got.hint) == (name, wait / 1000, pytest.approx(0.0125))
 
 
 @settings(max_examples=300, deadline=None, derandomize=True)
