After a silent watch the next is asked within the asking period; EMFILE towards endpoints makes room

Checked by arithmetic on the settings, then by a test with the clock by hand: a watch of 10 s given up after 12 s left the sidecar neither watching nor asking for longer than ask-within (10 s), were the silent watch not to count. Now 7 s, given up at 9 s. Connecting to discovery had no limit of its own. Pool.connect gave up on EMFILE although idle connections could be closed.

--- a/rainspindle/routing/follow.py
+++ b/rainspindle/routing/follow.py
@@ -14,14 +14,17 @@
 
 class Follower:
     MOST_WATCH = 20.0
+    CONNECT = 1.0
     LATE, LATE_WHOLE = 2.0, 4.0  # an answer later than this, after the wait if there is one, is a failure
+    WATCH_PART, LATE_PART = 0.7, 0.2  # of the asking period: after a silent watch too the next is asked in it
 
     def __init__(self, loop: Loop, address: Address, decoder: ListDecoder, ask_within: float,
                  known: ListChange) -> None:
         """Watches go on from the `known` list, where there is one: what it lacks is told first."""
         self.loop, self.address, self.decoder = loop, address, decoder
         self.host = f"{address[0]}:{address[1]}".encode()
-        self.wait = min(ask_within or self.MOST_WATCH, self.MOST_WATCH)
+        self.wait = min(self.WATCH_PART * ask_within or self.MOST_WATCH, self.MOST_WATCH)
+        self.late = min(self.LATE_PART * ask_within or self.LATE, self.LATE)
         self.version = known.version if known.lines else None
         self.wanted = False
         self.connection: Connection | None = None
@@ -53,11 +56,11 @@
 
     def ask(self) -> Coroutine[ListChange]:
         whole = self.version is None
-        until = self.loop.now() + (self.LATE_WHOLE if whole else self.wait + self.LATE)
+        until = self.loop.now() + (self.LATE_WHOLE if whole else self.wait + self.late)
         if self.connection is None or not self.connection.sound():
             self.close()
             self.connection = open_connection(self.loop, self.address)
-            yield from self.connection.establish(until)
+            yield from self.connection.establish(min(until, self.loop.now() + self.CONNECT))
         call = DiscoverySide(self.decoder)
         out = call.whole(self.host) if self.version is None else call.watch(
             self.host, self.version, self.wait)
--- a/rainspindle/transport/pool.py
+++ b/rainspindle/transport/pool.py
@@ -35,7 +35,12 @@
         while self.open >= self.most:
             if not self.make_room():
                 raise OutOfSockets("every connection is in use")
-        connection = open_connection(self.loop, address)
+        try:
+            connection = open_connection(self.loop, address)
+        except OutOfSockets:  # guards against EMFILE while idle connections hold descriptors
+            if not self.make_room():
+                raise
+            connection = open_connection(self.loop, address)
         self.open += 1
         try:
             yield from connection.establish(until)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -7,6 +7,9 @@
 
 import pytest
 
+from rainspindle.host import State
+from rainspindle.routing.follow import Follower
+
 from .fleet import SETTINGS, Got, Rig, Stand, ask, entry
 
 
@@ -329,6 +332,29 @@
     assert len(rig.relay.clients) < len(idle) + 1, "no room was made"
 
 
+def test_silent_discovery_is_asked_again_and_a_change_is_followed_at_once(rig: Rig) -> None:
+    discovery = Stand()
+    rig.stands.append(discovery)
+    known = rig.decoder.decode({"generation": 41, "reset": True, "instances": [entry("e0", 9)]})
+    follower = Follower(rig.loop, ("127.0.0.1", discovery.port), rig.decoder, 10.0, known)
+    follower.relay = rig.relay
+    follower.want()
+    silent = only(rig.got())
+    asked_at = rig.loop.now()
+    while not silent.gone():
+        rig.wait(0.5)
+    assert rig.watches == 1  # the module's own, at its start
+    while rig.watches == 1:
+        rig.wait(0.1)
+    assert rig.loop.now() - asked_at < 10.0, "neither watched nor asked for as long as the settings allow"
+    follower.want()
+    second = only(rig.got())
+    before = rig.loop.now()
+    second.tell(42, False, entry("e0", rig.stands[0].port, "DRAINING"))
+    assert "index=42" in only(rig.got()).target and rig.loop.now() == before
+    assert rig.facade.balancer.endpoints["e0"].line.state is State.DRAINING
+
+
 def test_stand_in_is_found_again_at_its_new_address(rig: Rig) -> None:
     moved = Stand()
     rig.stands.append(moved)
