--- a/rainspindle/must.py
+++ b/rainspindle/must.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections import Counter
 
 broken: Counter[str] = Counter()
@@ -10,4 +11,6 @@
 def must(holds: bool, name: str) -> None:
     if not holds:
         broken[name] += 1
+        if broken[name] == 1:
+            logging.getLogger(__name__).error("broken", extra={"fields": {"what": name}})
         assert holds, name
--- a/rainspindle/program/config.py
+++ b/rainspindle/program/config.py
@@ -63,12 +63,12 @@
 
     settings = socket_settings(raw["settings"])
     decoder = ListDecoder(settings.zones, time.monotonic() - time.time())
-    known = raw.get("known") or {"generation": 0, "reset": True, "instances": []}
+    known = decoder.decode(raw["known"]) if raw.get("known") else ListChange(0, True, (), {})
     seed = raw.get("seed", 0)
     config = Config(
         told("name"), parse_address(told("listen")), parse_address(told("discovery")),
         seed if isinstance(seed, int) else int(seed, 16), int(raw.get("limits", {}).get("sockets", 1024)),
-        decoder.decode(known), decoder, settings, raw["settings"])
+        known, decoder, settings, raw["settings"])
     config.facade(0.0)  # the settings that only the module needs
     return config
 
--- a/rainspindle/routing/follow.py
+++ b/rainspindle/routing/follow.py
@@ -68,7 +68,7 @@
         told = None
         while told is None:
             data = yield from self.connection.await_bytes(until)
-            told = call.receive(data or b"")
+            told = call.receive(data)
         change, reusable = told
         if not reusable:
             self.close()
--- a/rainspindle/routing/relay.py
+++ b/rainspindle/routing/relay.py
@@ -13,7 +13,7 @@
 from ..protocol.endpoint import EndpointSide
 from ..protocol.settings import SocketSettings
 from ..transport.address import Address
-from ..transport.connection import Broken, Connection, Late, OutOfSockets
+from ..transport.connection import Broken, Connection, Late, OutOfSockets, Unwanted
 from ..transport.loop import Coroutine, Loop, Task
 from ..transport.pool import Pool
 from .facade import Did, Facade, Reject, SendThere, Step, Terminate
@@ -30,7 +30,7 @@
         self.task = task
         self.steps: deque[Step] = deque()
         self.out: int | None = None  # the number of the forward that is out
-        self.called_off = False
+        self.called_off = self.left = False
 
 
 class Relay:
@@ -138,13 +138,11 @@
                 try:
                     until = first_byte + REQUEST_TIME if side.begun else math.inf
                     data = yield from client.await_bytes(until, lambda: client.closed)
-                except Broken:
+                except (Broken, Unwanted):
                     return
                 except Late:
                     yield from self.refuse(client, side, Bad(408, "the request did not become whole"))
                     return
-                if data is None:
-                    return
                 self.waiting.pop(client, None)
                 if not side.begun:
                     first_byte = client.came
@@ -202,14 +200,11 @@
     def follow(self, client: Connection, side: ApplicationSide, ask: Ask, exchange: int, held: Held,
                expires_at: float) -> Coroutine[bytes | None]:
         """Does the steps that the module decides, until there is a final answer."""
-        left = False
-
-        def give_up() -> bool:
-            nonlocal left
-            if client.ended and not left:
-                left = True
+        def left() -> bool:
+            if client.ended and not held.left:
+                held.left = True
                 self.apply(self.facade.left(self.loop.now(), exchange))
-            return held.called_off
+            return held.left
 
         while held.steps:
             step = held.steps.popleft()
@@ -220,19 +215,22 @@
                 return side.answer(TERMINATED, b"", self.leaving)
             held.out = step.number
             until = min(self.loop.now() + step.patience, expires_at)
-            outcome, body = yield from self.forward(ask, step, until, give_up)
+            outcome, body = yield from self.forward(
+                ask, step, until, before=left, after=lambda: left() and held.called_off)
             held.out = None
-            self.apply(self.facade.report(self.loop.now(), exchange, step.number, outcome, left))
-            if left:
+            self.apply(self.facade.report(self.loop.now(), exchange, step.number, outcome, held.left))
+            if held.left:
                 return None
             if outcome is Outcome.SERVED:
                 return side.finished(body, self.leaving)
         must(False, "an exchange is held with nothing sent")
         return side.answer(TERMINATED, b"", self.leaving)
 
-    def forward(self, ask: Ask, step: SendThere, until: float, give_up: Callable[[], bool]
-                ) -> Coroutine[tuple[Outcome, bytes]]:
-        """One forward: what came of it, and the body if it was served."""
+    def forward(self, ask: Ask, step: SendThere, until: float, before: Callable[[], bool],
+                after: Callable[[], bool]) -> Coroutine[tuple[Outcome, bytes]]:
+        """One forward: what came of it, and the body if it was served.
+
+        Given up when `before` holds until the last byte is written, and then when `after` does."""
         address = self.addresses.get(step.endpoint)
         if address is None:
             return Outcome.UNSENT, b""
@@ -240,36 +238,37 @@
         if connection is None:
             try:
                 connect_until = min(until, self.loop.now() + self.settings.connect_time)
-                connection = yield from self.pool.connect(address, connect_until)
+                connection = yield from self.pool.connect(address, connect_until, before)
             except OutOfSockets:
                 return Outcome.UNSENT, b""
             except (Broken, Late):
                 return Outcome.UNCONNECTED, b""
+            except Unwanted:
+                return Outcome.CALLED_OFF, b""
         kept = False
         try:
-            if give_up():  # the client left while the connection came up: nothing is sent for it any more
+            if before():  # nothing is sent for a client that has left
                 return Outcome.CALLED_OFF, b""
             call = EndpointSide()
             host = f"{address[0]}:{address[1]}".encode()
             out = call.forward(ask, host, until - self.loop.now())
             try:
-                yield from connection.send(out, until)
+                yield from connection.send(out, until, before)
             except (Broken, Late):
                 # An endpoint begins when the last byte has come, and it was not written.
                 return Outcome.UNCONNECTED, b""
             try:
                 ended = None
                 while ended is None:
-                    data = yield from connection.await_bytes(until, give_up)
-                    if data is None:
-                        return Outcome.CALLED_OFF, b""
-                    ended = call.receive(data)
+                    ended = call.receive((yield from connection.await_bytes(until, after)))
             except Late:
                 return Outcome.TIMED_OUT, b""
             except (Broken, Unreadable):
                 return Outcome.RESET, b""
             kept = ended.reusable
             return ended.outcome, ended.body
+        except Unwanted:
+            return Outcome.CALLED_OFF, b""
         finally:
             if kept:
                 self.pool.keep_idle(address, connection)
--- a/rainspindle/transport/connection.py
+++ b/rainspindle/transport/connection.py
@@ -11,6 +11,8 @@
 from .address import Address
 from .loop import Coroutine, Loop
 
+Unless = Callable[[], bool] | None
+
 CHUNK = 65536
 ENDED = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 SHORT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -20,6 +22,10 @@
     """The connection was refused, reset, or ended where more was due."""
 
 
+class Unwanted(Exception):
+    """What the coroutine waited for is not wanted any more: its `unless` holds."""
+
+
 class Late(Exception):
     """The time until which the coroutine would wait has come."""
 
@@ -36,7 +42,7 @@
     """Edge-triggered: what epoll told is kept in flags until the socket says that it would block."""
 
     def __init__(self, loop: Loop, sock: socket.socket, connected: bool) -> None:
-        self.loop, self.sock, self.connected = loop, sock, connected
+        self.loop, self.sock = loop, sock
         self.closed = False
         self.readable = self.writable = connected
         self.ended = False  # the other side has closed or broken it, or its sending half
@@ -60,16 +66,21 @@
         assert task is not None
         self.wake = task.wake
 
-    def establish(self, until: float) -> Coroutine[None]:
+    def await_it(self, until: float, unless: Unless) -> Coroutine[None]:
+        """One wait, if there is still time and it is still wanted."""
+        if unless is not None and unless():
+            raise Unwanted
+        if self.loop.now() >= until:
+            raise Late
+        yield until
+
+    def establish(self, until: float, unless: Unless = None) -> Coroutine[None]:
         self.mine()
         while not self.writable:
-            if self.loop.now() >= until:
-                raise Late
-            yield until
+            yield from self.await_it(until, unless)
         error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if error:
             raise Broken(errno.errorcode.get(error, str(error)))
-        self.connected = True
 
     def receive(self) -> bytes | None:
         """What has come: None while there is nothing, b"" at the end."""
@@ -84,20 +95,14 @@
             self.ended = True
             raise Broken(str(fault)) from None
 
-    def await_bytes(self, until: float, unless: Callable[[], bool] | None = None) -> Coroutine[bytes | None]:
-        """The next bytes, b"" at the end; None as soon as `unless` holds."""
+    def await_bytes(self, until: float, unless: Unless = None) -> Coroutine[bytes]:
+        """The next bytes, b"" at the end."""
         self.mine()
-        while True:
-            if unless is not None and unless():
-                return None
-            data = self.receive()
-            if data is not None:
-                return data
-            if self.loop.now() >= until:
-                raise Late
-            yield until
-
-    def send(self, data: bytes, until: float) -> Coroutine[None]:
+        while (data := self.receive()) is None:
+            yield from self.await_it(until, unless)
+        return data
+
+    def send(self, data: bytes, until: float, unless: Unless = None) -> Coroutine[None]:
         """Returns when the last byte is written, and only then."""
         self.mine()
         view = memoryview(data)
@@ -110,10 +115,8 @@
                 except OSError as fault:
                     self.ended = True
                     raise Broken(str(fault)) from None
-                continue
-            if self.loop.now() >= until:
-                raise Late
-            yield until
+            else:
+                yield from self.await_it(until, unless)
 
     def sound(self) -> bool:
         """Whether an idle connection can still be used: nothing has come and nothing has ended."""
@@ -172,7 +175,6 @@
         self.sock.setblocking(False)
         self.sock.bind(address)
         self.sock.listen(self.BACKLOG)
-        self.last_accepted = loop.now()
         loop.watch(self.sock.fileno(), self)
 
     @property
@@ -197,7 +199,6 @@
                 continue
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.last_accepted = self.loop.now()
             self.accepted(Connection(self.loop, sock, connected=True))
 
     def again(self) -> Coroutine[None]:
--- a/rainspindle/transport/pool.py
+++ b/rainspindle/transport/pool.py
@@ -5,7 +5,7 @@
 from functools import partial
 
 from .address import Address
-from .connection import Connection, OutOfSockets, open_connection
+from .connection import Connection, OutOfSockets, Unless, open_connection
 from .loop import Coroutine, Loop
 
 
@@ -31,7 +31,7 @@
             self.drop(address, connection)
         return None
 
-    def connect(self, address: Address, until: float) -> Coroutine[Connection]:
+    def connect(self, address: Address, until: float, unless: Unless = None) -> Coroutine[Connection]:
         while self.open >= self.most:
             if not self.make_room():
                 raise OutOfSockets("every connection is in use")
@@ -43,7 +43,7 @@
             connection = open_connection(self.loop, address)
         self.open += 1
         try:
-            yield from connection.establish(until)
+            yield from connection.establish(until, unless)
         except BaseException:
             self.close(connection)
             raise
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -187,6 +187,30 @@
     assert rig.got() == []
 
 
+def test_where_nothing_may_be_called_off_the_forward_goes_on_without_its_client() -> None:
+    limits = {**SETTINGS["policy-limits"], "cancel": False}
+    rig = Rig(settings={**SETTINGS, "policy-limits": limits})
+    client = rig.asked(ask("x"))
+    got = only(rig.got())
+    client.close()
+    rig.settle()
+    assert not got.gone() and len(rig.relay.held) == 1
+    got.answer(500)
+    assert rig.got() == [] and rig.relay.held == {}
+    rig.close()
+
+
+def test_a_client_that_waits_to_be_told_to_go_on_is_told(rig: Rig) -> None:
+    client = rig.client()
+    head, _, body = ask("x", "book", body=b"in", headers="Expect: 100-continue\r\n").partition(b"\r\n\r\n")
+    client.sock.sendall(head + b"\r\n\r\n")
+    rig.settle()
+    assert client.sock.recv(100).startswith(b"HTTP/1.1 100 ")
+    client.send(body)
+    got = only(rig.got())
+    assert got.body == b"in" and "expect" not in got.headers
+
+
 def test_client_that_leaves_while_connecting_has_nothing_sent(rig: Rig) -> None:
     client = rig.client()
     client.send(ask("x"))
