--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -49,40 +49,33 @@
         self.process = subprocess.Popen([sys.executable, "-m", "rainspindle", "serve", "--config", str(file)],
                                         cwd=ROOT, stdout=subprocess.DEVNULL, stderr=self.log)
         self.port = int(self.until(lambda: re.search(r"event=serving listen=127.0.0.1:(\d+)", self.logged())
-                                   ).group(1))  # type: ignore[union-attr]
-        self.watches: list[Got] = []
+                                   ).group(1))
 
     def logged(self) -> str:
         self.log.seek(0)
         return self.log.read()
 
-    def until(self, found: Callable[[], T]) -> T:
+    def until(self, found: Callable[[], T | None]) -> T:
         end = time.monotonic() + PATIENCE
         while not (value := found()):
             assert time.monotonic() < end, f"nothing came; the log: {self.logged()}"
             select.select([], [], [], 0.005)
         return value
 
-    def got(self) -> Got:
+    def next(self, stand: Stand) -> Got:
         def one() -> Got | None:
-            self.endpoint.look()
-            return self.endpoint.unread.pop(0) if self.endpoint.unread else None
-        found = self.until(one)
-        assert found is not None
-        return found
+            stand.look()
+            return stand.unread.pop(0) if stand.unread else None
+        return self.until(one)
+
+    def got(self) -> Got:
+        return self.next(self.endpoint)
 
     def watch(self) -> Got:
-        def one() -> Got | None:
-            self.discovery.look()
-            return self.discovery.unread.pop(0) if self.discovery.unread else None
-        found = self.until(one)
-        assert found is not None
-        return found
+        return self.next(self.discovery)
 
     def answer(self, client: Client) -> tuple[int, bytes, dict[str, str]]:
-        found = self.until(client.answer)
-        assert found is not None
-        return found
+        return self.until(client.answer)
 
     def asked(self, data: bytes) -> Client:
         client = Client(self.port)
