Nothing is sent past a drain's grace by a slow connect; a defect still gives the one answer

Found by rereading relay.py. (1) forward() let a connection come up for the whole connect time, whatever the grace: with a connect time above it, a drain told meanwhile would have been broken (a test with 3 s against 0.5 s). (2) An exception inside an exchange closed its client with no answer and left the forward in the module's books. (3) A wait above the type's expiry held a sidecar past its way out. (4) Sending '100 Continue' to a client that had gone raised outside the handling. (5) The ticker did not look again when a wake came earlier than its own next look. An endpoint's end-to-end headers go back with its answer, as users of a proxy expect.

--- a/rainspindle/protocol/application.py
+++ b/rainspindle/protocol/application.py
@@ -163,8 +163,8 @@
 
     # Answers.
 
-    def finished(self, body: bytes, close: bool) -> bytes:
-        return self.answer(200, body, close)
+    def finished(self, body: bytes, headers: Sequence[tuple[bytes, bytes]], close: bool) -> bytes:
+        return self.answer(200, body, close, headers)
 
     def rejected(self, hold_off: float, close: bool) -> bytes:
         headers = [(b"Retry-After", f"{hold_off:.3f}".encode())] if hold_off > 0 else []
--- a/rainspindle/protocol/client.py
+++ b/rainspindle/protocol/client.py
@@ -17,7 +17,7 @@
 @dataclass(frozen=True, slots=True)
 class Reply:
     status: int
-    headers: dict[bytes, bytes]
+    headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
     reusable: bool  # whether the connection can carry a further request
 
@@ -64,4 +64,4 @@
         c = self.connection
         # Guards against keeping a connection that has ended, or that holds bytes nobody asked for.
         reusable = c.our_state is h11.DONE and c.their_state is h11.DONE and c.trailing_data == (b"", False)
-        return Reply(self.response.status_code, dict(self.response.headers), bytes(self.body), reusable)
+        return Reply(self.response.status_code, tuple(self.response.headers), bytes(self.body), reusable)
--- a/rainspindle/protocol/endpoint.py
+++ b/rainspindle/protocol/endpoint.py
@@ -5,15 +5,16 @@
 from dataclasses import dataclass
 
 from ..host import Outcome
-from .application import MOST_BODY, Ask
+from .application import MOST_BODY, Ask, going_on
 from .client import Call, Reply
 
 
 @dataclass(frozen=True, slots=True)
-class Ended:
-    """How a forward ended, as far as the endpoint said so."""
+class Answered:
+    """How a forward ended, as the endpoint said."""
 
     outcome: Outcome
+    headers: tuple[tuple[bytes, bytes], ...]  # those that go on unchanged
     body: bytes
     reusable: bool
 
@@ -31,15 +32,16 @@
             headers.append((b"Content-Length", str(len(ask.body)).encode()))
         return self.call.request(ask.method, ask.target, headers, ask.body)
 
-    def receive(self, data: bytes) -> Ended | None:
+    def receive(self, data: bytes) -> Answered | None:
         """Takes what has come; gives the end once the answer is whole. Raises Unreadable."""
         reply = self.call.receive(data)
-        return None if reply is None else Ended(outcome(reply), reply.body, reply.reusable)
+        return None if reply is None else Answered(
+            outcome(reply), going_on(reply.headers), reply.body, reply.reusable)
 
 
 def outcome(reply: Reply) -> Outcome:
     if reply.status == 200:
         return Outcome.SERVED
-    if reply.status in (503, 504) and reply.headers.get(b"x-not-processed") == b"1":
+    if reply.status in (503, 504) and (b"x-not-processed", b"1") in reply.headers:
         return Outcome.FULL
     return Outcome.ERROR  # whatever it says, it may have run
--- a/rainspindle/protocol/settings.py
+++ b/rainspindle/protocol/settings.py
@@ -63,6 +63,7 @@
     idle_time: float  # an endpoint closes a connection that stood idle for this long
     connect_time: float
     ask_within: float
+    drain_grace: float
 
 
 def socket_settings(s: dict[str, Any]) -> SocketSettings:
@@ -72,6 +73,6 @@
             tuple(t["name"] for t in s["traffic-types"]),
             tuple(seconds(t["expiry"]) for t in s["traffic-types"]), tuple(s["failure-domains"]),
             seconds(limits.get("conn-idle")), seconds(limits.get("connect-timeout")) or 1.0,
-            seconds(contract["ask-within"]))
+            seconds(contract["ask-within"]), seconds(contract["stop-sending-within"]))
     except KeyError as e:
         raise ValueError(f"the settings lack {e}") from None
--- a/rainspindle/routing/relay.py
+++ b/rainspindle/routing/relay.py
@@ -10,7 +10,7 @@
 from ..must import must
 from ..protocol.application import TERMINATED, ApplicationSide, Ask, Bad, Ended
 from ..protocol.client import Unreadable
-from ..protocol.endpoint import EndpointSide
+from ..protocol.endpoint import Answered, EndpointSide
 from ..protocol.settings import SocketSettings
 from ..transport.address import Address
 from ..transport.connection import Broken, Connection, Late, OutOfSockets, Unwanted
@@ -46,6 +46,7 @@
         self.waiting: dict[Connection, None] = {}  # those between requests, the longest unused first
         self.leaving = False  # SIGTERM has come
         self.ready = False
+        self.looks_at = -math.inf
         self.ticker = loop.spawn(loop.lasting(self.tick))
         self.apply(facade.taken())
 
@@ -67,13 +68,17 @@
                 self.pool.drop_all(self.addresses[endpoint])
         if did.watch:
             self.on_watch()
+        if did.wake_at < self.looks_at:
+            self.ticker.wake()
 
     def tick(self) -> Coroutine[None]:
         while True:
+            self.looks_at = -math.inf  # awake
             did = self.facade.tick(self.loop.now())
             self.apply(did)
             self.pool.sweep()
-            yield min(did.wake_at, self.loop.now() + 1.0)
+            self.looks_at = min(did.wake_at, self.loop.now() + 1.0)
+            yield self.looks_at
 
     # The list.
 
@@ -133,10 +138,10 @@
             if message is None:
                 if not side.begun:
                     self.waiting[client] = None
-                if side.wants_continue:
-                    yield from client.send(side.go_on(), math.inf)
+                until = first_byte + REQUEST_TIME if side.begun else math.inf
                 try:
-                    until = first_byte + REQUEST_TIME if side.begun else math.inf
+                    if side.wants_continue:
+                        yield from client.send(side.go_on(), until)
                     data = yield from client.await_bytes(until, lambda: client.closed)
                 except (Broken, Unwanted):
                     return
@@ -185,8 +190,8 @@
         """The bytes of the final answer; None when the client has left."""
         task = self.loop.current
         assert task is not None
-        wait = self.settings.expiries[ask.type_index] if ask.wait is None else ask.wait
-        expires_at = first_byte + wait - ANSWER_TIME
+        expiry = self.settings.expiries[ask.type_index]
+        expires_at = first_byte + (expiry if ask.wait is None else min(ask.wait, expiry)) - ANSWER_TIME
         self.taken += 1
         exchange = self.taken  # the request's own id may come twice, when a client sends it once more
         held = self.held[exchange] = Held(task)
@@ -194,6 +199,12 @@
             self.apply(self.facade.pick(self.loop.now(), exchange, ask.type_index, ask.key, ask.hint,
                                         expires_at, ask.repeat))
             return (yield from self.follow(client, side, ask, exchange, held, expires_at))
+        except Exception as fault:  # a defect: the client still gets its one answer, the module forgets it
+            self.loop.on_fault(fault)
+            self.apply(self.facade.left(self.loop.now(), exchange))
+            if held.out is not None:
+                self.facade.report(self.loop.now(), exchange, held.out, Outcome.CALLED_OFF, over=True)
+            return side.answer(TERMINATED, b"", self.leaving)
         finally:
             del self.held[exchange]
 
@@ -215,40 +226,42 @@
                 return side.answer(TERMINATED, b"", self.leaving)
             held.out = step.number
             until = min(self.loop.now() + step.patience, expires_at)
-            outcome, body = yield from self.forward(
+            outcome, answer = yield from self.forward(
                 ask, step, until, before=left, after=lambda: left() and held.called_off)
             held.out = None
             self.apply(self.facade.report(self.loop.now(), exchange, step.number, outcome, held.left))
             if held.left:
                 return None
-            if outcome is Outcome.SERVED:
-                return side.finished(body, self.leaving)
+            if answer is not None and outcome is Outcome.SERVED:
+                return side.finished(answer.body, answer.headers, self.leaving)
         must(False, "an exchange is held with nothing sent")
         return side.answer(TERMINATED, b"", self.leaving)
 
     def forward(self, ask: Ask, step: SendThere, until: float, before: Callable[[], bool],
-                after: Callable[[], bool]) -> Coroutine[tuple[Outcome, bytes]]:
-        """One forward: what came of it, and the body if it was served.
+                after: Callable[[], bool]) -> Coroutine[tuple[Outcome, Answered | None]]:
+        """One forward: what came of it, and the endpoint's answer if there is one.
 
         Given up when `before` holds until the last byte is written, and then when `after` does."""
         address = self.addresses.get(step.endpoint)
         if address is None:
-            return Outcome.UNSENT, b""
+            return Outcome.UNSENT, None
         connection = self.pool.take(address)
         if connection is None:
             try:
-                connect_until = min(until, self.loop.now() + self.settings.connect_time)
+                # Guards against a drain told while it connects: the first byte is sent within the grace.
+                connect_time = min(self.settings.connect_time, self.settings.drain_grace)
+                connect_until = min(until, self.loop.now() + connect_time)
                 connection = yield from self.pool.connect(address, connect_until, before)
             except OutOfSockets:
-                return Outcome.UNSENT, b""
+                return Outcome.UNSENT, None
             except (Broken, Late):
-                return Outcome.UNCONNECTED, b""
+                return Outcome.UNCONNECTED, None
             except Unwanted:
-                return Outcome.CALLED_OFF, b""
+                return Outcome.CALLED_OFF, None
         kept = False
         try:
             if before():  # nothing is sent for a client that has left
-                return Outcome.CALLED_OFF, b""
+                return Outcome.CALLED_OFF, None
             call = EndpointSide()
             host = f"{address[0]}:{address[1]}".encode()
             out = call.forward(ask, host, until - self.loop.now())
@@ -256,19 +269,19 @@
                 yield from connection.send(out, until, before)
             except (Broken, Late):
                 # An endpoint begins when the last byte has come, and it was not written.
-                return Outcome.UNCONNECTED, b""
+                return Outcome.UNCONNECTED, None
             try:
-                ended = None
-                while ended is None:
-                    ended = call.receive((yield from connection.await_bytes(until, after)))
+                answer = None
+                while answer is None:
+                    answer = call.receive((yield from connection.await_bytes(until, after)))
             except Late:
-                return Outcome.TIMED_OUT, b""
+                return Outcome.TIMED_OUT, None
             except (Broken, Unreadable):
-                return Outcome.RESET, b""
-            kept = ended.reusable
-            return ended.outcome, ended.body
+                return Outcome.RESET, None
+            kept = answer.reusable
+            return answer.outcome, answer
         except Unwanted:
-            return Outcome.CALLED_OFF, b""
+            return Outcome.CALLED_OFF, None
         finally:
             if kept:
                 self.pool.keep_idle(address, connection)
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -13,7 +13,7 @@
 from rainspindle.protocol.application import ApplicationSide, Ask, Bad
 from rainspindle.protocol.client import Unreadable
 from rainspindle.protocol.discovery import DiscoverySide, ListDecoder
-from rainspindle.protocol.endpoint import Ended, EndpointSide
+from rainspindle.protocol.endpoint import Answered, EndpointSide
 
 from .fleet import ask, entry
 
@@ -58,7 +58,7 @@
         assert side.answer(message.status, b"", close=True).startswith(b"HTTP/1.1 4")
 
 
-def ended(data: bytes, then_end: bool = True) -> Ended | None:
+def ended(data: bytes, then_end: bool = True) -> Answered | None:
     side = EndpointSide()
     request = ApplicationSide(NAMES)
     request.receive(ask("x"))
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -33,17 +33,18 @@
 def test_body_goes_both_ways_unchanged_and_connections_are_kept(rig: Rig) -> None:
     client = rig.client()
     for n in range(3):
-        client.send(ask(f"x{n}", "book", body=b"\x00\xff" * 700,
+        client.send(ask(f"x{n}", "book", body=b"\x00\xff" * 700, wait=1400,
                         headers="Idempotency-Key: abc\r\nConnection: X-Hop\r\nX-Hop: 1\r\n"))
         got = only(rig.got())
         assert (got.method, got.target, got.id, got.body) == (b"POST", "/api?q=1", f"x{n}", b"\x00\xff" * 700)
         assert got.headers["idempotency-key"] == "abc" and got.headers["cookie"] == f"a=b; user=ux{n}"
         assert not {"x-hop", "connection"} & set(got.headers)
-        assert 1900 < int(got.headers["x-timeout-ms"]) <= 2000
-        got.answer(200, b"\x01\xfe" * 900)
+        assert 1300 < int(got.headers["x-timeout-ms"]) <= 1400
+        got.answer(200, b"\x01\xfe" * 900, "Content-Type: a/b\r\nKeep-Alive: timeout=5\r\n")
         rig.settle()
         answer = client.answer()
         assert answer and answer[:2] == (200, b"\x01\xfe" * 900)
+        assert answer[2]["content-type"] == "a/b" and "keep-alive" not in answer[2]
     assert rig.pool.made <= len(rig.stands) and rig.pool.open == rig.pool.made
 
 
@@ -306,6 +307,42 @@
     assert status(slow.answer()) == 408 and not rig.relay.clients
 
 
+def test_a_defect_still_gives_the_one_answer(rig: Rig, monkeypatch: pytest.MonkeyPatch) -> None:
+    def defect(*_: object) -> object:
+        raise RuntimeError("a defect")
+
+    monkeypatch.setattr(rig.pool, "take", defect)
+    client = rig.client()
+    client.send(ask("x", "book"))
+    with pytest.raises(AssertionError, match="a defect"):
+        rig.settle()
+    rig.loop.faults.clear()
+    monkeypatch.undo()
+    rig.settle()
+    assert status(client.answer()) == 502 and not rig.relay.held and not rig.facade.balancer.forwards
+    rig.asked(ask("y"))
+    assert len(rig.got()) == 1
+
+
+def test_an_endpoint_that_drains_while_it_connects_is_sent_nothing_past_the_grace() -> None:
+    limits = {**SETTINGS["policy-limits"], "connect-timeout": 3000.0}
+    rig = Rig(1, backlog=0, settings={**SETTINGS, "policy-limits": limits})
+    fillers = [socket.socket() for _ in range(3)]
+    for s in fillers:
+        s.setblocking(False)
+        s.connect_ex(("127.0.0.1", rig.stands[0].port))
+    client = rig.client()
+    client.send(ask("x", "book"))
+    rig.loop.settle()
+    assert rig.pool.open == 1
+    rig.tell(entry("e0", rig.stands[0].port, "DRAINING"))
+    rig.loop.wait(0.5)
+    assert rig.pool.open == 0 and status(client.answer()) == 503
+    for s in fillers:
+        s.close()
+    rig.close()
+
+
 def test_events_for_a_descriptor_closed_in_the_same_batch_are_dropped() -> None:
     """Guards against the old connection's event reaching a new one under the same number."""
     rig = Rig(endpoints=0)
