--- a/rainspindle/program/serve.py
+++ b/rainspindle/program/serve.py
@@ -13,6 +13,7 @@
 from .. import must
 from ..routing.follow import Follower
 from ..routing.relay import Relay
+from ..transport.address import address_text
 from ..transport.connection import Listener
 from ..transport.loop import Coroutine, Loop
 from ..transport.pool import Pool
@@ -100,8 +101,7 @@
     def run(self) -> None:
         gc.collect()
         gc.freeze()
-        host, port = self.listener.address
-        log.info("serving", extra={"fields": {"listen": f"{host}:{port}"}})
+        log.info("serving", extra={"fields": {"listen": address_text(self.listener.address)}})
         self.loop.run()
         log.info("left", extra={"fields": {**dict(self.figures())}})
 
--- a/rainspindle/routing/follow.py
+++ b/rainspindle/routing/follow.py
@@ -6,7 +6,7 @@
 
 from ..protocol.client import Unreadable
 from ..protocol.discovery import DiscoverySide, ListChange, ListDecoder
-from ..transport.address import Address
+from ..transport.address import Address, address_text
 from ..transport.connection import Broken, Connection, Late, OutOfSockets, open_connection
 from ..transport.loop import Coroutine, Loop
 from .relay import Relay
@@ -22,7 +22,7 @@
                  known: ListChange) -> None:
         """Watches go on from the `known` list, where there is one: what it lacks is told first."""
         self.loop, self.address, self.decoder = loop, address, decoder
-        self.host = f"{address[0]}:{address[1]}".encode()
+        self.host = address_text(address).encode()
         self.wait = min(self.WATCH_PART * ask_within or self.MOST_WATCH, self.MOST_WATCH)
         self.late = min(self.LATE_PART * ask_within or self.LATE, self.LATE)
         self.version = known.version if known.lines else None
--- a/rainspindle/routing/relay.py
+++ b/rainspindle/routing/relay.py
@@ -12,7 +12,7 @@
 from ..protocol.client import Unreadable
 from ..protocol.endpoint import Answered, EndpointSide
 from ..protocol.settings import SocketSettings
-from ..transport.address import Address
+from ..transport.address import Address, address_text
 from ..transport.connection import Broken, Connection, Late, OutOfSockets, Unwanted
 from ..transport.loop import Coroutine, Loop, Task
 from ..transport.pool import Pool
@@ -263,8 +263,7 @@
             if before():  # nothing is sent for a client that has left
                 return Outcome.CALLED_OFF, None
             call = EndpointSide()
-            host = f"{address[0]}:{address[1]}".encode()
-            out = call.forward(ask, host, until - self.loop.now())
+            out = call.forward(ask, address_text(address).encode(), until - self.loop.now())
             try:
                 yield from connection.send(out, until, before)
             except (Broken, Late):
--- a/rainspindle/transport/address.py
+++ b/rainspindle/transport/address.py
@@ -7,6 +7,11 @@
 Address = tuple[str, int]
 
 
+def address_text(address: Address) -> str:
+    host, port = address
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
 def parse_address(text: str) -> Address:
     host, _, port = text.rpartition(":")
     host = host.removeprefix("[").removesuffix("]")
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -14,6 +14,7 @@
 from rainspindle.protocol.client import Unreadable
 from rainspindle.protocol.discovery import DiscoverySide, ListDecoder
 from rainspindle.protocol.endpoint import Answered, EndpointSide
+from rainspindle.transport.address import address_text, parse_address
 
 from .fleet import ask, entry
 
@@ -123,3 +124,10 @@
     with pytest.raises(Unreadable):
         if side.receive(data) is None:
             side.receive(b"")
+
+
+@pytest.mark.parametrize("text", ["nowhere", "a.example:80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:70000"])
+def test_an_address_is_numeric_and_whole(text: str) -> None:
+    assert address_text(parse_address("[::1]:80")) == "[::1]:80" and parse_address("127.0.0.1:0")[1] == 0
+    with pytest.raises(ValueError):
+        parse_address(text)
