A list service that answers every watch at once with nothing is asked ten times a second at most

Found by rereading follow.py: nothing kept a watch that came back empty from being asked again in the same millisecond. The rest of 0.1 s stays inside the 0.2 s within which a watch goes on, and only an early, empty answer has it. The version now counts as had only when its change is applied, or a fault in between would have lost it.

--- a/rainspindle/routing/follow.py
+++ b/rainspindle/routing/follow.py
@@ -15,6 +15,7 @@
 class Follower:
     MOST_WATCH = 20.0
     CONNECT = 1.0
+    REST = 0.1  # a watch goes on only if the next call comes within 0.2 s
     LATE, LATE_WHOLE = 2.0, 4.0  # an answer later than this, after the wait if there is one, is a failure
     WATCH_PART, LATE_PART = 0.7, 0.2  # of the asking period: after a silent watch too the next is asked in it
 
@@ -44,6 +45,7 @@
     def follow(self, relay: Relay) -> Coroutine[None]:
         """Watches until a call fails."""
         while True:
+            asked_at = self.loop.now()
             try:
                 change = yield from self.ask()
             except (Broken, Late, OutOfSockets, Unreadable):
@@ -51,8 +53,12 @@
                 self.wanted = False
                 relay.list_failed()
                 return
-            self.version = change.version
             relay.list_changed(change.lines, change.addresses, change.whole, stale=False)
+            self.version = change.version
+            # Guards against flooding a service that answers every watch at once with nothing.
+            rest = self.loop.now() + self.REST
+            while not change.lines and self.loop.now() < min(rest, asked_at + self.wait):
+                yield rest
 
     def ask(self) -> Coroutine[ListChange]:
         whole = self.version is None
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -416,6 +416,25 @@
     assert rig.facade.balancer.endpoints["e0"].line.state is State.DRAINING
 
 
+def test_discovery_that_answers_at_once_with_nothing_is_not_flooded(rig: Rig) -> None:
+    discovery = Stand()
+    rig.stands.append(discovery)
+    follower = Follower(rig.loop, ("127.0.0.1", discovery.port), rig.decoder, 10.0,
+                        rig.decoder.decode({"generation": 0, "reset": True, "instances": []}))
+    follower.relay = rig.relay
+    follower.want()
+    first = only(rig.got())
+    assert first.target == "/v1/endpoints"  # nothing is known: the whole list
+    first.tell(1, True, entry("e0", rig.stands[0].port))
+    for n in range(5):
+        watch = only(rig.got())
+        assert "index=1" in watch.target
+        watch.tell(1, False)
+        assert rig.got() == [], n
+        rig.wait(0.15)
+    assert len(rig.got()) == 1
+
+
 def test_stand_in_is_found_again_at_its_new_address(rig: Rig) -> None:
     moved = Stand()
     rig.stands.append(moved)
