A sidecar that leaves is no longer ready

GET /ready answered 200 after SIGTERM: an application that begins on that word would have begun at a process about to leave. 503 now; exchanges are still taken and finished as before.

--- a/rainspindle/routing/relay.py
+++ b/rainspindle/routing/relay.py
@@ -162,7 +162,8 @@
                 if isinstance(message, Ask):
                     out = yield from self.relay(client, side, message, first_byte)
                 else:
-                    out = side.answer(200 if self.ready else 503, b"", self.leaving)
+                    # One that leaves is not ready: its successor is, under the same address.
+                    out = side.answer(200 if self.ready and not self.leaving else 503, b"", self.leaving)
                 if out is None:
                     return
                 yield from client.send(out, self.loop.now() + 5.0)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -166,6 +166,7 @@
     got = service.got()
     service.process.send_signal(signal.SIGTERM)
     service.until(lambda: "event=leaving" in service.logged())
+    assert service.answer(service.asked(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n"))[0] == 503
     late = service.asked(ask("late"))
     service.got().answer(200)
     status, _, headers = service.answer(late)
