--- a/rainspindle/routing/relay.py
+++ b/rainspindle/routing/relay.py
@@ -40,6 +40,7 @@
         self.most_clients, self.on_watch = most_clients, on_watch
         self.addresses: dict[str, Address] = {}
         self.started: dict[str, float | None] = {}
+        self.heard: dict[Address, float] = {}  # when an answer last came whole
         self.held: dict[int, Held] = {}
         self.taken = 0
         self.clients: dict[Connection, None] = {}
@@ -263,7 +264,7 @@
         try:
             if before():  # nothing is sent for a client that has left
                 return Outcome.CALLED_OFF, None
-            call = EndpointSide()
+            call, sent_at = EndpointSide(), self.loop.now()
             out = call.forward(ask, address_text(address).encode(), until - self.loop.now())
             try:
                 yield from connection.send(out, until, before)
@@ -275,9 +276,14 @@
                 while answer is None:
                     answer = call.receive((yield from connection.await_bytes(until, after)))
             except Late:
+                # Guards against further writes to a machine that has vanished: its idle connections stay open
+                # and silent, where a new one fails as unconnected, so that even a binding exchange goes on.
+                if self.heard.get(address, -math.inf) < sent_at:
+                    self.pool.drop_all(address)
                 return Outcome.TIMED_OUT, None
             except (Broken, Unreadable):
                 return Outcome.RESET, None
+            self.heard[address] = self.loop.now()
             kept = answer.reusable
             return answer.outcome, answer
         except Unwanted:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -178,6 +178,24 @@
     assert rig.pool.open == 0
 
 
+def test_idle_connections_to_an_endpoint_that_turned_silent_are_dropped() -> None:
+    rig = Rig(1)
+    clients = [rig.client() for _ in range(4)]
+    for n in range(12):  # until the endpoint has two at once, so that two connections are kept
+        for m, client in enumerate(clients):
+            client.send(ask(f"x{n}-{m}"))
+        rig.serve_all()
+        for client in clients:
+            client.answer()
+    assert rig.pool.open > 1
+    rig.wait(0.01)
+    rig.asked(ask("silent", wait=2000))
+    only(rig.got())
+    rig.wait(0.7)  # past the promised time of 0.6 s
+    assert rig.pool.open == 0
+    rig.close()
+
+
 def test_client_that_leaves_ends_the_forward_and_nothing_more_is_sent(rig: Rig) -> None:
     client = rig.asked(ask("x"))
     got = only(rig.got())
