SIGHUP reads the configuration again and moves discovery; a fault in an event ends no loop

Cause: program/serve.py, Signals registers SIGTERM and SIGINT alone, so SIGHUP has its default act. Now the configuration is loaded anew, the follower asks the new address for the whole list at once, and the descriptor caps follow; endpoints, exchanges and connections stay. A bad file is one log line. An event handler's exception went through Loop.step and would have ended the process; it is a fault now.

--- a/rainspindle/program/main.py
+++ b/rainspindle/program/main.py
@@ -38,7 +38,7 @@
                   f"traffic types {', '.join(config.settings.type_names)}")
             return 0
         logs.set_up(options.log_level)
-        sidecar = Sidecar(config)
+        sidecar = Sidecar(config, lambda: load(options.config, os.environ))
     except (ConfigFault, OSError) as fault:
         print(f"rainspindle: {fault}", file=sys.stderr)
         return 2
--- a/rainspindle/program/serve.py
+++ b/rainspindle/program/serve.py
@@ -1,4 +1,4 @@
-"""One sidecar in service: its parts put together, and its way out on SIGTERM."""
+"""One sidecar in service: its parts put together, new configurations on SIGHUP, its way out on SIGTERM."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 from ..transport.connection import Listener
 from ..transport.loop import Coroutine, Loop
 from ..transport.pool import Pool
-from .config import Config
+from .config import Config, ConfigFault
 
 log = logging.getLogger("rainspindle.program")
 
@@ -26,8 +26,15 @@
 STILL_COMING = 0.5  # how long clients may still come after SIGTERM
 
 
+def caps(config: Config) -> tuple[int, int]:
+    """How many connections with clients, and how many to endpoints, are held at most."""
+    room = max(config.sockets - SPARE_SOCKETS, 16)
+    clients = int(room * CLIENTS_PART)
+    return clients, room - clients
+
+
 class Signals:
-    """SIGTERM and SIGINT, told through a socket so that they end the loop's wait."""
+    """SIGTERM, SIGINT and SIGHUP, told through a socket so that they end the loop's wait."""
 
     def __init__(self, loop: Loop) -> None:
         self.closed = False
@@ -35,26 +42,28 @@
         self.told.setblocking(False)
         self.teller.setblocking(False)
         signal.set_wakeup_fd(self.teller.fileno(), warn_on_full_buffer=False)
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(number, lambda *_: None)
         signal.signal(signal.SIGPIPE, signal.SIG_IGN)
-        self.wake: Callable[[], None] = lambda: None
+        self.came: Callable[[int], None] = lambda number: None
         loop.watch(self.told.fileno(), self)
 
     def on_events(self, events: int) -> None:
         # Guards against leaving at once: the first event only says that the socket can be written.
         with contextlib.suppress(BlockingIOError):
-            while self.told.recv(64):
-                self.wake()
+            while numbers := self.told.recv(64):
+                for number in numbers:
+                    self.came(number)
 
 
 class Sidecar:
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, load: Callable[[], Config]) -> None:
+        """`load` reads the configuration again."""
+        self.config, self.load = config, load
         self.loop = Loop(self.fault)
         self.faults = 0
-        room = max(config.sockets - SPARE_SOCKETS, 16)
-        clients = int(room * CLIENTS_PART)
-        self.pool = Pool(self.loop, room - clients, config.settings.idle_time)
+        clients, connections = caps(config)
+        self.pool = Pool(self.loop, connections, config.settings.idle_time)
         self.follower = Follower(self.loop, config.discovery, config.decoder,
                                  config.settings.ask_within, config.known)
         self.relay = Relay(self.loop, config.facade(self.loop.now()), self.pool, config.settings, clients,
@@ -66,7 +75,7 @@
         self.listener = Listener(self.loop, config.listen, self.relay.accepted, self.relay.make_room)
         self.signals = Signals(self.loop)
         self.out = self.loop.spawn(self.way_out())
-        self.signals.wake = self.asked_to_leave
+        self.signals.came = self.signalled
         self.asked = False
 
     def fault(self, fault: BaseException) -> None:
@@ -75,9 +84,28 @@
         log.error("fault", extra={"fields": {
             "kind": type(fault).__name__, "text": fault, "at": f"{where.name}:{where.lineno}"}})
 
-    def asked_to_leave(self) -> None:
-        self.asked = True
-        self.out.wake()
+    def signalled(self, number: int) -> None:
+        if number == signal.SIGHUP:
+            self.reload()
+        else:
+            self.asked = True
+            self.out.wake()
+
+    def reload(self) -> None:
+        """Takes over what of a new configuration can change under load; all else needs a restart."""
+        try:
+            new = self.load()
+        except ConfigFault as fault:
+            log.error("configuration refused, the old one stays", extra={"fields": {"why": fault}})
+            return
+        old, self.config = self.config, new
+        self.relay.most_clients, self.pool.most = caps(new)
+        self.follower.move(new.discovery)
+        later = [name for name in ("name", "listen", "raw_settings")
+                 if getattr(old, name) != getattr(new, name)]
+        log.info("configuration read again", extra={"fields": {
+            "discovery": address_text(new.discovery), "sockets": new.sockets,
+            "needs_restart": ",".join(later).replace("raw_", "") or "nothing"}})
 
     def way_out(self) -> Coroutine[None]:
         """Waits for SIGTERM; then serves whoever still comes, finishes all that was taken, and leaves."""
--- a/rainspindle/routing/follow.py
+++ b/rainspindle/routing/follow.py
@@ -7,7 +7,7 @@
 from ..protocol.client import Unreadable
 from ..protocol.discovery import DiscoverySide, ListChange, ListDecoder
 from ..transport.address import Address, address_text
-from ..transport.connection import Broken, Connection, Late, OutOfSockets, open_connection
+from ..transport.connection import Broken, Connection, Late, OutOfSockets, Unwanted, open_connection
 from ..transport.loop import Coroutine, Loop
 from .relay import Relay
 
@@ -23,11 +23,10 @@
                  known: ListChange) -> None:
         """Watches go on from the `known` list, where there is one: what it lacks is told first."""
         self.loop, self.address, self.decoder = loop, address, decoder
-        self.host = address_text(address).encode()
         self.wait = min(self.WATCH_PART * ask_within or self.MOST_WATCH, self.MOST_WATCH)
         self.late = min(self.LATE_PART * ask_within or self.LATE, self.LATE)
         self.version = known.version if known.lines else None
-        self.wanted = False
+        self.wanted = self.moved = False
         self.connection: Connection | None = None
         self.task = loop.spawn(loop.lasting(self.idle))
         self.relay: Relay | None = None
@@ -36,6 +35,16 @@
         self.wanted = True
         self.task.wake()
 
+    def move(self, address: Address) -> None:
+        """From now on the list is asked for at another address, whole: its versions may be others."""
+        if address != self.address:
+            self.address, self.version = address, None
+            self.wanted = self.moved = True
+            self.task.wake()
+
+    def has_moved(self) -> bool:
+        return self.moved
+
     def idle(self) -> Coroutine[None]:
         while True:
             while not self.wanted or self.relay is None:
@@ -48,6 +57,8 @@
             asked_at = self.loop.now()
             try:
                 change = yield from self.ask()
+            except Unwanted:
+                continue
             except (Broken, Late, OutOfSockets, Unreadable):
                 self.close()
                 self.wanted = False
@@ -61,19 +72,21 @@
                 yield rest
 
     def ask(self) -> Coroutine[ListChange]:
-        whole = self.version is None
+        if self.moved:
+            self.close()
+            self.moved = False
+        whole, unless = self.version is None, self.has_moved
         until = self.loop.now() + (self.LATE_WHOLE if whole else self.wait + self.late)
         if self.connection is None or not self.connection.sound():
             self.close()
             self.connection = open_connection(self.loop, self.address)
-            yield from self.connection.establish(min(until, self.loop.now() + self.CONNECT))
-        call = DiscoverySide(self.decoder)
-        out = call.whole(self.host) if self.version is None else call.watch(
-            self.host, self.version, self.wait)
-        yield from self.connection.send(out, until)
+            yield from self.connection.establish(min(until, self.loop.now() + self.CONNECT), unless)
+        call, host = DiscoverySide(self.decoder), address_text(self.address).encode()
+        out = call.whole(host) if self.version is None else call.watch(host, self.version, self.wait)
+        yield from self.connection.send(out, until, unless)
         told = None
         while told is None:
-            data = yield from self.connection.await_bytes(until)
+            data = yield from self.connection.await_bytes(until, unless)
             told = call.receive(data)
         change, reusable = told
         if not reusable:
--- a/rainspindle/transport/loop.py
+++ b/rainspindle/transport/loop.py
@@ -107,7 +107,10 @@
         owners = [(self.watched.get(fd), mask) for fd, mask in events]
         for owner, mask in owners:
             if owner is not None and not owner.closed:
-                owner.on_events(mask)
+                try:
+                    owner.on_events(mask)
+                except Exception as fault:  # one owner's fault must not end the others
+                    self.on_fault(fault)
         while self.timers and self.timers[0][0] <= now:
             _, _, parked, task = heapq.heappop(self.timers)
             if parked == task.parked:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -42,9 +42,9 @@
     def __init__(self, folder: Path, **changes: Any) -> None:
         self.endpoint, self.discovery = Stand(), Stand()
         known = {"generation": 41, "reset": True, "instances": [entry("e0", self.endpoint.port)]}
-        file = folder / "config.json"
-        file.write_text(json.dumps(config(
-            discovery=f"127.0.0.1:{self.discovery.port}", **{"known": known, **changes})))
+        file = self.file = folder / "config.json"
+        self.config = config(discovery=f"127.0.0.1:{self.discovery.port}", **{"known": known, **changes})
+        file.write_text(json.dumps(self.config))
         self.log = (folder / "log").open("w+")
         self.process = subprocess.Popen([sys.executable, "-m", "rainspindle", "serve", "--config", str(file)],
                                         cwd=ROOT, stdout=subprocess.DEVNULL, stderr=self.log)
@@ -181,6 +181,33 @@
     assert "faults=0 broken={}" in service.logged()
 
 
+def test_sighup_reads_the_configuration_again_and_discovery_moves(service: Service) -> None:
+    """Guards against an end by SIGHUP, and against following the old list service."""
+    def reload(text: str, log: str) -> None:
+        before = service.logged().count(log)
+        service.file.write_text(text)
+        service.process.send_signal(signal.SIGHUP)
+        service.until(lambda: service.logged().count(log) > before)
+
+    held = service.asked(ask("held", "book"))
+    got, first, moved = service.got(), service.watch(), Stand()
+    lines = service.logged().count("\n")
+    for bad in ("{", json.dumps([1]), json.dumps({**service.config, "discovery": "nowhere"})):
+        reload(bad, "configuration refused")
+    assert service.logged().count("\n") == lines + 3 and not first.gone()
+    new = {**service.config, "discovery": f"127.0.0.1:{moved.port}", "listen": "127.0.0.1:1"}
+    reload(json.dumps(new), "configuration read again")
+    assert "needs_restart=listen\n" in service.logged()
+    service.until(lambda: first.gone() or None)
+    whole = service.next(moved)
+    assert whole.target == "/v1/endpoints"  # no version of the old one means anything here
+    whole.tell(5, True, entry("e0", service.endpoint.port))
+    assert "index=5" in service.next(moved).target and "list lost" not in service.logged()
+    got.answer(200, b"finished")
+    assert service.answer(held)[:2] == (200, b"finished")
+    moved.close()
+
+
 def test_clients_that_leave_and_bad_input_harm_nobody(service: Service) -> None:
     for data in (ask("a"), ask("b")[:30], b"", b"\x16\x03\x01\x02\x00\x01\x00"):
         with socket.create_connection(("127.0.0.1", service.port)) as leaving:
