--- a/rainspindle/protocol/application.py
+++ b/rainspindle/protocol/application.py
@@ -119,6 +119,9 @@
                     return None
                 if isinstance(event, h11.Request):
                     self.request, self.body = event, bytearray()
+                    names = {name for name, _ in event.headers}
+                    if b"content-length" in names and b"transfer-encoding" in names:
+                        return Bad(400, "Content-Length with Transfer-Encoding")
                     # h11 bounds only a head that comes in pieces.
                     if len(event.target) + sum(len(k) + len(v) for k, v in event.headers) > MOST_HEAD:
                         return Bad(431, f"a head over {MOST_HEAD} bytes")
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -306,6 +306,7 @@
            (ask("x").replace(b"X-Request-ID: x\r\n", b""), 400),
            (ask("x").replace(b"X-Timeout-Ms: 2000", b"X-Timeout-Ms: nan"), 400),
            (ask("x", "book", body=b"y" * 70000), 413),
+           (ask("x", "book", b"0\r\n\r\n" + ask("hidden"), headers="Transfer-Encoding: chunked\r\n"), 400),
            (ask("x", headers="X-Long: " + "z" * 20000 + "\r\n"), 431),
            (b"POST /ready HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", 405)]
     for request, expected in bad:
