--- a/rainspindle/protocol/application.py
+++ b/rainspindle/protocol/application.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import math
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
@@ -76,12 +75,25 @@
     return tuple((name, value) for name, value in headers if name not in OWN and name not in named)
 
 
-def number(text: bytes | str) -> float:
-    """A finite number that is not negative; float() alone would take `nan`."""
-    value = float(text)
-    if not 0 <= value < math.inf:
+def number(text: str) -> float:
+    """A plain decimal number; float() alone would take `nan`, `1_0` and `1e9`."""
+    if not text.isascii() or not text.replace(".", "", 1).isdecimal():
         raise ValueError(text)
-    return value
+    return float(text)
+
+
+def unfit(request: h11.Request) -> Bad | None:
+    """What makes a request unfit to be read on, as far as its head can tell."""
+    # h11 bounds only a head that comes in pieces.
+    if len(request.target) + sum(len(k) + len(v) for k, v in request.headers) > MOST_HEAD:
+        return Bad(431, f"a head over {MOST_HEAD} bytes")
+    headers = dict(request.headers)
+    length = headers.get(b"content-length")
+    if length is not None and b"transfer-encoding" in headers:
+        return Bad(400, "Content-Length with Transfer-Encoding")
+    if length is not None and int(length) > MOST_BODY:  # its digits have been checked
+        return Bad(413, f"a body over {MOST_BODY} bytes")
+    return None
 
 
 class ApplicationSide:
@@ -119,12 +131,8 @@
                     return None
                 if isinstance(event, h11.Request):
                     self.request, self.body = event, bytearray()
-                    names = {name for name, _ in event.headers}
-                    if b"content-length" in names and b"transfer-encoding" in names:
-                        return Bad(400, "Content-Length with Transfer-Encoding")
-                    # h11 bounds only a head that comes in pieces.
-                    if len(event.target) + sum(len(k) + len(v) for k, v in event.headers) > MOST_HEAD:
-                        return Bad(431, f"a head over {MOST_HEAD} bytes")
+                    if bad := unfit(event):
+                        return bad
                 elif isinstance(event, h11.Data):
                     self.body += event.data
                     if len(self.body) > MOST_BODY:
@@ -132,6 +140,10 @@
                 elif isinstance(event, h11.EndOfMessage):
                     assert self.request is not None
                     request, self.request = self.request, None
+                    if self.connection.trailing_data[0]:
+                        # Guards against a body longer than its length: the rest would be read as a request.
+                        # Clients send one request at a time, so nobody else is hit.
+                        return Bad(400, "more bytes than belong to the request")
                     return self.decode(request, bytes(self.body))
                 else:
                     return Ended()
@@ -154,13 +166,14 @@
             return Bad(400, "an unknown X-Priority-Class")
         try:
             wait = headers.get(b"x-timeout-ms")
-            cost = headers.get(b"x-cost")  # in microseconds, where X-Attrs has milliseconds
+            cost = headers.get(b"x-cost", b"").decode("latin-1")  # in microseconds, X-Attrs in milliseconds
             predicted = attributes(headers.get(b"x-attrs", b"")).get("predicted")
             hint = number(cost) / 1e6 if cost else number(predicted) / 1000 if predicted else None
             return Ask(
                 id, request.method, request.target, body, going_on(request.headers), self.types[name],
-                cookie(headers.get(b"cookie", b""), "user"), None if wait is None else number(wait) / 1000,
-                hint, headers.get(b"x-retried") == b"1")
+                cookie(headers.get(b"cookie", b""), "user"),
+                None if wait is None else number(wait.decode("latin-1")) / 1000, hint,
+                headers.get(b"x-retried") == b"1")
         except ValueError:
             return Bad(400, "X-Timeout-Ms, X-Cost or X-Attrs is not a number")
 
--- a/rainspindle/routing/relay.py
+++ b/rainspindle/routing/relay.py
@@ -19,8 +19,9 @@
 from .facade import Did, Facade, Reject, SendThere, Step, Terminate
 
 ANSWER_TIME = 0.015  # kept back before the expiry, to write the final answer
-REQUEST_TIME = 10.0  # within which a request that was begun must be whole
-LINGER = 1.0
+REQUEST_TIME = 2.0  # from connecting, or from the first byte of a later request, until the request is whole
+UNASKED_TIME = 0.5  # after which a client that still owes its request gives way to others
+LINGER, MOST_LINGER = 1.0, 256 * 1024  # seconds and bytes read on after a refusal
 
 
 class Held:
@@ -42,9 +43,11 @@
         self.started: dict[str, float | None] = {}
         self.heard: dict[Address, float] = {}  # when an answer last came whole
         self.held: dict[int, Held] = {}
+        self.open_ids: set[bytes] = set()
         self.taken = 0
         self.clients: dict[Connection, None] = {}
-        self.waiting: dict[Connection, None] = {}  # those between requests, the longest unused first
+        self.waiting: dict[Connection, float] = {}  # since when, those between requests
+        self.asking: dict[Connection, float] = {}  # since when, those that owe a whole request
         self.leaving = False  # SIGTERM has come
         self.ready = False
         self.looks_at = -math.inf
@@ -104,27 +107,35 @@
     def accepted(self, connection: Connection) -> None:
         if len(self.clients) >= self.most_clients:
             self.close_idle_client()
-        # Waiting from the start, or of many that come at once none could be ended for the next.
-        self.clients[connection] = self.waiting[connection] = None
+        self.clients[connection], self.asking[connection] = None, self.loop.now()
         self.loop.spawn(self.serve(connection), lambda: self.gone(connection))
 
     def gone(self, connection: Connection) -> None:
         self.clients.pop(connection, None)
         self.waiting.pop(connection, None)
+        self.asking.pop(connection, None)
         connection.close()
 
-    def close_idle_client(self) -> bool:
-        """Ends the connection that has waited the longest for a request; its coroutine sees the end."""
-        for connection in self.waiting:
-            if connection.sound():
-                connection.wake()
-                self.gone(connection)
-                return True
+    def close_idle_client(self, hasty: bool = True) -> bool:
+        """Ends the connection that is missed the least; its coroutine sees the end.
+
+        Guards against a flood of clients that say nothing: they go before those that have asked. If `hasty`,
+        one may have only just come, or of many that come at once none could be ended for the next."""
+        now = self.loop.now()
+        order = (self.asking, UNASKED_TIME), (self.waiting, 0.0), (self.asking, 0.0)
+        for group, least in order[:2 + hasty]:
+            for connection, since in group.items():
+                if now - since < least:
+                    break
+                if connection.sound():
+                    connection.wake()
+                    self.gone(connection)
+                    return True
         return False
 
     def finish_clients(self) -> bool:
-        """On the way out: ends the connections between requests; whether none is left."""
-        while self.close_idle_client():
+        """On the way out: ends the connections with no request under way; whether none is left."""
+        while self.close_idle_client(hasty=False):
             pass
         return not self.clients
 
@@ -133,13 +144,10 @@
 
     def serve(self, client: Connection) -> Coroutine[None]:
         side = ApplicationSide(self.settings.type_names)
-        first_byte = client.came
+        until = self.loop.now() + REQUEST_TIME
         while True:
             message = side.next()
             if message is None:
-                if not side.begun:
-                    self.waiting[client] = None
-                until = first_byte + REQUEST_TIME if side.begun else math.inf
                 try:
                     if side.wants_continue:
                         yield from client.send(side.go_on(), until)
@@ -147,13 +155,15 @@
                 except (Broken, Unwanted):
                     return
                 except Late:
-                    yield from self.refuse(client, side, Bad(408, "the request did not become whole"))
+                    if side.begun:
+                        yield from self.refuse(client, side, Bad(408, "the request did not become whole"))
                     return
-                self.waiting.pop(client, None)
-                if not side.begun:
-                    first_byte = client.came
+                if self.waiting.pop(client, None) is not None:
+                    self.asking[client] = self.loop.now()
+                    until = self.loop.now() + REQUEST_TIME
                 side.receive(data)
                 continue
+            self.asking.pop(client, None)
             if isinstance(message, Ended):
                 return
             if isinstance(message, Bad):
@@ -161,42 +171,49 @@
                 return
             try:
                 if isinstance(message, Ask):
-                    out = yield from self.relay(client, side, message, first_byte)
+                    # Guards against a second copy, sent for another's open request.
+                    if message.request_id in self.open_ids:
+                        yield from self.refuse(client, side, Bad(409, "this X-Request-ID is under way"))
+                        return
+                    out = yield from self.relay(client, side, message)
                 else:
                     # One that leaves is not ready: its successor is, under the same address.
                     out = side.answer(200 if self.ready and not self.leaving else 503, b"", self.leaving)
                 if out is None:
                     return
+                surplus = client.receive()  # sent while the request was open: not a request of its own
                 yield from client.send(out, self.loop.now() + 5.0)
             except (Broken, Late):
                 return
-            if not side.next_cycle():
+            if surplus or not side.next_cycle():
                 return
-            first_byte = self.loop.now()
+            self.waiting[client], until = self.loop.now(), math.inf
 
     def refuse(self, client: Connection, side: ApplicationSide, bad: Bad) -> Coroutine[None]:
         """Answers, then reads on for a moment: else the answer would be lost in a reset."""
-        until = self.loop.now() + LINGER
+        until, left = self.loop.now() + LINGER, MOST_LINGER
+        self.asking.pop(client, None)
+        self.asking[client] = self.loop.now()  # may be ended for others
         try:
             yield from client.send(side.answer(bad.status, bad.reason.encode() + b"\n", close=True), until)
             client.end_sending()
-            while (yield from client.await_bytes(until)):
-                pass
-        except (Broken, Late):
+            while left > 0 and (data := (yield from client.await_bytes(until, lambda: client.closed))):
+                left -= len(data)
+        except (Broken, Late, Unwanted):
             pass
 
     # One exchange.
 
-    def relay(self, client: Connection, side: ApplicationSide, ask: Ask, first_byte: float
-              ) -> Coroutine[bytes | None]:
+    def relay(self, client: Connection, side: ApplicationSide, ask: Ask) -> Coroutine[bytes | None]:
         """The bytes of the final answer; None when the client has left."""
         task = self.loop.current
         assert task is not None
         expiry = self.settings.expiries[ask.type_index]
-        expires_at = first_byte + (expiry if ask.wait is None else min(ask.wait, expiry)) - ANSWER_TIME
+        expires_at = client.came + (expiry if ask.wait is None else min(ask.wait, expiry)) - ANSWER_TIME
         self.taken += 1
         exchange = self.taken  # the request's own id may come twice, when a client sends it once more
         held = self.held[exchange] = Held(task)
+        self.open_ids.add(ask.request_id)
         try:
             self.apply(self.facade.pick(self.loop.now(), exchange, ask.type_index, ask.key, ask.hint,
                                         expires_at, ask.repeat))
@@ -209,6 +226,7 @@
             return side.answer(TERMINATED, b"", self.leaving)
         finally:
             del self.held[exchange]
+            self.open_ids.discard(ask.request_id)
 
     def follow(self, client: Connection, side: ApplicationSide, ask: Ask, exchange: int, held: Held,
                expires_at: float) -> Coroutine[bytes | None]:
--- a/rainspindle/transport/connection.py
+++ b/rainspindle/transport/connection.py
@@ -87,7 +87,10 @@
         if not self.readable:
             return None
         try:
-            return self.sock.recv(CHUNK)
+            data = self.sock.recv(CHUNK)
+            # What is short has emptied the socket: the next edge tells of more. An end has been told already.
+            self.readable = self.ended or len(data) == CHUNK
+            return data
         except BlockingIOError:
             self.readable = False
             return None
