Connections and maps go by endpoint id and end with it; rested connections are used first

Line at fault: transport/pool.py, take() took the connection used last, which is the one that may be closing. Now one that has rested 10 ms goes first. By reading: relay.addresses, started and heard, the pool's lists, the module's endpoints and touched grew with every new id; a new endpoint at an old address got the old one's connections, and late word on the old one closed the new one's. The pool now goes by id and address, the maps end with the endpoint.

--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -289,11 +289,10 @@
     # The list.
 
     def list_changed(self, now: float, lines: Iterable[Listed], whole: bool, stale: bool) -> None:
-        if not stale and self.list_lost:
-            self.list_lost = False
-            self.host.log(f"list back after {self.list_failures} failures")
         if not stale:
-            self.list_failures = 0
+            if self.list_lost:
+                self.host.log(f"list back after {self.list_failures} failures")
+            self.list_failures, self.list_lost = 0, False
         named = set()
         for line in lines:
             named.add(line.id)
@@ -311,6 +310,9 @@
             for known in self.endpoints.values():
                 if known.id not in named:
                     known.line = replace(known.line, state=State.GONE)
+        # Guards against growth: the ids of endpoints are ever new. One with something out still ends it.
+        self.endpoints = {e.id: e for e in self.endpoints.values() if e.out or e.line.state is not State.GONE}
+        self.touched = {e: None for e in self.touched if e.id in self.endpoints}
         self.ready = [e for e in self.endpoints.values() if e.line.state is State.READY]
         self.ready.sort(key=lambda e: e.id)
         self.ranks.clear()
@@ -416,13 +418,10 @@
         if x.forwards >= self.max_forwards or now >= x.expires_at or (x.out and not self.parallel):
             return False
         within = None
-        if x.ran_where is not None:
-            if x.type.effect is Effect.BINDING:
+        if x.ran_where is not None and x.type.effect is not Effect.RETRIABLE:
+            if x.type.effect is Effect.BINDING or now - x.ran_at >= x.type.memory_span:
                 return False
-            if x.type.effect is Effect.FINGERPRINTED:
-                if now - x.ran_at >= x.type.memory_span:
-                    return False
-                within = self.group(x)
+            within = self.group(x)
         picked = self.pick(x, now, within)
         if picked is None:
             return False
@@ -472,7 +471,7 @@
         """Ready endpoints by weighted rendezvous hash: alike at all sidecars of a zone."""
         ranked = self.ranks.get(key)
         if ranked is None:
-            if len(self.ranks) > 20000:
+            if len(self.ranks) > 4096:
                 self.ranks.clear()
 
             def distance(e: Endpoint) -> float:
--- a/rainspindle/routing/relay.py
+++ b/rainspindle/routing/relay.py
@@ -15,7 +15,7 @@
 from ..transport.address import Address, address_text
 from ..transport.connection import Broken, Connection, Late, OutOfSockets, Unwanted
 from ..transport.loop import Coroutine, Loop, Task
-from ..transport.pool import Pool
+from ..transport.pool import Peer, Pool
 from .facade import Did, Facade, Reject, SendThere, Step, Terminate
 
 ANSWER_TIME = 0.015  # kept back before the expiry, to write the final answer
@@ -41,7 +41,7 @@
         self.most_clients, self.on_watch = most_clients, on_watch
         self.addresses: dict[str, Address] = {}
         self.started: dict[str, float | None] = {}
-        self.heard: dict[Address, float] = {}  # when an answer last came whole
+        self.heard: dict[str, float] = {}  # when an answer last came whole, by endpoint
         self.held: dict[int, Held] = {}
         self.open_ids: set[bytes] = set()
         self.taken = 0
@@ -69,7 +69,7 @@
                 waiting.task.wake()
         for endpoint in did.close_idle:
             if endpoint in self.addresses:
-                self.pool.drop_all(self.addresses[endpoint])
+                self.pool.drop_all((endpoint, self.addresses[endpoint]))
         if did.watch:
             self.on_watch()
         if did.wake_at < self.looks_at:
@@ -89,13 +89,20 @@
     def list_changed(self, lines: tuple[Listed, ...], addresses: dict[str, Address], whole: bool,
                      stale: bool) -> None:
         before = self.addresses
-        self.addresses = addresses if whole else {**before, **addresses}
+        gone = {line.id for line in lines if line.state is State.GONE}
+        named = addresses if whole else {**before, **addresses}
+        # Guards against growth: the ids of endpoints are ever new.
+        self.addresses = {id: address for id, address in named.items() if id not in gone}
         for line in lines:
             # Guards against connections to a machine that has vanished: they stay open and silent.
-            restarted = line.started is not None and line.started != self.started.get(line.id)
+            if line.id in before and line.started is not None and line.started != self.started.get(line.id):
+                self.pool.drop_all((line.id, before[line.id]))
             self.started[line.id] = line.started
-            if line.id in before and (restarted or line.state is State.GONE):
-                self.pool.drop_all(before[line.id])
+        for id, address in before.items():
+            if self.addresses.get(id) != address:
+                self.pool.drop_all((id, address))
+        self.started = {id: at for id, at in self.started.items() if id in self.addresses}
+        self.heard = {id: at for id, at in self.heard.items() if id in self.addresses}
         self.apply(self.facade.list_changed(self.loop.now(), lines, whole, stale))
         self.ready = self.ready or bool(lines) or not stale
 
@@ -265,13 +272,14 @@
         address = self.addresses.get(step.endpoint)
         if address is None:
             return Outcome.UNSENT, None
-        connection = self.pool.take(address)
+        peer: Peer = (step.endpoint, address)
+        connection = self.pool.take(peer)
         if connection is None:
             try:
                 # Guards against a drain told while it connects: the first byte is sent within the grace.
                 connect_time = min(self.settings.connect_time, self.settings.drain_grace)
                 connect_until = min(until, self.loop.now() + connect_time)
-                connection = yield from self.pool.connect(address, connect_until, before)
+                connection = yield from self.pool.connect(peer, connect_until, before)
             except OutOfSockets:
                 return Outcome.UNSENT, None
             except (Broken, Late):
@@ -296,18 +304,18 @@
             except Late:
                 # Guards against further writes to a machine that has vanished: its idle connections stay open
                 # and silent, where a new one fails as unconnected, so that even a binding exchange goes on.
-                if self.heard.get(address, -math.inf) < sent_at:
-                    self.pool.drop_all(address)
+                if self.heard.get(step.endpoint, -math.inf) < sent_at:
+                    self.pool.drop_all(peer)
                 return Outcome.TIMED_OUT, None
             except (Broken, Unreadable):
                 return Outcome.RESET, None
-            self.heard[address] = self.loop.now()
+            self.heard[step.endpoint] = self.loop.now()
             kept = answer.reusable
             return answer.outcome, answer
         except Unwanted:
             return Outcome.CALLED_OFF, None
         finally:
-            if kept:
-                self.pool.keep_idle(address, connection)
+            if kept and self.addresses.get(step.endpoint) == address:
+                self.pool.keep_idle(peer, connection)
             else:
                 self.pool.close(connection)
--- a/rainspindle/transport/pool.py
+++ b/rainspindle/transport/pool.py
@@ -1,4 +1,4 @@
-"""Connections kept for further use, by address, within a limit on all that are open."""
+"""Connections kept for further use, by whom they lead to, within a limit on all that are open."""
 
 from __future__ import annotations
 
@@ -8,39 +8,45 @@
 from .connection import Connection, OutOfSockets, Unless, open_connection
 from .loop import Coroutine, Loop
 
+Peer = tuple[str, Address]  # an address alone may pass from one peer to the next
+
 
 class Pool:
+    REST = 0.01
     IDLE_PART = 0.6  # of the stated idle time: what is written at its very end may be lost
 
     def __init__(self, loop: Loop, most: int, idle_time: float) -> None:
         self.loop, self.most = loop, most
         self.keep = self.IDLE_PART * idle_time if idle_time > 0 else 30.0
-        self.idle: dict[Address, list[Connection]] = {}  # the last used at the end
+        self.idle: dict[Peer, list[Connection]] = {}  # the last used at the end
         self.open = 0
         self.made = self.reused = 0
 
-    def take(self, address: Address) -> Connection | None:
-        """An idle connection that is still sound."""
-        idle = self.idle.get(address, [])
+    def take(self, peer: Peer) -> Connection | None:
+        """An idle connection that is still sound: of those that have rested, the last used.
+
+        Guards against writing to one that is just being closed: a peer that ends it right after an answer has
+        done so within a moment, and then it shows."""
+        now, idle = self.loop.now(), self.idle.get(peer, [])
         while idle:
-            connection = idle[-1]
-            if connection.sound() and self.loop.now() - connection.idle_since < self.keep:
-                idle.pop()
+            connection = next((c for c in reversed(idle) if now - c.idle_since >= self.REST), idle[0])
+            if connection.sound() and now - connection.idle_since < self.keep:
+                idle.remove(connection)
                 self.reused += 1
                 return connection
-            self.drop(address, connection)
+            self.drop(peer, connection)
         return None
 
-    def connect(self, address: Address, until: float, unless: Unless = None) -> Coroutine[Connection]:
+    def connect(self, peer: Peer, until: float, unless: Unless = None) -> Coroutine[Connection]:
         while self.open >= self.most:
             if not self.make_room():
                 raise OutOfSockets("every connection is in use")
         try:
-            connection = open_connection(self.loop, address)
+            connection = open_connection(self.loop, peer[1])
         except OutOfSockets:  # guards against EMFILE while idle connections hold descriptors
             if not self.make_room():
                 raise
-            connection = open_connection(self.loop, address)
+            connection = open_connection(self.loop, peer[1])
         self.open += 1
         try:
             yield from connection.establish(until, unless)
@@ -50,29 +56,27 @@
         self.made += 1
         return connection
 
-    def keep_idle(self, address: Address, connection: Connection) -> None:
+    def keep_idle(self, peer: Peer, connection: Connection) -> None:
         connection.idle_since = self.loop.now()
-        connection.wake = partial(self.looked_at, address, connection)
-        self.idle.setdefault(address, []).append(connection)
+        connection.wake = partial(self.looked_at, peer, connection)
+        self.idle.setdefault(peer, []).append(connection)
         if connection.ended:
-            self.drop(address, connection)
+            self.drop(peer, connection)
 
-    def looked_at(self, address: Address, connection: Connection) -> None:
+    def looked_at(self, peer: Peer, connection: Connection) -> None:
         """An event on an idle connection: its end, something that nobody asked for, or old news."""
         if not connection.sound():
-            self.drop(address, connection)
+            self.drop(peer, connection)
 
-    def drop(self, address: Address, connection: Connection) -> None:
-        idle = self.idle.get(address, [])
+    def drop(self, peer: Peer, connection: Connection) -> None:
+        idle = self.idle.get(peer, [])
         if connection in idle:
             idle.remove(connection)
-            if not idle:
-                self.idle.pop(address, None)
             self.close(connection)
 
-    def drop_all(self, address: Address) -> None:
-        for connection in list(self.idle.get(address, ())):
-            self.drop(address, connection)
+    def drop_all(self, peer: Peer) -> None:
+        for connection in list(self.idle.get(peer, ())):
+            self.drop(peer, connection)
 
     def close(self, connection: Connection) -> None:
         if not connection.closed:
@@ -88,7 +92,9 @@
         return True
 
     def sweep(self) -> None:
-        for address, idle in list(self.idle.items()):
+        for peer, idle in list(self.idle.items()):
             for connection in list(idle):
                 if self.loop.now() - connection.idle_since >= self.keep:
-                    self.drop(address, connection)
+                    self.drop(peer, connection)
+            if not idle:  # guards against growth by peers that are long gone
+                del self.idle[peer]
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 import socket
 from collections.abc import Iterator
 
@@ -10,6 +11,8 @@
 
 from rainspindle.host import State
 from rainspindle.routing.follow import Follower
+from rainspindle.transport.connection import Connection
+from rainspindle.transport.loop import Coroutine
 
 from .fleet import SETTINGS, Got, Rig, Stand, ask, entry
 
@@ -179,6 +182,39 @@
     assert rig.pool.open == 0
 
 
+def test_what_is_kept_of_endpoints_ends_with_them(rig: Rig) -> None:
+    """Guards against growth on a long day, and against a new endpoint with an old one's connections."""
+    port = rig.stands[0].port
+    for n in range(40):  # each at the address of the one before, whose end is told twice
+        rig.tell(entry(f"new{n}", port), entry(f"new{n - 1}", port, "DELETED"), whole=not n)
+        rig.asked(ask(f"x{n}"))
+        rig.serve_all()
+        assert rig.pool.open == 1 and rig.stands[0].accepted == n + 1
+        rig.tell(entry(f"new{n - 1}", port, "DELETED"))
+        assert rig.pool.open == 1, "word on the old one has touched the new one"
+        rig.wait(1.0)
+    balancer = rig.facade.balancer
+    for kept in (rig.relay.addresses, rig.relay.started, rig.relay.heard, rig.pool.idle, balancer.endpoints,
+                 balancer.touched):
+        assert len(kept) <= 2
+
+
+def test_a_connection_that_has_rested_is_used_before_one_that_has_just_answered(rig: Rig) -> None:
+    """Guards against writing to a connection that its endpoint closes right after the answer."""
+    pool, peer = rig.pool, ("e0", ("127.0.0.1", rig.stands[0].port))
+    made: list[Connection] = []
+
+    def connect() -> Coroutine[None]:
+        for _ in range(3):
+            made.append((yield from pool.connect(peer, math.inf)))
+    rig.loop.spawn(connect())
+    rig.settle()
+    for connection, idle in zip(made, (0.05, 0.005, 0.0), strict=True):
+        pool.keep_idle(peer, connection)
+        rig.wait(idle)
+    assert [pool.take(peer) for _ in range(3)] == [made[0], made[1], made[2]]
+
+
 def test_idle_connections_to_an_endpoint_that_turned_silent_are_dropped() -> None:
     rig = Rig(1)
     clients = [rig.client() for _ in range(4)]
