--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -11,7 +11,7 @@
 
 import math
 import zlib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field, replace
 from hashlib import blake2b
 
@@ -44,9 +44,8 @@
         """The mean of the lower three quarters, `prior` counting as `weight` further values."""
         left, middle, found = 0.75 * self.total, self.FIRST / 1.25, prior * weight
         for count in self.bins if left else ():
-            found += min(count, left) * middle
-            left -= min(count, left)
-            middle *= self.STEP
+            part = min(count, left)
+            found, left, middle = found + part * middle, left - part, middle * self.STEP
         return found / (0.75 * self.total + weight)
 
     def quantile(self, share: float, prior: float = 0.0, weight: float = 0.0) -> float:
@@ -68,9 +67,7 @@
     """The states of a table entry: failing, then due for one trial, then on trial."""
 
     def __init__(self, now: float) -> None:
-        self.since = now  # first failure, or the last failed trial
-        self.due = False
-        self.on_trial = False
+        self.since, self.due, self.on_trial = now, False, False  # since the last of its failures that counts
 
     def sweep(self, now: float, trial_delay: float) -> None:
         if not self.on_trial and now - self.since > trial_delay:
@@ -119,15 +116,13 @@
         if now - entry.last > self.RESET_WINDOW:
             entry.retriable = entry.other = 0
         entry.last = now
-        entry.retriable += retriable
-        entry.other += not retriable
+        entry.retriable, entry.other = entry.retriable + retriable, entry.other + (not retriable)
         if self.moved(entry) and at is entry.current:
             following = next_untried(entry.tried)
             if following is None:
                 del self.entries[key]
                 return
-            entry.current = following
-            entry.tried.append(following)
+            entry.current, entry.tried = following, [*entry.tried, following]
 
     def moved(self, entry: Entry) -> bool:
         return entry.retriable > self.RETRIABLE_LIMIT or entry.other > self.OTHER_LIMIT
@@ -189,6 +184,7 @@
     trial: Breaker | None
     endpoint_trial: bool
     overdue: bool = False
+    lost: bool = False
     flowing: bool = False
 
 
@@ -197,25 +193,26 @@
 
     START_CREDIT, MOST_CREDIT, EARNED = 3.0, 10.0, 0.2
     LEAST_WINDOW, MOST_WINDOW = 1.0, 64.0
-    FAILURES, SHARE = 2, 0.25  # the keyless trip: more failures than this in 10 s, and over this share
+    # The keyless trip: more failures than this in 10 s, and over this share or, up to the next, over twice
+    # that of all. One turned away as full counts in part only: it cost next to nothing.
+    FAILURES, SHARE, MOST_SHARE, FULL_PART = 2, 0.25, 0.75, 0.3
 
     def __init__(self, line: Listed, may_wait: float) -> None:
         self.id, self.may_wait = line.id, may_wait
+        self.out: dict[tuple[int, int], Forward] = {}  # these still end after a restart
         self.reset(line)
 
     def reset(self, line: Listed) -> None:
-        self.line = line
-        self.cold_left, self.cold_until = 0, -math.inf  # forwards left in this window of the cold budget
+        self.line, self.cold_left, self.cold_until = line, 0, -math.inf  # forwards left in this cold window
         self.latency, self.wait, self.pace = Histogram(), Histogram(), Histogram()
-        self.out: dict[tuple[int, int], Forward] = {}
         self.credit, self.window, self.calm = self.START_CREDIT, self.LEAST_WINDOW, 0.0
         self.answers, self.busy = 0, 0.0  # answers of this second, and cores kept busy by this sidecar
-        self.answered_at = self.sent_at = self.eased_at = self.back_at = -math.inf
-        self.failures, self.outcomes = [0, 0], [0, 0]  # this half of the 10 s or more, and the half before
+        self.answered_at = self.answered_sent = self.sent_at = self.eased_at = self.back_at = -math.inf
+        self.failures, self.outcomes = [0.0, 0.0], [0, 0]  # this half of the 10 s or more, the one before
         self.breaker: Breaker | None = None
 
     def answered(self, now: float, sent: float, calm: float) -> None:
-        self.answered_at = now
+        self.answered_at, self.answered_sent = now, max(self.answered_sent, sent)
         self.credit = min(self.credit + self.EARNED, self.MOST_CREDIT)
         # Guards against overdriving: a queue shows in the median long before the promised time is in
         # danger. What this sidecar has waiting there is its window less the part that is in work.
@@ -238,9 +235,10 @@
         work = hint * self.pace.quantile(0.5, usual_pace, 2.0)
         return max(self.wait.quantile(0.75, usual_wait, 1.0), oldest) + work
 
-    def trips(self) -> bool:
-        failures = sum(self.failures)
-        return failures > self.FAILURES and failures > self.SHARE * sum(self.outcomes)
+    def trips(self, usual: float) -> bool:
+        """`usual` is the share that fails at all in service."""
+        failures, share = sum(self.failures), max(self.SHARE, min(2 * usual, self.MOST_SHARE))
+        return failures > self.FAILURES and failures > share * sum(self.outcomes)
 
 
 class Balancer:
@@ -262,7 +260,8 @@
         self.max_forwards, self.parallel, self.may_call_off = max_forwards, parallel, may_call_off
         self.max_hold_off, self.ask_within = max_hold_off, ask_within
         self.use_shares, self.local_boost, self.budget = use_shares, math.exp(cross_price * 25), budget
-        self.draws = 0
+        self.draws, self.answers, self.warm_rate, self.counted = 0, 0, 0.0, 0.0
+        self.list_failures, self.list_lost = 0, False
         self.endpoints: dict[str, Endpoint] = {}
         self.ready: list[Endpoint] = []
         self.touched: dict[Endpoint, None] = {}  # those with anything to sweep; a dict keeps the order
@@ -273,10 +272,6 @@
         self.latency, self.wait, self.pace = Histogram(), Histogram(), Histogram()
         self.usual = self.usual_wait = self.usual_pace = self.slow = self.calm = 0.0
         self.counts: dict[str, float] = {}  # exchanges by key, halved now and then
-        self.counted = 0.0
-        self.answers, self.warm_rate = 0, 0.0
-        self.list_failures = 0
-        self.list_lost = False
         self.swept, self.sweeps = now, 0
         if asks_list:
             host.watch_list()
@@ -288,28 +283,24 @@
 
     # The list.
 
-    def list_changed(self, now: float, lines: Iterable[Listed], whole: bool, stale: bool) -> None:
+    def list_changed(self, now: float, lines: Collection[Listed], whole: bool, stale: bool) -> None:
         if not stale:
             if self.list_lost:
                 self.host.log(f"list back after {self.list_failures} failures")
             self.list_failures, self.list_lost = 0, False
-        named = set()
+        named = {line.id for line in lines}
         for line in lines:
-            named.add(line.id)
             known = self.endpoints.get(line.id)
             if known is None:
                 self.endpoints[line.id] = Endpoint(line, self.QUEUE / self.peers)
             elif line.started and line.started != known.line.started:
-                out = known.out
                 known.reset(line)
-                known.out = out  # these still end
                 self.host.log(f"{line.id} restarted {now - line.started:.1f} s ago: cold")
             else:
                 known.line = line
-        if whole:
-            for known in self.endpoints.values():
-                if known.id not in named:
-                    known.line = replace(known.line, state=State.GONE)
+        for known in self.endpoints.values() if whole else ():
+            if known.id not in named:
+                known.line = replace(known.line, state=State.GONE)
         # Guards against growth: the ids of endpoints are ever new. One with something out still ends it.
         self.endpoints = {e.id: e for e in self.endpoints.values() if e.out or e.line.state is not State.GONE}
         self.touched = {e: None for e in self.touched if e.id in self.endpoints}
@@ -337,8 +328,7 @@
         self.counts[x.key] = self.counts.get(x.key, 0.0) + 1
         self.counted += 1
         if self.counted >= self.COUNTED:
-            self.counts = {k: n / 2 for k, n in self.counts.items() if n > 1}
-            self.counted /= 2
+            self.counts, self.counted = {k: n / 2 for k, n in self.counts.items() if n > 1}, self.counted / 2
         if not self.advance(x, now):
             self.give_up(x, now)
 
@@ -396,10 +386,9 @@
     def forget(self, x: Exchange) -> None:
         self.exchanges.pop(x.id, None)
         if x.out and self.may_call_off:
-            for number in range(x.forwards):
-                forward = self.forwards.get((x.id, number))
+            for forward in [self.forwards.get((x.id, number)) for number in range(x.forwards)]:
                 if forward is not None and not forward.flowing:
-                    self.host.call_off(x.id, number)
+                    self.host.call_off(x.id, forward.number)
 
     def give_up(self, x: Exchange, now: float) -> None:
         """The final answer, at once: a rejection where that is harmless, else a termination."""
@@ -438,8 +427,7 @@
         self.forwards[x.id, x.forwards] = endpoint.out[x.id, x.forwards] = forward
         self.touched[endpoint] = None
         endpoint.sent_at = now
-        x.forwards += 1
-        x.out += 1
+        x.forwards, x.out = x.forwards + 1, x.out + 1
         x.tried.append(endpoint)
         self.host.forward(x.id, endpoint.id, self.patience(x, now))
         return True
@@ -449,9 +437,7 @@
         where = x.ran_where.line
         if x.type.group is Group.ZONE:
             return lambda e: e.line.zone == where.zone
-        if x.type.group is Group.CELL:
-            return lambda e: e.line.cell == where.cell
-        return None
+        return (lambda e: e.line.cell == where.cell) if x.type.group is Group.CELL else None
 
     def patience(self, x: Exchange, now: float) -> float:
         left = x.expires_at - now
@@ -477,8 +463,7 @@
             def distance(e: Endpoint) -> float:
                 word = blake2b(f"{key}|{e.id}".encode(), digest_size=8).digest()
                 weight = e.line.share if self.use_shares and e.line.share > 0 else 1.0
-                if e.line.zone == self.zone:
-                    weight *= self.local_boost
+                weight *= self.local_boost if e.line.zone == self.zone else 1.0
                 return -math.log((int.from_bytes(word, "big") + 1) / 2**64) / weight
             ranked = self.ranks[key] = sorted(self.ready, key=distance)
         return ranked
@@ -583,9 +568,11 @@
 
     def note_failure(self, forward: Forward, outcome: Outcome, now: float) -> None:
         x, endpoint = forward.exchange, forward.endpoint
-        if outcome in (Outcome.FULL, Outcome.TIMED_OUT):
+        # Guards against a silent connection: a forward overtaken by a later one tells nothing of a queue.
+        lost = forward.lost or endpoint.answered_sent > forward.sent
+        if outcome is Outcome.FULL or (outcome is Outcome.TIMED_OUT and not lost):
             endpoint.ease(now, forward.sent)
-        if outcome is Outcome.TIMED_OUT:
+        if outcome is Outcome.TIMED_OUT and not lost:
             # Guards against seeing the quick answers alone: a time-out took at least this long.
             self.measure(endpoint, now - forward.sent, x.hint)
         elif outcome is Outcome.FULL:
@@ -602,35 +589,48 @@
             if forward.endpoint_trial:
                 endpoint.breaker.failed(now)
         elif not forward.overdue:
-            self.judge(endpoint, not sound, now, outcome.value)
+            weight = Endpoint.FULL_PART if outcome is Outcome.FULL else not sound
+            self.judge(endpoint, weight, now, outcome.value)
 
-    def judge(self, endpoint: Endpoint, failed: bool, now: float, why: str) -> None:
+    def judge(self, endpoint: Endpoint, failed: float, now: float, why: str) -> None:
         """The keyless trip of the design, run for each endpoint on all of its outcomes."""
         endpoint.outcomes[0] += 1
         endpoint.failures[0] += failed
-        if failed and not endpoint.breaker and endpoint.trips():
+        if not failed or endpoint.breaker:
+            return
+        # Guards against taking out half a fleet whose endpoints all fail a part of what they get.
+        seen = [e for e in self.touched if not e.breaker]
+        usual = sum(sum(e.failures) for e in seen) / max(1, sum(sum(e.outcomes) for e in seen))
+        if endpoint.trips(usual):
             endpoint.breaker = Breaker(now)
-            self.host.log(f"{endpoint.id} out: {sum(endpoint.failures)} of {sum(endpoint.outcomes)} "
+            self.host.log(f"{endpoint.id} out: {sum(endpoint.failures):.0f} of {sum(endpoint.outcomes)} "
                           f"failed, last {why}, {len(endpoint.out)} outstanding")
 
     def restore(self, endpoint: Endpoint, now: float, latency: float) -> None:
         self.host.log(f"{endpoint.id} back: trial answered in {latency:.3f} s")
         endpoint.breaker = None
-        endpoint.failures, endpoint.outcomes = [0, 0], [0, 0]
+        endpoint.failures, endpoint.outcomes = [0.0, 0.0], [0, 0]
         endpoint.latency, endpoint.wait = Histogram(), Histogram()
         endpoint.back_at = now  # guards against one good trial sending all keys back at once
 
     def woken(self, now: float, token: str) -> None:
         if token == "list":
-            self.host.watch_list()
-            return
+            return self.host.watch_list()
         self.host.wake(self.TICK, "tick")
         # Before there is an answer to go by, silence is judged by the promised time alone.
         overdue = 3 * self.slow if self.slow else max(t.promised_time for t in self.types)
-        for forward in self.forwards.values():  # the oldest first
+        for forward in list(self.forwards.values()):  # the oldest first
             if now - forward.sent < overdue:
                 break
-            e = forward.endpoint
+            e, x = forward.endpoint, forward.exchange
+            # Guards against a silent connection: one overdue and overtaken by a later one holds no room in
+            # the window, and a retriable exchange goes again while that may still be in time.
+            if not forward.lost and e.answered_sent > forward.sent:
+                forward.lost = True
+                e.out.pop((x.id, forward.number), None)
+                if self.may_call_off and x.type.effect is Effect.RETRIABLE and x.forwards == 1 \
+                        and x.promised_at - now > self.slow:
+                    self.host.call_off(x.id, forward.number)
             # Silence: a forward long overdue at an endpoint that has answered nothing since.
             if not forward.overdue and not e.breaker and e.answered_at < forward.sent:
                 forward.overdue = True
@@ -656,7 +656,7 @@
             if e.latency.total >= 4:
                 e.calm = min(e.calm * 1.01 or math.inf, e.latency.quantile(0.5))
             if halve and (age or sum(e.outcomes) > 8):  # where little comes, it is kept longer
-                e.failures, e.outcomes = [0, e.failures[0]], [0, e.outcomes[0]]
+                e.failures, e.outcomes = [0.0, e.failures[0]], [0, e.outcomes[0]]
             if forget:
                 for histogram in (e.latency, e.wait, e.pace):
                     if histogram.total > 8 or age:
--- a/rainspindle/routing/facade.py
+++ b/rainspindle/routing/facade.py
@@ -9,7 +9,7 @@
 import heapq
 import logging
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
 from ..host import Host, Listed, Outcome
@@ -81,7 +81,7 @@
         self.balancer.client_left(now, exchange)
         return self.taken()
 
-    def list_changed(self, now: float, lines: Iterable[Listed], whole: bool, stale: bool) -> Did:
+    def list_changed(self, now: float, lines: Collection[Listed], whole: bool, stale: bool) -> Did:
         self.now = now
         self.balancer.list_changed(now, lines, whole, stale)
         return self.taken()
--- a/rainspindle/routing/relay.py
+++ b/rainspindle/routing/relay.py
@@ -257,8 +257,9 @@
             held.out = step.number
             until = min(self.loop.now() + step.patience, expires_at)
             outcome, answer = yield from self.forward(
-                ask, step, until, before=left, after=lambda: left() and held.called_off)
-            held.out = None
+                ask, step, until, before=lambda: left() or held.called_off,
+                after=lambda: (left() or True) and held.called_off)
+            held.out, held.called_off = None, False
             self.apply(self.facade.report(self.loop.now(), exchange, step.number, outcome, held.left))
             if held.left:
                 return None
