Tests for trips judged against all, and for forwards called off on silent connections

They fail on the module and the relay as they were: an endpoint taken out where all fail alike, a place held by a lost forward, no further forward after a call-off by the module.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -67,6 +67,7 @@
         self.timers: list[tuple[float, str]] = []
         self.logs: list[str] = []
         self.watches, self.held_off = 0, -1.0
+        self.called_off: list[tuple[int, int]] = []
         self.balancer = Balancer(
             self, seed, self.now, peers=peers, zone=0, types=types, max_forwards=max_forwards,
             parallel=parallel, may_call_off=call_off, max_hold_off=1.0, asks_list=True, ask_within=10.0,
@@ -193,6 +194,7 @@
 
     def call_off(self, exchange: int, number: int) -> None:
         assert self.may_call_off and self.held[exchange].sent[number].outcome is None
+        self.called_off.append((exchange, number))
 
     def wake(self, delay: float, token: str) -> None:
         self.timers.append((self.now + delay, token))
--- a/tests/test_cases.py
+++ b/tests/test_cases.py
@@ -248,6 +248,53 @@
     assert sum(h.answer == "finished" for h in list(fleet.held.values())[-20:]) > 15
 
 
+def test_failures_everywhere_alike_take_no_endpoint_out() -> None:
+    fleet = Fleet([kind()], [line(n) for n in range(6)])  # half a fleet was out for 5 s after a short trouble
+    serve_some(fleet, 0, 60)
+    for outcome in (Outcome.ERROR, Outcome.FULL):
+        for n in range(150):
+            id = (1000 if outcome is Outcome.ERROR else 2000) + n
+            held = fleet.arrive(id, key=f"k{id}")
+            fleet.wait(0.02)
+            while held.answer is None:
+                number = len(held.sent) - 1
+                fleet.end(id, number, outcome if n % 3 == 0 and not number else Outcome.SERVED)
+            fleet.wait(0.02)
+        assert not any(" out: " in x for x in fleet.logs), fleet.logs
+        fleet.wait(30.0)
+    for id in range(3000, 3100):  # where one alone fails, it is still taken out
+        held = fleet.arrive(id, key=f"k{id}")
+        while held.answer is None:
+            bad = held.sent[-1].endpoint == "e0"
+            fleet.end(id, len(held.sent) - 1, Outcome.FULL if bad else Outcome.SERVED)
+        fleet.wait(0.05)
+    assert [x[:3] for x in fleet.logs if " out: " in x] == ["e0 "]
+
+
+def test_a_forward_overtaken_on_a_silent_connection_is_called_off_and_goes_again() -> None:
+    fleet = Fleet([kind(), kind(Effect.BINDING)], [line(n) for n in range(2)])
+    serve_together(fleet, 0, 80)
+    fleet.wait(2.0)
+    windows = {e.id: e.window for e in fleet.balancer.endpoints.values()}
+    for start, type_index in ((1000, 1), (2000, 0)):
+        silent = fleet.arrive(start, type_index, key="a")
+        home = silent.sent[0].endpoint
+        for id in range(start + 1, start + 9):
+            held = fleet.arrive(id, key="a")
+            fleet.wait(0.02)
+            assert held.sent[0].endpoint == home
+            fleet.end(id, 0, Outcome.SERVED)
+        fleet.wait(0.1)
+        assert not fleet.balancer.endpoints[home].out, "a lost forward holds room in the window"
+    assert fleet.called_off == [(2000, 0)]  # the binding one may have run
+    fleet.end(2000, 0, Outcome.CALLED_OFF)
+    assert len(silent.sent) == 2 and silent.sent[1].endpoint != home
+    fleet.end(2000, 1, Outcome.SERVED)
+    fleet.wait(2.0)
+    assert fleet.held[1000].answer == "terminated"
+    assert fleet.balancer.endpoints[home].window >= windows[home], "taken for a queue"
+
+
 def test_a_time_out_counts_among_the_measured_times() -> None:
     fleet = Fleet([kind()], [line(0)])  # a fleet that let all wait in vain looked quick
     serve_some(fleet, 0, 4)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -243,6 +243,19 @@
     assert rig.got() == []
 
 
+def test_a_forward_called_off_by_the_module_goes_again_for_the_same_client(rig: Rig) -> None:
+    client = rig.asked(ask("x"))
+    lost = only(rig.got())
+    rig.facade.call_off(next(iter(rig.relay.held)), 0)
+    rig.relay.apply(rig.facade.taken())
+    again = only(rig.got())
+    assert lost.gone() and again.id == "x" and again.stand is not lost.stand
+    again.answer(200, b"second")
+    rig.settle()
+    answer = client.answer()
+    assert answer and answer[:2] == (200, b"second")
+
+
 def test_where_nothing_may_be_called_off_the_forward_goes_on_without_its_client() -> None:
     limits = {**SETTINGS["policy-limits"], "cancel": False}
     rig = Rig(settings={**SETTINGS, "policy-limits": limits})
