--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -352,7 +352,8 @@
             forward.flowing = True
             self.note_answer(forward, now)
 
-    def forward_ended(self, now: float, id: int, number: int, over: bool, outcome: Outcome) -> None:
+    def forward_ended(self, now: float, id: int, number: int, over: bool, outcome: Outcome,
+                      lag: float = 0.0) -> None:
         forward = self.forwards.pop((id, number), None)
         if forward is None:
             return
@@ -360,8 +361,8 @@
         endpoint.out.pop((id, number), None)
         x.out -= 1
         if outcome is Outcome.SERVED:
-            if not forward.flowing:
-                self.note_answer(forward, now)
+            if not forward.flowing:  # a sidecar short of CPU must not take its own delay for the endpoint's
+                self.note_answer(forward, max(now - lag, forward.sent))
         elif outcome in TELLS_NOTHING:
             if forward.trial:
                 forward.trial.told_nothing()
--- a/rainspindle/program/serve.py
+++ b/rainspindle/program/serve.py
@@ -129,6 +129,7 @@
     def run(self) -> None:
         gc.collect()
         gc.freeze()
+        gc.set_threshold(20_000, 20, 20)  # nearly all is freed by its count; looking for cycles costs CPU
         log.info("serving", extra={"fields": {"listen": address_text(self.listener.address)}})
         self.loop.run()
         log.info("left", extra={"fields": {**dict(self.figures())}})
--- a/rainspindle/protocol/settings.py
+++ b/rainspindle/protocol/settings.py
@@ -13,6 +13,7 @@
     "idempotency_key": Effect.FINGERPRINTED,
     "non_idempotent": Effect.BINDING,
 }
+CONNECT_PART = 0.25  # of the promised time
 GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
 
 
@@ -59,9 +60,10 @@
 
     type_names: tuple[str, ...]
     expiries: tuple[float, ...]  # by traffic type
+    binding: tuple[bool, ...]
+    connect_times: tuple[float, ...]
     zones: tuple[str, ...]
     idle_time: float  # an endpoint closes a connection that stood idle for this long
-    connect_time: float
     ask_within: float
     drain_grace: float
 
@@ -71,8 +73,12 @@
         limits, contract = s["policy-limits"], s["contract"]
         return SocketSettings(
             tuple(t["name"] for t in s["traffic-types"]),
-            tuple(seconds(t["expiry"]) for t in s["traffic-types"]), tuple(s["failure-domains"]),
-            seconds(limits.get("conn-idle")), seconds(limits.get("connect-timeout")) or 1.0,
-            seconds(contract["ask-within"]), seconds(contract["stop-sending-within"]))
+            tuple(seconds(t["expiry"]) for t in s["traffic-types"]),
+            tuple(EFFECTS[t["effect"]] is Effect.BINDING for t in s["traffic-types"]),
+            # Guards against a machine that has vanished: waiting for it must not use up the promised time.
+            tuple(min(seconds(limits.get("connect-timeout")) or 1.0,
+                      CONNECT_PART * seconds(t["promised-time"])) for t in s["traffic-types"]),
+            tuple(s["failure-domains"]), seconds(limits.get("conn-idle")), seconds(contract["ask-within"]),
+            seconds(contract["stop-sending-within"]))
     except KeyError as e:
         raise ValueError(f"the settings lack {e}") from None
--- a/rainspindle/routing/facade.py
+++ b/rainspindle/routing/facade.py
@@ -67,12 +67,13 @@
         self.balancer.exchange_arrived(now, exchange, type_index, key, hint, expires_at, repeat)
         return self.taken()
 
-    def report(self, now: float, exchange: int, number: int, outcome: Outcome, over: bool = False) -> Did:
-        """How a forward ended; `over` where the client has its answer or has left."""
+    def report(self, now: float, exchange: int, number: int, outcome: Outcome, over: bool = False,
+               lag: float = 0.0) -> Did:
+        """How a forward ended, `lag` ago; `over` where the client has its answer or has left."""
         self.now = now
         if outcome is Outcome.SERVED:
             self.sent.pop(exchange, None)
-        self.balancer.forward_ended(now, exchange, number, over, outcome)
+        self.balancer.forward_ended(now, exchange, number, over, outcome, lag)
         return self.taken()
 
     def left(self, now: float, exchange: int) -> Did:
--- a/rainspindle/routing/relay.py
+++ b/rainspindle/routing/relay.py
@@ -19,7 +19,7 @@
 from ..transport.pool import Peer, Pool
 from .facade import Did, Facade, Reject, SendThere, Step, Terminate
 
-ANSWER_TIME = 0.015  # kept back before the expiry, to write the final answer
+ANSWER_TIME, ANSWER_PART = 0.015, 0.05  # kept back before the expiry to write the answer, the smaller one
 REQUEST_TIME = 2.0  # from connecting, or from the first byte of a later request, until the request is whole
 UNASKED_TIME = 0.5  # after which a client that still owes its request gives way to others
 LOOKS = 4  # at clients that might be ended for another, of each sort
@@ -34,6 +34,7 @@
         self.steps: deque[Step] = deque()
         self.out: int | None = None  # the number of the forward that is out
         self.called_off = self.left = False
+        self.lag = 0.0  # how long the last answer lay unread
 
 
 class Relay:
@@ -219,7 +220,8 @@
         task = self.loop.current
         assert task is not None
         expiry = self.settings.expiries[ask.type_index]
-        expires_at = client.came + (expiry if ask.wait is None else min(ask.wait, expiry)) - ANSWER_TIME
+        wait = expiry if ask.wait is None else min(ask.wait, expiry)
+        expires_at = client.came + wait - min(ANSWER_TIME, ANSWER_PART * wait)
         self.taken += 1
         exchange = self.taken  # the request's own id may come twice, when a client sends it once more
         held = self.held[exchange] = Held(task)
@@ -257,10 +259,11 @@
             held.out = step.number
             until = min(self.loop.now() + step.patience, expires_at)
             outcome, answer = yield from self.forward(
-                ask, step, until, before=lambda: left() or held.called_off,
+                ask, step, until, held, before=lambda: left() or held.called_off,
                 after=lambda: (left() or True) and held.called_off)
             held.out, held.called_off = None, False
-            self.apply(self.facade.report(self.loop.now(), exchange, step.number, outcome, held.left))
+            self.apply(self.facade.report(
+                self.loop.now(), exchange, step.number, outcome, held.left, held.lag))
             if held.left:
                 return None
             if answer is not None and outcome is Outcome.SERVED:
@@ -268,7 +271,7 @@
         must(False, "an exchange is held with nothing sent")
         return side.answer(TERMINATED, b"", self.leaving)
 
-    def forward(self, ask: Ask, step: SendThere, until: float, before: Callable[[], bool],
+    def forward(self, ask: Ask, step: SendThere, until: float, held: Held, before: Callable[[], bool],
                 after: Callable[[], bool]) -> Coroutine[tuple[Outcome, Answered | None]]:
         """One forward: what came of it, and the endpoint's answer if there is one.
 
@@ -277,13 +280,14 @@
         if address is None:
             return Outcome.UNSENT, None
         peer: Peer = (step.endpoint, address)
-        connection = self.pool.take(peer)
+        binding = self.settings.binding[ask.type_index]
+        connection = self.pool.take(peer, binding)
         if connection is None:
             try:
                 # Guards against a drain told while it connects: the first byte is sent within the grace.
-                connect_time = min(self.settings.connect_time, self.settings.drain_grace)
+                connect_time = min(self.settings.connect_times[ask.type_index], self.settings.drain_grace)
                 connect_until = min(until, self.loop.now() + connect_time)
-                connection = yield from self.pool.connect(peer, connect_until, before)
+                connection = yield from self.pool.connect(peer, connect_until, binding, before)
             except OutOfSockets:
                 return Outcome.UNSENT, None
             except (Broken, Late):
@@ -314,6 +318,7 @@
             except (Broken, Unreadable):
                 return Outcome.RESET, None
             self.heard[step.endpoint] = self.loop.now()
+            held.lag = self.loop.now() - (connection.came + connection.seen) / 2
             kept = answer.reusable
             return answer.outcome, answer
         except Unwanted:
--- a/rainspindle/transport/connection.py
+++ b/rainspindle/transport/connection.py
@@ -47,13 +47,14 @@
         self.readable = self.writable = connected
         self.ended = False  # the other side has closed or broken it, or its sending half
         self.came = loop.came  # the earliest that the last bytes read can have come
+        self.seen = loop.looked  # when they were there at the latest
         self.idle_since = 0.0
         self.wake: Callable[[], None] = lambda: None
         loop.watch(sock.fileno(), self)
 
     def on_events(self, events: int) -> None:
         if events & (select.EPOLLIN | ENDED):
-            self.readable, self.came = True, self.loop.came
+            self.readable, self.came, self.seen = True, self.loop.came, self.loop.looked
         if events & (select.EPOLLOUT | select.EPOLLERR | select.EPOLLHUP):
             self.writable = True
         if events & ENDED:
@@ -121,6 +122,15 @@
             else:
                 yield from self.await_it(until, unless)
 
+    def rest(self, seconds: float) -> Coroutine[None]:
+        """Lets a moment pass in which the connection may show its end."""
+        self.mine()
+        until = self.loop.now() + seconds
+        while not self.ended and self.loop.now() < until:
+            yield until
+        if self.ended:
+            raise Broken("ended as soon as it was up")
+
     def sound(self) -> bool:
         """Whether an idle connection can still be used: nothing has come and nothing has ended."""
         if self.closed or self.ended:
--- a/rainspindle/transport/pool.py
+++ b/rainspindle/transport/pool.py
@@ -12,7 +12,8 @@
 
 
 class Pool:
-    REST = 0.01
+    REST, NEW_REST = 0.025, 0.001  # within which an end shows after an answer, and of a new one
+    MOST_ENDS, ENDS_STEP = 0.02, 0.01  # the share of early ends that makes wary, and how fast it is learnt
     IDLE_PART = 0.6  # of the stated idle time: what is written at its very end may be lost
 
     def __init__(self, loop: Loop, most: int, idle_time: float) -> None:
@@ -21,15 +22,22 @@
         self.idle: dict[Peer, list[Connection]] = {}  # the last used at the end
         self.open = 0
         self.made = self.reused = 0
+        self.ends = 0.0  # the share of kept connections that lately ended before they had rested
 
-    def take(self, peer: Peer) -> Connection | None:
+    def wary(self) -> bool:
+        """Whether peers often end connections, so that one that must not break is better let rest."""
+        return self.ends > self.MOST_ENDS
+
+    def take(self, peer: Peer, careful: bool = False) -> Connection | None:
         """An idle connection that is still sound: of those that have rested, the last used.
 
         Guards against writing to one that is just being closed: a peer that ends it right after an answer has
-        done so within a moment, and then it shows."""
+        done so within a moment, and then it shows. Where that is frequent, a `careful` one gets no other."""
         now, idle = self.loop.now(), self.idle.get(peer, [])
         while idle:
             connection = next((c for c in reversed(idle) if now - c.idle_since >= self.REST), idle[0])
+            if careful and now - connection.idle_since < self.REST and self.wary():
+                return None
             if connection.sound() and now - connection.idle_since < self.keep:
                 idle.remove(connection)
                 self.reused += 1
@@ -37,7 +45,8 @@
             self.drop(peer, connection)
         return None
 
-    def connect(self, peer: Peer, until: float, unless: Unless = None) -> Coroutine[Connection]:
+    def connect(self, peer: Peer, until: float, careful: bool = False, unless: Unless = None
+                ) -> Coroutine[Connection]:
         while self.open >= self.most:
             if not self.make_room():
                 raise OutOfSockets("every connection is in use")
@@ -50,6 +59,8 @@
         self.open += 1
         try:
             yield from connection.establish(until, unless)
+            if careful and self.wary():
+                yield from connection.rest(self.NEW_REST)
         except BaseException:
             self.close(connection)
             raise
@@ -58,14 +69,17 @@
 
     def keep_idle(self, peer: Peer, connection: Connection) -> None:
         connection.idle_since = self.loop.now()
+        self.ends -= self.ENDS_STEP * self.ends
         connection.wake = partial(self.looked_at, peer, connection)
         self.idle.setdefault(peer, []).append(connection)
         if connection.ended:
-            self.drop(peer, connection)
+            self.looked_at(peer, connection)
 
     def looked_at(self, peer: Peer, connection: Connection) -> None:
         """An event on an idle connection: its end, something that nobody asked for, or old news."""
         if not connection.sound():
+            if self.loop.now() - connection.idle_since < self.REST:
+                self.ends += self.ENDS_STEP
             self.drop(peer, connection)
 
     def drop(self, peer: Peer, connection: Connection) -> None:
