--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -91,8 +91,7 @@
         super().__init__(now)
         self.first = self.current = endpoint
         self.tried = [endpoint]
-        self.retriable = self.other = 0
-        self.last = now
+        self.retriable, self.other, self.last = 0, 0, now
 
 
 class FailoverTable:
@@ -115,8 +114,8 @@
             entry = self.entries[key] = Entry(at, now)
         if now - entry.last > self.RESET_WINDOW:
             entry.retriable = entry.other = 0
-        entry.last = now
-        entry.retriable, entry.other = entry.retriable + retriable, entry.other + (not retriable)
+        entry.last, entry.retriable = now, entry.retriable + retriable
+        entry.other += not retriable
         if self.moved(entry) and at is entry.current:
             following = next_untried(entry.tried)
             if following is None:
@@ -192,10 +191,10 @@
     """What this sidecar knows of one endpoint: as listed, and as its own forwards found it."""
 
     START_CREDIT, MOST_CREDIT, EARNED = 3.0, 10.0, 0.2
-    LEAST_WINDOW, MOST_WINDOW = 1.0, 64.0
+    LEAST_WINDOW, MOST_WINDOW, START_WAITS, WAIT_PART = 1.0, 64.0, 4, 0.05
     # The keyless trip: more failures than this in 10 s, and over this share or, up to the next, over twice
-    # that of all. One turned away as full counts in part only: it cost next to nothing.
-    FAILURES, SHARE, MOST_SHARE, FULL_PART = 2, 0.25, 0.75, 0.3
+    # that of all; or so many with no answer between, where it answered much before. Full counts in part only.
+    FAILURES, SHARE, MOST_SHARE, ROW, FULL_PART = 2, 0.25, 0.75, 8, 0.3
 
     def __init__(self, line: Listed, may_wait: float) -> None:
         self.id, self.may_wait = line.id, may_wait
@@ -205,20 +204,21 @@
     def reset(self, line: Listed) -> None:
         self.line, self.cold_left, self.cold_until = line, 0, -math.inf  # forwards left in this cold window
         self.latency, self.wait, self.pace = Histogram(), Histogram(), Histogram()
-        self.credit, self.window, self.calm = self.START_CREDIT, self.LEAST_WINDOW, 0.0
-        self.answers, self.busy = 0, 0.0  # answers of this second, and cores kept busy by this sidecar
+        self.credit, self.window, self.calm = self.START_CREDIT, 1 + self.START_WAITS * self.may_wait, 0.0
+        self.answers, self.busy, self.row = 0, 0.0, 0.0  # answers this second, cores busy, failures in a row
         self.answered_at = self.answered_sent = self.sent_at = self.eased_at = self.back_at = -math.inf
         self.failures, self.outcomes = [0.0, 0.0], [0, 0]  # this half of the 10 s or more, the one before
         self.breaker: Breaker | None = None
 
-    def answered(self, now: float, sent: float, calm: float) -> None:
+    def answered(self, now: float, sent: float, calm: float, promised: float) -> None:
         self.answered_at, self.answered_sent = now, max(self.answered_sent, sent)
         self.credit = min(self.credit + self.EARNED, self.MOST_CREDIT)
-        # Guards against overdriving: a queue shows in the median long before the promised time is in
-        # danger. What this sidecar has waiting there is its window less the part that is in work.
+        # Guards against overdriving: a queue shows in the median long before the promise is in danger. What
+        # waits is the window less the part in work; more may where work is short, or bursts are turned away.
         waiting = self.window * (1 - calm / max(self.latency.quantile(0.5, calm, 1.0), calm))
-        self.answers += 1
-        if waiting > max(self.may_wait, self.busy / 2, self.busy - 0.5):
+        self.answers, self.row = self.answers + 1, 0.0
+        more = max(1.0, self.WAIT_PART * promised / calm)
+        if waiting > max(self.may_wait * more, self.busy / 2, self.busy - 0.5):
             self.ease(now, sent)
         elif len(self.out) + 1 >= self.window:  # earned by use: idle times must not allow a burst
             self.window = min(self.window + 1 / self.window, self.MOST_WINDOW)
@@ -238,7 +238,7 @@
     def trips(self, usual: float) -> bool:
         """`usual` is the share that fails at all in service."""
         failures, share = sum(self.failures), max(self.SHARE, min(2 * usual, self.MOST_SHARE))
-        return failures > self.FAILURES and failures > share * sum(self.outcomes)
+        return failures > self.FAILURES and (failures > share * sum(self.outcomes) or self.row >= self.ROW)
 
 
 class Balancer:
@@ -341,10 +341,11 @@
         return ranked[first:] + ranked[:first]
 
     def crowding(self, times: float, promised: float) -> float:
-        """The chance with which an exchange is turned away, none while the mean time is low.
+        """The chance with which an exchange is turned away: none while times are short, or not yet swept.
 
         Guards against queues that many sidecars make with one forward each, which none of them sees."""
-        return min((times / promised - self.CROWDED) / (self.CROWDED_OUT - self.CROWDED), 0.95)
+        chance = (times / promised - self.CROWDED) / (self.CROWDED_OUT - self.CROWDED)
+        return min(chance, 0.95) if self.sweeps else 0.0
 
     def answer_started(self, now: float, id: int, number: int, elapsed: float) -> None:
         forward = self.forwards.get((id, number))
@@ -396,7 +397,7 @@
         harmless = (x.ran_where is None and not x.out) or x.type.effect is Effect.RETRIABLE or (
             x.type.effect is Effect.FINGERPRINTED and x.type.group is Group.ALL)
         if harmless:
-            soon = max(self.usual, 0.05)  # a client that comes back after this may still be in time
+            soon = max(self.usual, x.type.promised_time / 12)  # back after this it may still be in time
             hopeful = x.promised_at - now > 3 * soon and not x.repeat
             self.host.reject(x.id, min(self.max_hold_off, soon) if hopeful else self.max_hold_off)
         else:
@@ -544,13 +545,13 @@
 
     def note_answer(self, forward: Forward, now: float) -> None:
         x, endpoint, latency = forward.exchange, forward.endpoint, now - forward.sent
-        late = latency > x.type.promised_time
-        self.answers += 1
+        promised, self.answers = x.type.promised_time, self.answers + 1
+        late = latency > promised
         if x.hint:
             for at in (endpoint, self):  # by weight: short work tells of waits, not pace
                 at.pace.add(latency / x.hint, x.hint / 0.1)
         self.measure(endpoint, latency, x.hint)
-        endpoint.answered(now, forward.sent, endpoint.calm or self.calm or x.type.promised_time)
+        endpoint.answered(now, forward.sent, endpoint.calm or self.calm or promised, promised)
         if forward.trial and self.table.entries.get(x.key) is forward.trial:
             del self.table.entries[x.key]
         if endpoint.breaker:
@@ -586,17 +587,16 @@
             def next_untried(tried: list[Endpoint]) -> Endpoint | None:
                 return next((e for e in self.rank(x.key) if e not in tried and not e.breaker), None)
             self.table.failure(x.key, endpoint, x.type.effect is Effect.RETRIABLE, now, next_untried)
-        if endpoint.breaker:
-            if forward.endpoint_trial:
-                endpoint.breaker.failed(now)
-        elif not forward.overdue:
+        if endpoint.breaker and forward.endpoint_trial:
+            endpoint.breaker.failed(now)
+        elif not endpoint.breaker and not forward.overdue:
             weight = Endpoint.FULL_PART if outcome is Outcome.FULL else not sound
             self.judge(endpoint, weight, now, outcome.value)
 
     def judge(self, endpoint: Endpoint, failed: float, now: float, why: str) -> None:
         """The keyless trip of the design, run for each endpoint on all of its outcomes."""
         endpoint.outcomes[0] += 1
-        endpoint.failures[0] += failed
+        endpoint.failures[0], endpoint.row = endpoint.failures[0] + failed, endpoint.row + failed
         if not failed or endpoint.breaker:
             return
         # Guards against taking out half a fleet whose endpoints all fail a part of what they get.
--- a/rainspindle/program/config.py
+++ b/rainspindle/program/config.py
@@ -26,6 +26,7 @@
     listen: Address
     discovery: Address
     seed: int
+    cores: float
     sockets: int
     known: ListChange
     decoder: ListDecoder
@@ -65,9 +66,11 @@
     decoder = ListDecoder(settings.zones, time.monotonic() - time.time())
     known = decoder.decode(raw["known"]) if raw.get("known") else ListChange(0, True, (), {})
     seed = raw.get("seed", 0)
+    limits = raw.get("limits", {})
     config = Config(
         told("name"), parse_address(told("listen")), parse_address(told("discovery")),
-        seed if isinstance(seed, int) else int(seed, 16), int(raw.get("limits", {}).get("sockets", 1024)),
+        seed if isinstance(seed, int) else int(seed, 16), float(limits.get("cores") or 1.0),
+        int(limits.get("sockets", 1024)),
         known, decoder, settings, raw["settings"])
     config.facade(0.0)  # the settings that only the module needs
     return config
--- a/rainspindle/program/serve.py
+++ b/rainspindle/program/serve.py
@@ -7,6 +7,7 @@
 import logging
 import signal
 import socket
+import time
 import traceback
 from collections.abc import Callable, Iterator
 
@@ -23,6 +24,7 @@
 
 SPARE_SOCKETS = 48  # standard streams, epoll, signals, discovery, files, and room to accept in
 CLIENTS_PART = 0.5
+MOST_OWED = 2.0
 STILL_COMING = 0.5  # how long clients may still come after SIGTERM
 
 
@@ -127,6 +129,10 @@
         self.loop.stopped = True
 
     def run(self) -> None:
+        # Guards against clients that begin while the start's own CPU is charged: with part of a core the
+        # process is then stopped for about as long as that CPU takes at the limit.
+        owed = time.process_time() / self.config.cores if self.config.cores < 1 else 0.0
+        self.relay.ready_from = self.loop.now() + min(owed, MOST_OWED)
         gc.collect()
         gc.freeze()
         gc.set_threshold(20_000, 20, 20)  # nearly all is freed by its count; looking for cycles costs CPU
--- a/rainspindle/routing/facade.py
+++ b/rainspindle/routing/facade.py
@@ -99,6 +99,10 @@
             self.balancer.woken(now, heapq.heappop(self.wakes)[2])
         return self.taken()
 
+    def in_flight(self) -> int:
+        """Forwards that the module believes to be out."""
+        return len(self.balancer.forwards)
+
     def taken(self) -> Did:
         did, self.did = self.did, Did()
         did.wake_at = self.wakes[0][0] if self.wakes else math.inf
--- a/rainspindle/routing/relay.py
+++ b/rainspindle/routing/relay.py
@@ -52,7 +52,7 @@
         self.waiting: dict[Connection, float] = {}  # since when, those between requests
         self.asking: dict[Connection, float] = {}  # since when, those that owe a whole request
         self.leaving = False  # SIGTERM has come
-        self.ready = False
+        self.ready, self.ready_from = False, -math.inf
         self.looks_at = -math.inf
         self.ticker = loop.spawn(loop.lasting(self.tick))
         self.apply(facade.taken())
@@ -83,6 +83,9 @@
             self.looks_at = -math.inf  # awake
             did = self.facade.tick(self.loop.now())
             self.apply(did)
+            out = sum((h.out is not None) + sum(isinstance(s, SendThere) for s in h.steps)
+                      for h in self.held.values())
+            must(out == self.facade.in_flight(), "the module believes in flight what is in flight")
             self.pool.sweep()
             self.looks_at = min(did.wake_at, self.loop.now() + 1.0)
             yield self.looks_at
@@ -189,7 +192,8 @@
                     out = yield from self.relay(client, side, message)
                 else:
                     # One that leaves is not ready: its successor is, under the same address.
-                    out = side.answer(200 if self.ready and not self.leaving else 503, b"", self.leaving)
+                    ready = self.ready and not self.leaving and self.loop.now() >= self.ready_from
+                    out = side.answer(200 if ready else 503, b"", self.leaving)
                 if out is None:
                     return
                 surplus = client.receive()  # sent while the request was open: not a request of its own
--- a/tests/test_cases.py
+++ b/tests/test_cases.py
@@ -271,6 +271,19 @@
     assert [x[:3] for x in fleet.logs if " out: " in x] == ["e0 "]
 
 
+def test_an_endpoint_that_dies_under_traffic_is_out_after_a_few_failures() -> None:
+    fleet = Fleet([kind()], [line(n) for n in range(3)])  # one that had answered 350 times took 117 failures
+    failures = 0
+    for id in range(1500):
+        held = fleet.arrive(id, key=f"k{id}")
+        while held.answer is None:
+            dead = id > 1000 and held.sent[-1].endpoint == "e0"
+            failures += dead
+            fleet.end(id, len(held.sent) - 1, Outcome.UNCONNECTED if dead else Outcome.SERVED)
+        fleet.wait(0.005)
+    assert any(x.startswith("e0 out: 8 of ") for x in fleet.logs) and failures < 12
+
+
 def test_a_forward_overtaken_on_a_silent_connection_is_called_off_and_goes_again() -> None:
     fleet = Fleet([kind(), kind(Effect.BINDING)], [line(n) for n in range(2)])
     serve_together(fleet, 0, 80)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -119,6 +119,21 @@
     assert service.answer(client)[0] == 503  # retriable, and there is no other endpoint
 
 
+def test_ready_waits_until_the_cpu_of_the_start_is_paid_for(tmp_path: Path) -> None:
+    """Guards against a stop by the CPU limit just when clients begin."""
+    service = Service(tmp_path, limits={"cores": 0.1})
+    client = service.asked(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")
+    answers = [service.answer(client)[0]]
+    while answers[-1] != 200:
+        client.send(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")
+        answers.append(service.answer(client)[0])
+    assert answers[0] == 503
+    client.send(ask("x"))
+    service.got().answer(200)
+    assert service.answer(client)[0] == 200
+    service.close()
+
+
 def test_the_list_is_watched_from_the_known_version_on(service: Service) -> None:
     first = service.watch()
     assert first.target.startswith("/v1/endpoints?index=41&wait=")
@@ -241,6 +256,7 @@
 BAD = [config(listen="nowhere"), config(seed="xyz"), config(settings={}), config(listen=None), [1],
        config(settings={**SETTINGS, "traffic-types": [{"name": "x", "effect": "odd"}]}),
        config(known={"generation": 1}), config(limits={"sockets": "many"}), config(limits=[]),
+       config(limits={"cores": "some"}),
        config(settings={k: v for k, v in SETTINGS.items() if k != "zone"})]
 
 
