--- a/rainspindle/routing/relay.py
+++ b/rainspindle/routing/relay.py
@@ -22,6 +22,8 @@
 ANSWER_TIME, ANSWER_PART = 0.015, 0.05  # kept back before the expiry to write the answer, the smaller one
 REQUEST_TIME = 2.0  # from connecting, or from the first byte of a later request, until the request is whole
 UNASKED_TIME = 0.5  # after which a client that still owes its request gives way to others
+FEW, MANY = 0.4, 0.55  # parts of the cap on clients, over which connections end that wait for a request
+LONG_WAIT, SHORT_WAIT = 2.0, 0.25  # for so long, over the one and over the other
 LOOKS = 4  # at clients that might be ended for another, of each sort
 LINGER, MOST_LINGER = 1.0, 256 * 1024  # seconds and bytes read on after a refusal
 
@@ -87,6 +89,7 @@
                       for h in self.held.values())
             must(out == self.facade.in_flight(), "the module believes in flight what is in flight")
             self.pool.sweep()
+            self.trim_clients()
             self.looks_at = min(did.wake_at, self.loop.now() + 1.0)
             yield self.looks_at
 
@@ -147,6 +150,21 @@
                     return True
         return False
 
+    def trim_clients(self) -> None:
+        """Ends connections that wait long while many are open.
+
+        Guards against clients that ask once and keep theirs for good: the application opens only so many, and
+        then the others have none left, though none of ours is short."""
+        now, most = self.loop.now(), self.most_clients
+        asked = len(self.clients) - len(self.asking)  # those that owe their request are ended otherwise
+        for connection, since in list(islice(self.waiting.items(), max(0, asked - int(FEW * most)))):
+            if now - since < (LONG_WAIT if asked <= MANY * most else SHORT_WAIT):
+                break
+            asked -= 1
+            if connection.sound():
+                connection.wake()
+                self.gone(connection)
+
     def finish_clients(self) -> bool:
         """On the way out: ends the connections with no request under way; whether none is left."""
         while self.close_idle_client(hasty=False):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -443,6 +443,22 @@
     rig.close()
 
 
+def test_connections_that_wait_for_good_are_ended_while_many_are_open() -> None:
+    """Guards against an application with no connection left, as others keep theirs after one request."""
+    rig = Rig(1, clients=20)
+    for n, (left, wait) in enumerate([(6, 3.0), (8, 2.5), (11, 0.5)]):
+        for m in range(14 if n == 2 else 6):
+            client = rig.asked(ask(f"x{n}-{m}"))
+            rig.serve_all()
+            assert status(client.answer()) == 200
+        rig.wait(wait)
+        assert len(rig.relay.clients) == left
+    rig.clients[-1].send(ask("y"))  # the last used are kept
+    rig.serve_all()
+    assert status(rig.clients[-1].answer()) == 200
+    rig.close()
+
+
 def test_a_flood_of_clients_is_taken_in_parts_and_costs_few_looks(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a look at every connection for each one that comes, while nobody else is served."""
     rig, looks, sound = Rig(0, clients=40), [], Connection.sound
