--- a/rainspindle/program/serve.py
+++ b/rainspindle/program/serve.py
@@ -25,7 +25,8 @@
 SPARE_SOCKETS = 48  # standard streams, epoll, signals, discovery, files, and room to accept in
 CLIENTS_PART = 0.5
 MOST_OWED = 2.0
-STILL_COMING = 0.5  # how long clients may still come after SIGTERM
+# After SIGTERM a sidecar is let run for the longest expiry, up to MOST_LEAVING, and 0.7 s more.
+MOST_LEAVING, SERVE_ON, ALL_ANSWERED = 3.0, 0.2, 0.4
 
 
 def caps(config: Config) -> tuple[int, int]:
@@ -110,21 +111,23 @@
             "needs_restart": ",".join(later).replace("raw_", "") or "nothing"}})
 
     def way_out(self) -> Coroutine[None]:
-        """Waits for SIGTERM; then serves whoever still comes, finishes all that was taken, and leaves."""
+        """Waits for SIGTERM; then serves on for most of the time it is let, finishes all, and leaves.
+
+        Guards against turning clients away for longer than need be: until its successor is up there is no
+        other for them, and they go on using the connections that they have."""
         while not self.asked:
             yield float("inf")
         asked_at = self.loop.now()
         log.info("leaving", extra={"fields": {"held": len(self.relay.held),
                                               "clients": len(self.relay.clients)}})
-        self.relay.leaving = True
-        # Ended while clients still come: whoever has just asked on one of these asks again on a new one.
-        self.relay.finish_clients()
-        while self.loop.now() < asked_at + STILL_COMING:
-            yield asked_at + STILL_COMING
+        let = asked_at + min(max(self.relay.settings.expiries), MOST_LEAVING)
+        self.relay.leaving, self.relay.last_answer = True, let + ALL_ANSWERED
+        while self.loop.now() < let + SERVE_ON:
+            yield let + SERVE_ON
+        self.relay.closing = True
         self.listener.close()
-        # By then every exchange has its answer; what is left is a request that never became whole.
-        longest = asked_at + STILL_COMING + max(self.relay.settings.expiries)
-        while not self.relay.finish_clients() and self.loop.now() < longest:
+        # In the end every exchange has its answer; what is left is a request that never became whole.
+        while not self.relay.finish_clients() and self.loop.now() < self.relay.last_answer + 0.1:
             yield self.loop.now() + 0.02
         self.loop.stopped = True
 
--- a/rainspindle/routing/relay.py
+++ b/rainspindle/routing/relay.py
@@ -53,7 +53,8 @@
         self.clients: dict[Connection, None] = {}
         self.waiting: dict[Connection, float] = {}  # since when, those between requests
         self.asking: dict[Connection, float] = {}  # since when, those that owe a whole request
-        self.leaving = False  # SIGTERM has come
+        self.leaving = self.closing = False  # SIGTERM has come; connections end with their next answer
+        self.last_answer = math.inf  # when the last exchange must be answered, on the way out
         self.ready, self.ready_from = False, -math.inf
         self.looks_at = -math.inf
         self.ticker = loop.spawn(loop.lasting(self.tick))
@@ -211,7 +212,7 @@
                 else:
                     # One that leaves is not ready: its successor is, under the same address.
                     ready = self.ready and not self.leaving and self.loop.now() >= self.ready_from
-                    out = side.answer(200 if ready else 503, b"", self.leaving)
+                    out = side.answer(200 if ready else 503, b"", self.closing)
                 if out is None:
                     return
                 surplus = client.receive()  # sent while the request was open: not a request of its own
@@ -243,7 +244,7 @@
         assert task is not None
         expiry = self.settings.expiries[ask.type_index]
         wait = expiry if ask.wait is None else min(ask.wait, expiry)
-        expires_at = client.came + wait - min(ANSWER_TIME, ANSWER_PART * wait)
+        expires_at = min(client.came + wait - min(ANSWER_TIME, ANSWER_PART * wait), self.last_answer)
         self.taken += 1
         exchange = self.taken  # the request's own id may come twice, when a client sends it once more
         held = self.held[exchange] = Held(task)
@@ -257,7 +258,7 @@
             self.apply(self.facade.left(self.loop.now(), exchange))
             if held.out is not None:
                 self.facade.report(self.loop.now(), exchange, held.out, Outcome.CALLED_OFF, over=True)
-            return side.answer(TERMINATED, b"", self.leaving)
+            return side.answer(TERMINATED, b"", self.closing)
         finally:
             del self.held[exchange]
             self.open_ids.discard(ask.request_id)
@@ -275,9 +276,9 @@
             step = held.steps.popleft()
             must(not held.steps, "one step at a time for an exchange")
             if isinstance(step, Reject):
-                return side.rejected(step.hold_off, self.leaving)
+                return side.rejected(step.hold_off, self.closing)
             if isinstance(step, Terminate):
-                return side.answer(TERMINATED, b"", self.leaving)
+                return side.answer(TERMINATED, b"", self.closing)
             held.out = step.number
             until = min(self.loop.now() + step.patience, expires_at)
             outcome, answer = yield from self.forward(
@@ -289,9 +290,9 @@
             if held.left:
                 return None
             if answer is not None and outcome is Outcome.SERVED:
-                return side.finished(answer.body, answer.headers, self.leaving)
+                return side.finished(answer.body, answer.headers, self.closing)
         must(False, "an exchange is held with nothing sent")
-        return side.answer(TERMINATED, b"", self.leaving)
+        return side.answer(TERMINATED, b"", self.closing)
 
     def forward(self, ask: Ask, step: SendThere, until: float, held: Held, before: Callable[[], bool],
                 after: Callable[[], bool]) -> Coroutine[tuple[Outcome, Answered | None]]:
