The lab: fleet model, faults, auditor and experiments, in virtual time and on sockets

Change: rainspindle/lab with models free of I/O, one drawn world that virtual time and real sidecar processes both play, an auditor that reads ledgers only, results, reports, comparisons, benchmarks, and `rainspindle lab`. The facade takes whatever decides, so that baselines stand in the module's place. import-linter holds the layers; serve imports nothing of the lab, and a test says so.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run clean
+.PHONY: build test lint run demo clean
 
 build: .venv/made-from
 
@@ -12,6 +12,16 @@
 	.venv-dev/bin/pip install -q --disable-pip-version-check -r requirements-dev.txt
 	cat requirements-dev.txt requirements.txt > $@
 
+.venv-lab/made-from: requirements-lab.txt requirements.txt
+	python3 -m venv --clear .venv-lab
+	.venv-lab/bin/pip install -q --disable-pip-version-check -r requirements-lab.txt
+	cat requirements-lab.txt requirements.txt > $@
+
+# A day with a failing endpoint, on real sockets; the last line is the path of its report.
+demo: build .venv-lab/made-from
+	.venv-lab/bin/python -m rainspindle lab run experiments/first-day.toml --mode sockets
+	@echo "$(CURDIR)/lab-out/first-day-sockets/report.html"
+
 test: .venv-dev/made-from
 	bash tests/run
 
@@ -23,4 +33,4 @@
 	.venv/bin/python -O -m rainspindle serve --config $(CONFIG)
 
 clean:
-	rm -rf .venv .venv-dev
+	rm -rf .venv .venv-dev .venv-lab
--- a/rainspindle/__main__.py
+++ b/rainspindle/__main__.py
@@ -4,4 +4,5 @@
 
 from .program.main import main
 
-sys.exit(main())
+if __name__ == "__main__":  # guards against a second start where the lab's own processes read this again
+    sys.exit(main())
--- /dev/null
+++ b/rainspindle/lab/models/registry.py
@@ -0,0 +1,50 @@
+"""The list service: what it says when, as a function of time alone."""
+
+from __future__ import annotations
+
+import bisect
+from dataclasses import dataclass
+
+from ...host import Listed, State
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """A line as it reads from `at` on."""
+
+    at: float
+    line: Listed
+
+
+class Registry:
+    """Versions count the changes that have become visible; `outages` are spans in which calls fail."""
+
+    def __init__(self, lines: list[Listed], changes: list[Change],
+                 outages: list[tuple[float, float]]) -> None:
+        self.first = {line.id: line for line in lines}
+        self.changes = sorted(changes, key=lambda c: c.at)
+        self.times = [c.at for c in self.changes]
+        self.outages = outages
+
+    def version(self, now: float) -> int:
+        return 1 + bisect.bisect_right(self.times, now)
+
+    def next_at(self, version: int) -> float | None:
+        """When there is something newer than this version."""
+        return self.times[version - 1] if 1 <= version <= len(self.times) else None
+
+    def down(self, now: float) -> bool:
+        return any(at <= now < until for at, until in self.outages)
+
+    def next_outage(self, now: float) -> float | None:
+        return min((at for at, _ in self.outages if at > now), default=None)
+
+    def whole(self, version: int) -> list[Listed]:
+        lines = dict(self.first)
+        for change in self.changes[:version - 1]:
+            lines[change.line.id] = change.line
+        return [line for line in lines.values() if line.state is not State.GONE]
+
+    def since(self, version: int, now: float) -> list[Listed]:
+        """The lines that changed after this version, each as it reads now."""
+        return list({c.line.id: c.line for c in self.changes[version - 1:self.version(now) - 1]}.values())
--- /dev/null
+++ b/rainspindle/lab/virtual.py
@@ -0,0 +1,435 @@
+"""A run in virtual time: the models and many sidecars, each with its own real facade and module."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+
+import simpy
+
+from ..host import Outcome, State
+from ..routing.facade import Did, Facade, Reject, SendThere, Terminate
+from .decide import knobs, maker
+from .ledger import Asked, Ledger, Run, Told
+from .models.clients import Operation, next_try
+from .models.endpoint import EndpointModel, Job
+from .models.link import LinkModel
+from .world import Act, World, play
+
+START = -1.0  # sidecars start within this last second before the first exchange
+ANSWER_TIME, ANSWER_PART = 0.015, 0.05  # as the relay keeps back of an expiry
+IDLE_PART = 0.6  # as the pool keeps connections
+OUTCOMES = {"served": Outcome.SERVED, "error": Outcome.ERROR, "full": Outcome.FULL, "lost": Outcome.RESET}
+
+
+class Clock:
+    """Virtual time: what is due is called in order of time, then of its setting."""
+
+    def __init__(self) -> None:
+        self.env = simpy.Environment(initial_time=START)
+
+    @property
+    def now(self) -> float:
+        return self.env.now
+
+    def at(self, when: float, do: Callable[[], None]) -> None:
+        event = simpy.Timeout(self.env, max(0.0, when - self.env.now))
+        assert event.callbacks is not None
+        event.callbacks.append(lambda _: do())
+
+
+class EndpointNode:
+    """An endpoint's model, called when it is due."""
+
+    def __init__(self, clock: Clock, model: EndpointModel) -> None:
+        self.clock, self.model = clock, model
+        self.looks_at = math.inf
+        self.connections = 0
+
+    def look(self) -> None:
+        at = self.model.next_at()
+        if at < self.looks_at:
+            self.looks_at = at
+            self.clock.at(at, self.due)
+
+    def due(self) -> None:
+        if self.clock.now >= self.looks_at:  # else a later timer was set in place of this one
+            self.looks_at = math.inf
+            self.model.advance(self.clock.now)
+            self.look()
+
+    def befall(self, act: Act) -> None:
+        model = self.model
+        if act.what in ("down", "silence"):
+            if model.up:
+                lost = model.go_down(act.at, silent=act.what == "silence")
+                self.connections = 0
+                for job in lost if act.what == "down" else ():
+                    job.ended(job)
+        elif act.what == "up":
+            model.come_back(act.at)
+        else:
+            model.advance(act.at)
+            play(model, act)
+        self.look()
+
+
+@dataclass(slots=True, eq=False)
+class Line:
+    """A connection from a sidecar to an endpoint."""
+
+    start: int  # the endpoint's start that it leads to
+    idle_since: float = 0.0
+
+
+class Flight:
+    """One forward under way."""
+
+    __slots__ = ("exchange", "job", "line", "node", "number", "over", "sent", "until", "written")
+
+    def __init__(self, exchange: int, number: int, node: EndpointNode, sent: float, until: float) -> None:
+        self.exchange, self.number, self.node, self.sent, self.until = exchange, number, node, sent, until
+        self.over = self.written = False
+        self.line: Line | None = None
+        self.job: Job | None = None
+
+
+class Holding:
+    """An exchange that a sidecar has taken."""
+
+    __slots__ = ("asked", "expires", "flight", "left", "op", "tries")
+
+    def __init__(self, op: Operation, asked: Asked, tries: int, expires: float) -> None:
+        self.op, self.asked, self.tries, self.expires = op, asked, tries, expires
+        self.flight: Flight | None = None
+        self.left = False
+
+
+class SidecarNode:
+    """What the relay, the pool and the follower are on sockets, in virtual time."""
+
+    def __init__(self, run: VirtualRun, number: int) -> None:
+        self.run, self.clock, self.number = run, run.clock, number
+        self.zone = run.world.sidecar_zones[number]
+        self.lives = 0
+        self.up = False
+
+    def start(self) -> None:
+        world, now = self.run.world, self.clock.now
+        self.lives, self.up = self.lives + 1, True
+        self.held: dict[int, Holding] = {}
+        self.idle: dict[int, list[Line]] = {}
+        self.heard: dict[int, float] = {}
+        self.started: dict[str, float | None] = {}
+        self.taken = 0
+        self.looks_at = math.inf
+        self.facade = Facade(now, maker(world.variant, world.settings(self.number),
+                                        world.seed * 100_003 + self.number * 101 + self.lives, now))
+        self.version = world.registry.version(now)
+        known = world.registry.whole(self.version)
+        self.note_starts([(line.id, line.started) for line in known])
+        did = self.facade.taken()
+        self.apply(self.facade.list_changed(now, known, whole=True, stale=True))
+        self.apply(did)
+
+    def die(self) -> None:
+        self.up = False
+        self.lives += 1
+        for holding in list(self.held.values()):
+            if holding.flight is not None:
+                self.close(holding.flight)
+            holding.asked.broken = True
+            self.run.client_told(holding, "broken", 0.0, "")
+        self.held.clear()
+
+    def living(self, do: Callable[[], None]) -> Callable[[], None]:
+        """Done only if this life of the sidecar still lasts by then."""
+        life = self.lives
+
+        def done() -> None:
+            if self.lives == life:
+                do()
+        return done
+
+    # What the module did.
+
+    def apply(self, did: Did) -> None:
+        for exchange, step in did.steps:
+            holding = self.held[exchange]
+            if isinstance(step, SendThere):
+                self.send(holding, exchange, step)
+            else:
+                del self.held[exchange]
+                kind = "rejected" if isinstance(step, Reject) else "terminated"
+                assert isinstance(step, Reject | Terminate)
+                self.run.client_told(holding, kind, step.hold_off if isinstance(step, Reject) else 0.0, "")
+        for exchange, number in did.called_off:
+            waiting = self.held.get(exchange)
+            if waiting is not None and waiting.flight is not None and waiting.flight.number == number:
+                self.clock.at(self.clock.now, self.living(
+                    partial(self.end, waiting.flight, Outcome.CALLED_OFF)))
+        if did.watch:
+            self.clock.at(self.clock.now, self.living(self.ask))
+        if did.wake_at < self.looks_at:
+            self.looks_at = did.wake_at
+            self.clock.at(did.wake_at, self.living(self.tick))
+
+    def tick(self) -> None:
+        if self.clock.now >= self.looks_at:
+            self.looks_at = math.inf
+            self.apply(self.facade.tick(self.clock.now))
+
+    # The list.
+
+    def ask(self) -> None:
+        registry, now = self.run.world.registry, self.clock.now
+        answer = self.run.world.x.registry.answer
+        if registry.down(now):
+            self.clock.at(now + answer, self.living(self.failed))
+        elif registry.version(now) > self.version:
+            self.clock.at(now + answer, self.living(self.tell))
+        else:
+            soon = [t for t in (registry.next_at(self.version), registry.next_outage(now)) if t is not None]
+            if soon:
+                self.clock.at(min(soon), self.living(self.ask))
+
+    def failed(self) -> None:
+        self.apply(self.facade.list_failed(self.clock.now))
+
+    def tell(self) -> None:
+        registry, now = self.run.world.registry, self.clock.now
+        lines = registry.since(self.version, now)
+        self.version = registry.version(now)
+        for line in lines:
+            self.run.ledger.told.append(Told(self.number, int(line.id[1:]), line.state.value, now))
+            if line.state is State.GONE or line.started != self.started.get(line.id):
+                self.idle.pop(int(line.id[1:]), None)
+        self.note_starts([(line.id, line.started) for line in lines])
+        self.apply(self.facade.list_changed(now, lines, whole=False, stale=False))
+        self.ask()
+
+    def note_starts(self, starts: list[tuple[str, float | None]]) -> None:
+        self.started.update(starts)
+
+    # Exchanges.
+
+    def take(self, holding: Holding) -> None:
+        now, op = self.clock.now, holding.op
+        self.taken += 1
+        self.held[self.taken] = holding
+        self.apply(self.facade.pick(now, self.taken, op.type, op.key or None, None, holding.expires,
+                                    holding.tries > 1))
+
+    def leave(self, exchange: int) -> None:
+        holding = self.held[exchange]
+        holding.left = True
+        self.apply(self.facade.left(self.clock.now, exchange))
+
+    def send(self, holding: Holding, exchange: int, step: SendThere) -> None:
+        now, node = self.clock.now, self.run.endpoints[int(step.endpoint[1:])]
+        flight = Flight(exchange, step.number, node, now, min(now + step.patience, holding.expires))
+        holding.flight = flight
+        line = self.idle_line(node)
+        if line is not None:
+            self.write(flight, line, new=False)
+            return
+        limits, model = self.run.world.x.limits, node.model
+        there, back = self.run.ways(self.zone, model.zone)
+        promised = self.run.types[holding.op.type].promised
+        until = min(flight.until, now + min(limits.connect_time, 0.25 * promised))
+        if model.silent or not (there.whole(now) and back.whole(now)):
+            self.clock.at(until, self.living(partial(self.end, flight, Outcome.UNCONNECTED)))
+            return
+        up_at = back.arrival(there.arrival(now, 60), 60)
+        if not model.up or up_at >= until:
+            self.clock.at(min(up_at, until), self.living(partial(self.end, flight, Outcome.UNCONNECTED)))
+            return
+        self.clock.at(up_at, self.living(partial(self.connected, flight, model.start)))
+
+    def connected(self, flight: Flight, start: int) -> None:
+        node = flight.node
+        if flight.over:
+            return
+        if node.model.start != start or not node.model.up:
+            self.end(flight, Outcome.UNCONNECTED)
+        elif node.connections >= node.model.kind.connections:
+            self.end(flight, Outcome.FULL)
+        else:
+            node.connections += 1
+            self.write(flight, Line(start), new=True)
+
+    def idle_line(self, node: EndpointNode) -> Line | None:
+        lines, model = self.idle.get(node.model.number, []), node.model
+        while lines:
+            line = lines.pop()
+            fresh = self.clock.now - line.idle_since < IDLE_PART * self.run.world.x.limits.idle_time
+            # A silent machine's connections stay; those that ended show it.
+            if line.start == model.start and (model.up or model.silent) and fresh:
+                return line
+            if line.start == model.start and model.up:
+                node.connections -= 1
+        return None
+
+    def write(self, flight: Flight, line: Line, new: bool) -> None:
+        now, run = self.clock.now, self.run
+        flight.line, flight.written = line, True
+        there, _ = run.ways(self.zone, flight.node.model.zone)
+        holding = self.held[flight.exchange]
+        run.clock.at(there.arrival(now), partial(self.reach, flight, holding, now, new))
+        run.clock.at(flight.until, self.living(partial(self.end, flight, Outcome.TIMED_OUT)))
+
+    def reach(self, flight: Flight, holding: Holding, sent: float, new: bool) -> None:
+        """The exchange's last byte is at the endpoint."""
+        now, model, line, op = self.clock.now, flight.node.model, flight.line, holding.op
+        assert line is not None
+        if model.silent:
+            return
+        if not model.up or line.start != model.start:
+            self.back(flight, Outcome.RESET, "")
+            return
+        run = Run(holding.asked.id, op.id, op.type, self.number, model.number, model.start,
+                  f"{model.number}.{len(self.run.ledger.runs)}", now, now, op.work, sent=sent)
+        self.run.ledger.runs.append(run)
+        flight.job = job = Job(run, op.key, flight.until, partial(self.ran, flight))
+        model.arrive(now, job, new)
+        flight.node.look()
+        if flight.over and not job.done:
+            model.cancel(now, job)
+            flight.node.look()
+
+    def ran(self, flight: Flight, job: Job) -> None:
+        if job.run.how in OUTCOMES:
+            self.back(flight, OUTCOMES[job.run.how], job.run.token)
+
+    def back(self, flight: Flight, outcome: Outcome, token: str) -> None:
+        """Word goes back to the sidecar."""
+        _, back = self.run.ways(self.zone, flight.node.model.zone)
+        self.clock.at(back.arrival(self.clock.now), self.living(partial(self.end, flight, outcome, token)))
+
+    def close(self, flight: Flight) -> None:
+        """The connection is closed; the endpoint hears of it a moment later."""
+        node, job = flight.node, flight.job
+        if flight.line is not None and flight.line.start == node.model.start:
+            node.connections -= 1
+        if job is not None and not job.done:
+            there, _ = self.run.ways(self.zone, node.model.zone)
+
+            def cancelled() -> None:
+                node.model.cancel(self.clock.now, job)
+                node.look()
+            self.clock.at(there.arrival(self.clock.now, 60), cancelled)
+
+    def end(self, flight: Flight, outcome: Outcome, token: str = "") -> None:
+        """What came of a forward; all but the first are old news."""
+        holding = self.held.get(flight.exchange)
+        if flight.over or holding is None:
+            return
+        now, number = self.clock.now, flight.node.model.number
+        flight.over, holding.flight = True, None
+        if outcome in (Outcome.SERVED, Outcome.ERROR, Outcome.FULL) and flight.line is not None:
+            self.heard[number] = now
+            flight.line.idle_since = now
+            self.idle.setdefault(number, []).append(flight.line)
+        elif flight.written:
+            self.close(flight)
+            if outcome is Outcome.TIMED_OUT and self.heard.get(number, -math.inf) < flight.sent:
+                self.idle.pop(number, None)
+        if outcome is Outcome.SERVED:
+            del self.held[flight.exchange]
+        self.apply(self.facade.report(now, flight.exchange, flight.number, outcome, holding.left))
+        if outcome is Outcome.SERVED:
+            if not holding.left:
+                self.run.client_told(holding, "finished", 0.0, token)
+        elif holding.left:
+            del self.held[flight.exchange]
+
+
+class VirtualRun:
+    """One variant of an experiment under one seed. `play` gives the ledgers."""
+
+    def __init__(self, world: World) -> None:
+        self.world, self.clock, self.ledger = world, Clock(), Ledger()
+        self.types = world.x.traffic
+        self.links = world.links()
+        self.endpoints = [EndpointNode(self.clock, world.endpoint(n)) for n in range(len(world.kinds))]
+        self.sidecars = [SidecarNode(self, n) for n in range(world.x.sidecars.count)]
+        self.chance = world.chance("back-off")
+
+    def ways(self, a: int, b: int) -> tuple[LinkModel, LinkModel]:
+        return self.links[a, b], self.links[b, a]
+
+    def play(self, on_second: Callable[[float], None] = lambda second: None) -> Ledger:
+        with knobs(self.world.variant):
+            count = len(self.sidecars)
+            for n, sidecar in enumerate(self.sidecars):
+                self.clock.at(START * (1 - n / count), sidecar.start)
+            for act in self.world.acts:
+                self.clock.at(act.at, partial(self.befall, act))
+            self.operations = iter(self.world.schedule)
+            self.next_operation()
+            second = START
+            while second < self.world.end:
+                second = min(second + 1.0, self.world.end)
+                self.clock.env.run(until=second)
+                on_second(second)
+        for node in self.endpoints:
+            self.ledger.starts += node.model.starts
+        return self.ledger
+
+    def befall(self, act: Act) -> None:
+        if act.what == "sidecar_down":
+            if self.sidecars[act.target].up:
+                self.sidecars[act.target].die()
+        elif act.what == "sidecar_up":
+            if not self.sidecars[act.target].up:
+                self.sidecars[act.target].start()
+        else:
+            self.endpoints[act.target].befall(act)
+
+    # Clients.
+
+    def next_operation(self) -> None:
+        op = next(self.operations, None)
+        if op is not None:
+            self.clock.at(op.due, partial(self.begin, op))
+
+    def begin(self, op: Operation) -> None:
+        self.next_operation()
+        self.ask(op, 1)
+
+    def ask(self, op: Operation, tries: int) -> None:
+        now, expiry = self.clock.now, self.types[op.type].expiry
+        sidecar = self.sidecars[op.sidecar]
+        asked = Asked(f"{op.id}.{tries}", op.id, op.type, op.sidecar, op.due, now, op.wait, expiry)
+        self.ledger.asked.append(asked)
+        wait = min(op.wait, expiry)
+        holding = Holding(op, asked, tries, now + wait - min(ANSWER_TIME, ANSWER_PART * wait))
+        if not sidecar.up:
+            asked.broken = True
+            self.again(holding, "rejected", 0.0)  # refused: it never ran
+            return
+        gives_up = partial(self.give_up, sidecar, sidecar.lives, sidecar.taken + 1, holding)
+        self.clock.at(now + op.wait, gives_up)
+        sidecar.take(holding)
+
+    def give_up(self, sidecar: SidecarNode, life: int, exchange: int, holding: Holding) -> None:
+        if not holding.asked.answers and not holding.asked.broken:
+            holding.asked.left_at = self.clock.now
+            if sidecar.lives == life and exchange in sidecar.held:
+                sidecar.leave(exchange)
+            self.again(holding, "left", 0.0)
+
+    def client_told(self, holding: Holding, kind: str, hold_off: float, token: str) -> None:
+        if kind != "broken":
+            holding.asked.answers.append((kind, self.clock.now, token))
+        if kind != "finished" and len(holding.asked.answers) <= 1 and holding.asked.left_at == math.inf:
+            self.again(holding, kind, hold_off)
+
+    def again(self, holding: Holding, answer: str, hold_off: float) -> None:
+        op = holding.op
+        delay = next_try(self.world.x.clients, self.types[op.type], op, holding.tries, answer, hold_off,
+                         self.chance())
+        if delay is not None:
+            self.clock.at(self.clock.now + max(delay, 1e-4), partial(self.ask, op, holding.tries + 1))
--- a/rainspindle/routing/facade.py
+++ b/rainspindle/routing/facade.py
@@ -9,11 +9,11 @@
 import heapq
 import logging
 import math
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Sized
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from ..host import Host, Listed, Outcome
-from ..logic import Balancer
 from ..must import must
 
 log = logging.getLogger("rainspindle.decisions")
@@ -50,10 +50,31 @@
     wake_at: float = math.inf  # when `tick` wants to be called next
 
 
+class Decisions(Protocol):
+    """What decides: the module, or in the lab a baseline in its place."""
+
+    @property
+    def forwards(self) -> Sized: ...
+
+    def list_changed(self, now: float, lines: Collection[Listed], whole: bool, stale: bool) -> None: ...
+
+    def list_failed(self, now: float) -> None: ...
+
+    def exchange_arrived(self, now: float, id: int, type_index: int, key: str | None, hint: float | None,
+                         expires_at: float, repeat: bool = False) -> None: ...
+
+    def forward_ended(self, now: float, id: int, number: int, over: bool, outcome: Outcome,
+                      lag: float = 0.0) -> None: ...
+
+    def client_left(self, now: float, id: int) -> None: ...
+
+    def woken(self, now: float, token: str) -> None: ...
+
+
 class Facade:
     """The module's host."""
 
-    def __init__(self, now: float, make: Callable[[Host], Balancer]) -> None:
+    def __init__(self, now: float, make: Callable[[Host], Decisions]) -> None:
         self.now = now
         self.wakes: list[tuple[float, int, str]] = []
         self.wakes_set = 0
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -424,6 +424,11 @@
         self.decoder = ListDecoder(sockets.zones, 0.0)
         self.tell(*(entry(f"e{n}", stand.port) for n, stand in enumerate(self.stands)), whole=True)
 
+    @property
+    def balancer(self) -> Balancer:
+        assert isinstance(self.facade.balancer, Balancer)
+        return self.facade.balancer
+
     def watch(self) -> None:
         self.watches += 1
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -193,7 +193,7 @@
         rig.tell(entry(f"new{n - 1}", port, "DELETED"))
         assert rig.pool.open == 1, "word on the old one has touched the new one"
         rig.wait(1.0)
-    balancer = rig.facade.balancer
+    balancer = rig.balancer
     for kept in (rig.relay.addresses, rig.relay.started, rig.relay.heard, rig.pool.idle, balancer.endpoints,
                  balancer.touched):
         assert len(kept) <= 2
@@ -245,7 +245,7 @@
         rig.loop.time += 0.4
         rig.settle()
         assert status(client.answer()) == 200
-    assert rig.facade.balancer.latency.quantile(0.9) < 0.1
+    assert rig.balancer.latency.quantile(0.9) < 0.1
 
 def test_idle_connections_to_an_endpoint_that_turned_silent_are_dropped() -> None:
     rig = Rig(1)
@@ -521,7 +521,7 @@
     rig.loop.faults.clear()
     monkeypatch.undo()
     rig.settle()
-    assert status(client.answer()) == 502 and not rig.relay.held and not rig.facade.balancer.forwards
+    assert status(client.answer()) == 502 and not rig.relay.held and not rig.balancer.forwards
     rig.asked(ask("y"))
     assert len(rig.got()) == 1
 
@@ -615,7 +615,7 @@
     before = rig.loop.now()
     second.tell(42, False, entry("e0", rig.stands[0].port, "DRAINING"))
     assert "index=42" in only(rig.got()).target and rig.loop.now() == before
-    assert rig.facade.balancer.endpoints["e0"].line.state is State.DRAINING
+    assert rig.balancer.endpoints["e0"].line.state is State.DRAINING
 
 
 def test_discovery_that_answers_at_once_with_nothing_is_not_flooded(rig: Rig) -> None:
