The core owns an exchange whoever brought it; HTTP/1.1 is a front and a back of it

Cause: routing/relay.py mixed reading a client, the life of an exchange and the forward, so that a second protocol, or a gateway between sites, could not stand on it.

Change: routing/core.py holds an exchange from its last byte to its one final answer and knows no protocol; fronts/http1 has the application's side and the forwards. A front hands its exchanges to whatever takes them. The benchmark's driver uses all its connections in turn, and says so when one is ended (it died of a sidecar's 2 s limit on connections that ask nothing).

--- a/Makefile
+++ b/Makefile
@@ -7,10 +7,10 @@
 	.venv/bin/pip install -q --disable-pip-version-check -r requirements.txt
 	cp requirements.txt $@
 
-.venv-dev/made-from: requirements-dev.txt requirements.txt
+.venv-dev/made-from: $(wildcard requirements*.txt)
 	python3 -m venv --clear .venv-dev
 	.venv-dev/bin/pip install -q --disable-pip-version-check -r requirements-dev.txt
-	cat requirements-dev.txt requirements.txt > $@
+	cat requirements*.txt > $@
 
 .venv-lab/made-from: requirements-lab.txt requirements.txt
 	python3 -m venv --clear .venv-lab
--- /dev/null
+++ b/rainspindle/fronts/http1/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1: the application's side and the endpoints'."""
--- a/rainspindle/lab/sockets/fast.py
+++ b/rainspindle/lab/sockets/fast.py
@@ -14,6 +14,7 @@
 import socket
 import sys
 import time
+from collections import deque
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 END = b"\r\n\r\nok"
@@ -63,7 +64,7 @@
 
 
 def drive(port: int, count: int, seconds: float, rate: float) -> None:
-    free = connected(port, count)
+    free = deque(connected(port, count))  # the longest idle first: a sidecar ends those that ask nothing
     epoll = select.epoll()
     by_fd = {sock.fileno(): sock for sock in free}
     for fd in by_fd:
@@ -80,14 +81,17 @@
             at = start + sent / rate if rate else now
             if at > now:
                 break
-            sock = free.pop()
+            sock = free.popleft()
             due[sock.fileno()], got[sock.fileno()] = at, b""
             late.append(now - at)
             sent += 1
             sock.send(ask(sent))
         wait = max(0.0, start + sent / rate - time.perf_counter()) if rate and free else 0.05
         for fd, _ in epoll.poll(wait):
-            data = got[fd] + by_fd[fd].recv(65536)
+            came = by_fd[fd].recv(65536)
+            if not came:
+                sys.exit("the other side ended a connection")
+            data = got[fd] + came
             if not data.endswith(b"\r\n\r\n") and not data.endswith(END):
                 got[fd] = data
                 continue
--- a/rainspindle/program/serve.py
+++ b/rainspindle/program/serve.py
@@ -12,8 +12,10 @@
 from collections.abc import Callable, Iterator
 
 from .. import must
+from ..fronts.http1.back import HttpBack
+from ..fronts.http1.front import HttpFront
+from ..routing.core import Core, Directory
 from ..routing.follow import Follower
-from ..routing.relay import Relay
 from ..transport.address import address_text
 from ..transport.connection import Listener
 from ..transport.loop import Coroutine, Loop
@@ -69,18 +71,25 @@
         self.pool = Pool(self.loop, connections, config.settings.idle_time)
         self.follower = Follower(self.loop, config.discovery, config.decoder,
                                  config.settings.ask_within, config.known)
-        self.relay = Relay(self.loop, config.facade(self.loop.now()), self.pool, config.settings, clients,
-                           self.follower.want)
+        directory = Directory()
+        self.core = Core(self.loop, config.facade(self.loop.now()), config.settings, directory,
+                         HttpBack(self.loop, self.pool, config.settings, directory), self.follower.want,
+                         self.each_tick)
+        self.front = HttpFront(self.loop, self.core, self.core, self.pool, clients)
         known = config.known
         if known.lines:
-            self.relay.list_changed(known.lines, known.addresses, whole=True, stale=True)
-        self.follower.relay = self.relay
-        self.listener = Listener(self.loop, config.listen, self.relay.accepted, self.relay.make_room)
+            self.core.list_changed(known.lines, known.addresses, whole=True, stale=True)
+        self.follower.core = self.core
+        self.listener = Listener(self.loop, config.listen, self.front.accepted, self.front.make_room)
         self.signals = Signals(self.loop)
         self.out = self.loop.spawn(self.way_out())
         self.signals.came = self.signalled
         self.asked = False
 
+    def each_tick(self) -> None:
+        self.pool.sweep()
+        self.front.trim_clients()
+
     def fault(self, fault: BaseException) -> None:
         self.faults += 1
         where = traceback.extract_tb(fault.__traceback__)[-1]
@@ -102,7 +111,7 @@
             log.error("configuration refused, the old one stays", extra={"fields": {"why": fault}})
             return
         old, self.config = self.config, new
-        self.relay.most_clients, self.pool.most = caps(new)
+        self.front.most_clients, self.pool.most = caps(new)
         self.follower.move(new.discovery)
         later = [name for name in ("name", "listen", "raw_settings")
                  if getattr(old, name) != getattr(new, name)]
@@ -118,16 +127,16 @@
         while not self.asked:
             yield float("inf")
         asked_at = self.loop.now()
-        log.info("leaving", extra={"fields": {"held": len(self.relay.held),
-                                              "clients": len(self.relay.clients)}})
-        let = asked_at + min(max(self.relay.settings.expiries), MOST_LEAVING)
-        self.relay.leaving, self.relay.last_answer = True, let + ALL_ANSWERED
+        log.info("leaving", extra={"fields": {"held": len(self.core.held),
+                                              "clients": len(self.front.clients)}})
+        let = asked_at + min(max(self.core.settings.expiries), MOST_LEAVING)
+        self.front.leaving, self.core.last_answer = True, let + ALL_ANSWERED
         while self.loop.now() < let + SERVE_ON:
             yield let + SERVE_ON
-        self.relay.closing = True
+        self.front.closing = True
         self.listener.close()
         # In the end every exchange has its answer; what is left is a request that never became whole.
-        while not self.relay.finish_clients() and self.loop.now() < self.relay.last_answer + 0.1:
+        while not self.front.finish_clients() and self.loop.now() < self.core.last_answer + 0.1:
             yield self.loop.now() + 0.02
         self.loop.stopped = True
 
@@ -135,7 +144,7 @@
         # Guards against clients that begin while the start's own CPU is charged: with part of a core the
         # process is then stopped for about as long as that CPU takes at the limit.
         owed = time.process_time() / self.config.cores if self.config.cores < 1 else 0.0
-        self.relay.ready_from = self.loop.now() + min(owed, MOST_OWED)
+        self.front.ready_from = self.loop.now() + min(owed, MOST_OWED)
         gc.collect()
         gc.freeze()
         gc.set_threshold(20_000, 20, 20)  # nearly all is freed by its count; looking for cycles costs CPU
@@ -144,7 +153,7 @@
         log.info("left", extra={"fields": {**dict(self.figures())}})
 
     def figures(self) -> Iterator[tuple[str, object]]:
-        yield "taken", self.relay.taken
+        yield "taken", self.core.taken
         yield "connections_made", self.pool.made
         yield "connections_reused", self.pool.reused
         yield "faults", self.faults
--- a/rainspindle/routing/__init__.py
+++ b/rainspindle/routing/__init__.py
@@ -1,1 +1,1 @@
-"""The facade round the decision module, and the coroutines that relay exchanges by its answers."""
+"""The core that owns exchanges, the facade round the decision module, and what follows the list."""
--- /dev/null
+++ b/rainspindle/routing/core.py
@@ -0,0 +1,252 @@
+"""The life of an exchange, whoever brought it: from its last byte to its one final answer.
+
+A front hands over what it took and is given back the final answer; a back does each forward in its protocol.
+The core asks the decisions what to do in between, and knows neither protocol.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from ..host import Listed, Outcome, State
+from ..logic import NEVER_RAN
+from ..must import must
+from ..protocol.settings import SocketSettings
+from ..transport.address import Address
+from ..transport.loop import Coroutine, Loop, Task
+from .facade import Did, Facade, Reject, SendThere, Step, Terminate
+
+ANSWER_TIME, ANSWER_PART = 0.015, 0.05  # kept back before the expiry to write the answer, the smaller one
+
+
+@dataclass(frozen=True, slots=True)
+class Given:
+    """An exchange as a front took it. `body` is between the front and the back of one protocol."""
+
+    type_index: int
+    key: str | None
+    hint: float | None
+    repeat: bool
+    expires_at: float  # on the loop's clock; the final answer is given by then
+    body: Any
+
+
+@dataclass(frozen=True, slots=True)
+class Finished:
+    payload: Any  # of the back
+
+
+@dataclass(frozen=True, slots=True)
+class Rejected:
+    """Trying again is harmless; `ran` where a forward of it may have run all the same."""
+
+    hold_off: float
+    ran: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Terminated:
+    """Nothing is promised."""
+
+
+@dataclass(frozen=True, slots=True)
+class Left:
+    """The client has left: nothing is owed."""
+
+
+Final = Finished | Rejected | Terminated | Left
+
+
+class Taker(Protocol):
+    """What a front hands its exchanges to: the core, or what chooses between it and elsewhere."""
+
+    def run(self, given: Given, gone: Callable[[], bool]) -> Coroutine[Final]:
+        """The final answer. `gone` tells whether the client has left; its task is woken when that changes."""
+
+
+@dataclass(frozen=True, slots=True)
+class Forwarded:
+    """What came of one forward."""
+
+    outcome: Outcome
+    payload: Any = None  # of a served one
+    lag: float = 0.0  # how long the answer lay unread
+
+
+@dataclass(slots=True)
+class Directory:
+    """Where endpoints are, as the list last told: shared by the core, which fills it, and its back."""
+
+    addresses: dict[str, Address] = field(default_factory=dict)
+    started: dict[str, float | None] = field(default_factory=dict)
+
+
+class Back(Protocol):
+    def forward(self, given: Given, endpoint: str, address: Address, until: float, before: Callable[[], bool],
+                after: Callable[[], bool]) -> Coroutine[Forwarded]:
+        """One forward, given up when `before` holds until the last byte is written, and after it `after`."""
+
+    def drop(self, endpoint: str, address: Address) -> None:
+        """What is kept idle to an endpoint is of no more use."""
+
+    def keep_only(self, endpoints: dict[str, Address]) -> None:
+        """The others are gone: nothing is to be remembered of them."""
+
+
+class Held:
+    """An exchange under way: what the module has decided for it and its coroutine has not yet done."""
+
+    __slots__ = ("called_off", "left", "out", "ran", "steps", "task")
+
+    def __init__(self, task: Task) -> None:
+        self.task = task
+        self.steps: deque[Step] = deque()
+        self.out: int | None = None  # the number of the forward that is out
+        self.called_off = self.left = self.ran = False
+
+
+class Core:
+    def __init__(self, loop: Loop, facade: Facade, settings: SocketSettings, directory: Directory, back: Back,
+                 on_watch: Callable[[], None], on_tick: Callable[[], None] = lambda: None) -> None:
+        """`on_watch` is called when the list is to be watched, `on_tick` some times a second."""
+        self.loop, self.facade, self.settings = loop, facade, settings
+        self.directory, self.back = directory, back
+        self.on_watch, self.on_tick = on_watch, on_tick
+        self.held: dict[int, Held] = {}
+        self.taken = 0
+        self.last_answer = math.inf  # when the last exchange must be answered, on the way out
+        self.listed = False  # whether there is a list to go by
+        self.looks_at = -math.inf
+        self.ticker = loop.spawn(loop.lasting(self.tick))
+        self.apply(facade.taken())
+
+    # What the module did.
+
+    def apply(self, did: Did) -> None:
+        for exchange, step in did.steps:
+            held = self.held[exchange]
+            held.steps.append(step)
+            if held.task is not self.loop.current:
+                held.task.wake()
+        for exchange, number in did.called_off:
+            waiting = self.held.get(exchange)
+            if waiting is not None and waiting.out == number:
+                waiting.called_off = True
+                waiting.task.wake()
+        for endpoint in did.close_idle:
+            if endpoint in self.directory.addresses:
+                self.back.drop(endpoint, self.directory.addresses[endpoint])
+        if did.watch:
+            self.on_watch()
+        if did.wake_at < self.looks_at:
+            self.ticker.wake()
+
+    def tick(self) -> Coroutine[None]:
+        while True:
+            self.looks_at = -math.inf  # awake
+            did = self.facade.tick(self.loop.now())
+            self.apply(did)
+            out = sum((h.out is not None) + sum(isinstance(s, SendThere) for s in h.steps)
+                      for h in self.held.values())
+            must(out == self.facade.in_flight(), "the module believes in flight what is in flight")
+            self.on_tick()
+            self.looks_at = min(did.wake_at, self.loop.now() + 1.0)
+            yield self.looks_at
+
+    # The list.
+
+    def list_changed(self, lines: tuple[Listed, ...], addresses: dict[str, Address], whole: bool,
+                     stale: bool) -> None:
+        directory = self.directory
+        before = directory.addresses
+        gone = {line.id for line in lines if line.state is State.GONE}
+        named = addresses if whole else {**before, **addresses}
+        # Guards against growth: the ids of endpoints are ever new.
+        directory.addresses = {id: address for id, address in named.items() if id not in gone}
+        for line in lines:
+            # Guards against connections to a machine that has vanished: they stay open and silent.
+            if line.id in before and line.started is not None \
+                    and line.started != directory.started.get(line.id):
+                self.back.drop(line.id, before[line.id])
+            directory.started[line.id] = line.started
+        for id, address in before.items():
+            if directory.addresses.get(id) != address:
+                self.back.drop(id, address)
+        directory.started = {id: at for id, at in directory.started.items() if id in directory.addresses}
+        self.back.keep_only(directory.addresses)
+        self.apply(self.facade.list_changed(self.loop.now(), lines, whole, stale))
+        self.listed = self.listed or bool(lines) or not stale
+
+    def list_failed(self) -> None:
+        self.apply(self.facade.list_failed(self.loop.now()))
+
+    # One exchange.
+
+    def expiry(self, type_index: int, came: float, wait: float | None) -> float:
+        """When an exchange must be answered whose last byte came then, and whose client waits so long."""
+        longest = self.settings.expiries[type_index]
+        wait = longest if wait is None else min(wait, longest)
+        return min(came + wait - min(ANSWER_TIME, ANSWER_PART * wait), self.last_answer)
+
+    def run(self, given: Given, gone: Callable[[], bool]) -> Coroutine[Final]:
+        task = self.loop.current
+        assert task is not None
+        self.taken += 1
+        exchange = self.taken
+        held = self.held[exchange] = Held(task)
+        try:
+            self.apply(self.facade.pick(self.loop.now(), exchange, given.type_index, given.key, given.hint,
+                                        given.expires_at, given.repeat))
+            return (yield from self.follow(given, exchange, held, gone))
+        except Exception as fault:  # a defect: the client still gets its one answer, the module forgets it
+            self.loop.on_fault(fault)
+            self.apply(self.facade.left(self.loop.now(), exchange))
+            if held.out is not None:
+                self.facade.report(self.loop.now(), exchange, held.out, Outcome.CALLED_OFF, over=True)
+            return Terminated()
+        finally:
+            del self.held[exchange]
+
+    def follow(self, given: Given, exchange: int, held: Held, gone: Callable[[], bool]) -> Coroutine[Final]:
+        """Does the steps that the module decides, until there is a final answer."""
+        def left() -> bool:
+            if not held.left and gone():
+                held.left = True
+                self.apply(self.facade.left(self.loop.now(), exchange))
+            return held.left
+
+        def before() -> bool:
+            return left() or held.called_off
+
+        def after() -> bool:
+            left()
+            return held.called_off
+
+        while held.steps:
+            step = held.steps.popleft()
+            must(not held.steps, "one step at a time for an exchange")
+            if isinstance(step, Reject):
+                return Rejected(step.hold_off, held.ran)
+            if isinstance(step, Terminate):
+                return Terminated()
+            held.out = step.number
+            address = self.directory.addresses.get(step.endpoint)
+            if address is None:
+                came = Forwarded(Outcome.UNSENT)
+            else:
+                until = min(self.loop.now() + step.patience, given.expires_at)
+                came = yield from self.back.forward(given, step.endpoint, address, until, before, after)
+            held.out, held.called_off = None, False
+            held.ran = held.ran or came.outcome not in NEVER_RAN
+            self.apply(self.facade.report(
+                self.loop.now(), exchange, step.number, came.outcome, held.left, came.lag))
+            if held.left:
+                return Left()
+            if came.outcome is Outcome.SERVED:
+                return Finished(came.payload)
+        must(False, "an exchange is held with nothing sent")
+        return Terminated()
--- a/rainspindle/routing/follow.py
+++ b/rainspindle/routing/follow.py
@@ -9,7 +9,7 @@
 from ..transport.address import Address, address_text
 from ..transport.connection import Broken, Connection, Late, OutOfSockets, Unwanted, open_connection
 from ..transport.loop import Coroutine, Loop
-from .relay import Relay
+from .core import Core
 
 
 class Follower:
@@ -29,7 +29,7 @@
         self.wanted = self.moved = False
         self.connection: Connection | None = None
         self.task = loop.spawn(loop.lasting(self.idle))
-        self.relay: Relay | None = None
+        self.core: Core | None = None
 
     def want(self) -> None:
         self.wanted = True
@@ -47,11 +47,11 @@
 
     def idle(self) -> Coroutine[None]:
         while True:
-            while not self.wanted or self.relay is None:
+            while not self.wanted or self.core is None:
                 yield math.inf
-            yield from self.follow(self.relay)
+            yield from self.follow(self.core)
 
-    def follow(self, relay: Relay) -> Coroutine[None]:
+    def follow(self, core: Core) -> Coroutine[None]:
         """Watches until a call fails."""
         while True:
             asked_at = self.loop.now()
@@ -62,9 +62,9 @@
             except (Broken, Late, OutOfSockets, Unreadable):
                 self.close()
                 self.wanted = False
-                relay.list_failed()
+                core.list_failed()
                 return
-            relay.list_changed(change.lines, change.addresses, change.whole, stale=False)
+            core.list_changed(change.lines, change.addresses, change.whole, stale=False)
             self.version = change.version
             # Guards against flooding a service that answers every watch at once with nothing.
             rest = self.loop.now() + self.REST
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -12,12 +12,14 @@
 
 import h11
 
+from rainspindle.fronts.http1.back import HttpBack
+from rainspindle.fronts.http1.front import HttpFront
 from rainspindle.host import Effect, Group, Listed, Outcome, State, TrafficType
 from rainspindle.logic import NEVER_RAN, Balancer, ColdBudget
 from rainspindle.protocol.discovery import ListDecoder
 from rainspindle.protocol.settings import make_balancer, socket_settings
+from rainspindle.routing.core import Core, Directory
 from rainspindle.routing.facade import Facade
-from rainspindle.routing.relay import Relay
 from rainspindle.transport.connection import Listener
 from rainspindle.transport.loop import Loop
 from rainspindle.transport.pool import Pool
@@ -407,7 +409,7 @@
 
 
 class Rig:
-    """A sidecar without its program: loop, facade and relay over sockets, with stand-ins for endpoints."""
+    """A sidecar without its program: its parts over sockets, with stand-ins for endpoints."""
 
     def __init__(self, endpoints: int = 3, *, clients: int = 50, connections: int = 50,
                  settings: Any = SETTINGS, receive_buffer: int = 0, backlog: int = 64) -> None:
@@ -419,11 +421,18 @@
         self.facade = Facade(now, lambda host: make_balancer(host, 7, now, settings))
         self.watches = 0
         self.clients: list[Client] = []  # kept, or they would leave
-        self.relay = Relay(self.loop, self.facade, self.pool, sockets, clients, self.watch)
-        self.listener = Listener(self.loop, ("127.0.0.1", 0), self.relay.accepted, self.relay.make_room)
+        directory = Directory()
+        self.back = HttpBack(self.loop, self.pool, sockets, directory)
+        self.core = Core(self.loop, self.facade, sockets, directory, self.back, self.watch, self.each_tick)
+        self.front = HttpFront(self.loop, self.core, self.core, self.pool, clients)
+        self.listener = Listener(self.loop, ("127.0.0.1", 0), self.front.accepted, self.front.make_room)
         self.decoder = ListDecoder(sockets.zones, 0.0)
         self.tell(*(entry(f"e{n}", stand.port) for n, stand in enumerate(self.stands)), whole=True)
 
+    def each_tick(self) -> None:
+        self.pool.sweep()
+        self.front.trim_clients()
+
     @property
     def balancer(self) -> Balancer:
         assert isinstance(self.facade.balancer, Balancer)
@@ -434,7 +443,7 @@
 
     def tell(self, *entries: dict[str, object], whole: bool = False) -> None:
         change = self.decoder.decode({"generation": 1, "reset": whole, "instances": list(entries)})
-        self.relay.list_changed(change.lines, change.addresses, whole, stale=False)
+        self.core.list_changed(change.lines, change.addresses, whole, stale=False)
 
     def client(self) -> Client:
         self.clients.append(Client(self.listener.address[1]))
@@ -476,7 +485,7 @@
         for client in self.clients:
             client.close()
         self.listener.close()
-        for connection in [*self.relay.clients, *(c for idle in self.pool.idle.values() for c in idle)]:
+        for connection in [*self.front.clients, *(c for idle in self.pool.idle.values() for c in idle)]:
             connection.close()
         for task in list(self.loop.tasks):
             task.coroutine.close()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -194,8 +194,8 @@
         assert rig.pool.open == 1, "word on the old one has touched the new one"
         rig.wait(1.0)
     balancer = rig.balancer
-    for kept in (rig.relay.addresses, rig.relay.started, rig.relay.heard, rig.pool.idle, balancer.endpoints,
-                 balancer.touched):
+    for kept in (rig.core.directory.addresses, rig.core.directory.started, rig.back.heard, rig.pool.idle,
+                 balancer.endpoints, balancer.touched):
         assert len(kept) <= 2
 
 
@@ -270,7 +270,7 @@
     got = only(rig.got())
     client.close()
     rig.settle()
-    assert got.gone() and rig.relay.held == {} and rig.pool.open == 0
+    assert got.gone() and rig.core.held == {} and rig.pool.open == 0
     rig.wait(3.0)
     assert rig.got() == []
 
@@ -278,8 +278,8 @@
 def test_a_forward_called_off_by_the_module_goes_again_for_the_same_client(rig: Rig) -> None:
     client = rig.asked(ask("x"))
     lost = only(rig.got())
-    rig.facade.call_off(next(iter(rig.relay.held)), 0)
-    rig.relay.apply(rig.facade.taken())
+    rig.facade.call_off(next(iter(rig.core.held)), 0)
+    rig.core.apply(rig.facade.taken())
     again = only(rig.got())
     assert lost.gone() and again.id == "x" and again.stand is not lost.stand
     again.answer(200, b"second")
@@ -295,9 +295,9 @@
     got = only(rig.got())
     client.close()
     rig.settle()
-    assert not got.gone() and len(rig.relay.held) == 1
+    assert not got.gone() and len(rig.core.held) == 1
     got.answer(500)
-    assert rig.got() == [] and rig.relay.held == {}
+    assert rig.got() == [] and rig.core.held == {}
     rig.close()
 
 
@@ -321,7 +321,7 @@
         else:
             rig.loop.step()
     client.close()
-    assert rig.got() == [] and rig.relay.held == {} and rig.pool.open == 0
+    assert rig.got() == [] and rig.core.held == {} and rig.pool.open == 0
 
 
 def test_connection_that_does_not_come_up_never_ran() -> None:
@@ -361,7 +361,7 @@
     rig = Rig(endpoints=1, clients=4, connections=2)
     clients = [rig.client() for _ in range(10)]
     rig.settle()
-    assert len(rig.relay.clients) == 4
+    assert len(rig.front.clients) == 4
     late = clients[-1]
     late.send(ask("x"))
     rig.serve_all()
@@ -410,7 +410,7 @@
     rig.serve_all()
     assert status(kept.answer()) == 200
     rig.wait(1.5)
-    assert slow.answer() is None and len(rig.relay.clients) == 3
+    assert slow.answer() is None and len(rig.front.clients) == 3
     rig.wait(1.0)
     assert status(slow.answer()) == 408 and silent.sock.recv(1) == b""  # within 3 s of connecting
     rig.wait(5.0)
@@ -418,7 +418,7 @@
     rig.wait(3.0)
     assert status(kept.answer()) == 408
     rig.wait(1.0)
-    assert not rig.relay.clients
+    assert not rig.front.clients
 
 
 def test_clients_that_say_nothing_give_way_before_those_that_have_asked() -> None:
@@ -435,7 +435,7 @@
     for _ in range(4):
         rig.client()
     rig.settle()
-    assert len(rig.relay.clients) == 8
+    assert len(rig.front.clients) == 8
     for n, client in enumerate(kept):
         client.send(ask(f"y{n}"))
         rig.serve_all()
@@ -452,7 +452,7 @@
             rig.serve_all()
             assert status(client.answer()) == 200
         rig.wait(wait)
-        assert len(rig.relay.clients) == left
+        assert len(rig.front.clients) == left
     rig.clients[-1].send(ask("y"))  # the last used are kept
     rig.serve_all()
     assert status(rig.clients[-1].answer()) == 200
@@ -470,7 +470,7 @@
     for n in range(200):
         rig.client().send(ask(f"x{n}"))
     rig.loop.step()
-    assert 0 < len(rig.relay.clients) <= 64
+    assert 0 < len(rig.front.clients) <= 64
     rig.settle()
     rig.wait(0.1)
     assert all(status(client.answer()) == 503 for client in rig.clients[-20:]) and len(looks) < 200 * 20
@@ -494,7 +494,7 @@
     client.sock.sendall(ask("hidden"))
     rig.settle()
     got.answer(200)
-    assert rig.got() == [] and status(client.answer()) == 200 and not rig.relay.clients
+    assert rig.got() == [] and status(client.answer()) == 200 and not rig.front.clients
 
 
 def test_a_refused_body_is_not_read_to_its_end(rig: Rig) -> None:
@@ -506,7 +506,7 @@
             with contextlib.suppress(BlockingIOError):
                 sent += client.sock.send(b"x" * 30000)
             rig.settle()
-    assert sent < 20_000_000 and not rig.relay.clients
+    assert sent < 20_000_000 and not rig.front.clients
 
 
 def test_a_defect_still_gives_the_one_answer(rig: Rig, monkeypatch: pytest.MonkeyPatch) -> None:
@@ -521,7 +521,7 @@
     rig.loop.faults.clear()
     monkeypatch.undo()
     rig.settle()
-    assert status(client.answer()) == 502 and not rig.relay.held and not rig.balancer.forwards
+    assert status(client.answer()) == 502 and not rig.core.held and not rig.balancer.forwards
     rig.asked(ask("y"))
     assert len(rig.got()) == 1
 
@@ -592,7 +592,7 @@
     rig.wait(0.1)
     rig.serve_all()
     assert status(client.answer()) == 200 and not fails
-    assert len(rig.relay.clients) < len(idle) + 1, "no room was made"
+    assert len(rig.front.clients) < len(idle) + 1, "no room was made"
 
 
 def test_silent_discovery_is_asked_again_and_a_change_is_followed_at_once(rig: Rig) -> None:
@@ -600,7 +600,7 @@
     rig.stands.append(discovery)
     known = rig.decoder.decode({"generation": 41, "reset": True, "instances": [entry("e0", 9)]})
     follower = Follower(rig.loop, ("127.0.0.1", discovery.port), rig.decoder, 10.0, known)
-    follower.relay = rig.relay
+    follower.core = rig.core
     follower.want()
     silent = only(rig.got())
     asked_at = rig.loop.now()
@@ -623,7 +623,7 @@
     rig.stands.append(discovery)
     follower = Follower(rig.loop, ("127.0.0.1", discovery.port), rig.decoder, 10.0,
                         rig.decoder.decode({"generation": 0, "reset": True, "instances": []}))
-    follower.relay = rig.relay
+    follower.core = rig.core
     follower.want()
     first = only(rig.got())
     assert first.target == "/v1/endpoints"  # nothing is known: the whole list
--- a/tests/test_socket_rules.py
+++ b/tests/test_socket_rules.py
@@ -64,7 +64,7 @@
                 assert x.status != 503 or x.type == "look" or not ran_some, "rule 2: rejected"
             assert x.left or x.status is not None or now < x.expires, "rule 1: no final answer"
         waiting = sum(x.status is None and not x.left for x in self.asked.values())
-        assert len(self.rig.relay.held) == waiting and self.rig.pool.open <= 6
+        assert len(self.rig.core.held) == waiting and self.rig.pool.open <= 6
 
     def arrive(self, type: str, wait: int) -> None:
         client, id = self.rig.client(), f"x{len(self.asked)}"
@@ -132,7 +132,7 @@
             history.rig.settle()
             history.check()
         history.wait(3.0)
-        assert not history.rig.relay.held
+        assert not history.rig.core.held
         assert all(x.left or x.status is not None for x in history.asked.values())
     finally:
         history.rig.close()
