--- a/rainspindle/lab/command.py
+++ b/rainspindle/lab/command.py
@@ -4,6 +4,7 @@
 
 import argparse
 import json
+import logging
 import signal
 import sys
 import time
@@ -50,6 +51,7 @@
 
 
 def main(options: argparse.Namespace) -> int:
+    logging.getLogger("rainspindle").addHandler(logging.NullHandler())  # what is simulated does not log
     try:
         return {"run": run, "compare": compared, "report": reported, "list": listed}[options.verb](options)
     except ExperimentFault as fault:
--- a/rainspindle/lab/experiment.py
+++ b/rainspindle/lab/experiment.py
@@ -23,7 +23,8 @@
 
 Policy = Literal["module", "random", "round_robin", "least_outstanding", "plain_hash"]
 FaultKind = Literal["crash", "silent", "hang", "slow", "pauses", "errors", "drain",
-                    "link_silent", "link_slow", "list_outage", "sidecar_crash"]
+                    "link_silent", "link_slow", "list_outage", "sidecar_crash", "sidecar_freeze"]
+AT_SIDECARS = ("sidecar_crash", "sidecar_freeze")
 AT_ENDPOINTS = ("crash", "silent", "hang", "slow", "pauses", "errors", "drain")
 
 
@@ -145,6 +146,15 @@
     ask_within: Positive = 8.0
 
 
+class SitesTable(Table):
+    """Each zone is a site of its own: its endpoints, its list, and one gateway in place of the sidecars."""
+
+    part: Annotated[float, Field(ge=0, le=0.95)] = 0.6  # of all under way that may be foreign
+    floor: Annotated[int, Field(ge=0)] = 16
+    stall: Annotated[float, Field(ge=0.3)] = 1.0
+    lean: bool = True  # whether the gateways know of each other
+
+
 class Fault(Table):
     kind: FaultKind
     at: Seconds
@@ -162,6 +172,7 @@
     policy: Policy = "module"
     limits: dict[str, Any] = {}  # other values for [limits]
     clients: dict[str, Any] = {}  # other values for [clients]
+    sites: dict[str, Any] = {}  # other values for [sites]
     knobs: dict[str, float] = {}  # constants of the module, as Class.NAME; virtual time only
     peers: Annotated[int, Field(ge=0)] = 0  # how many sidecars the module is told of; 0: the truth
 
@@ -188,6 +199,7 @@
     registry: ListService = ListService()
     rules: Rules = Rules()
     limits: Limits = Limits()
+    sites: SitesTable | None = None
     faults: list[Fault] = []
     variants: Annotated[list[Variant], Field(min_length=1)] = [Variant(name="module")]
     expect: dict[str, dict[str, Bound]] = {}
@@ -202,6 +214,8 @@
         """With the variant's other settings in place."""
         changed = {"limits": {**self.limits.model_dump(), **variant.limits},
                    "clients": {**self.clients.model_dump(), **variant.clients}}
+        if self.sites is not None:
+            changed["sites"] = {**self.sites.model_dump(), **variant.sites}
         return Experiment.model_validate({**self.model_dump(), **changed})
 
 
@@ -286,13 +300,15 @@
     for name in ("lag", "silent_lag", "add_lag"):
         yield from span(f"registry.{name}", getattr(x.registry, name), 0.0)
     sidecars = [f"s{n}" for n in range(x.sidecars.count)]
+    if x.sites is not None and (len(zones) < 2 or x.sidecars.count != len(zones)):
+        yield f"sidecars.count: is {x.sidecars.count}; expected one for each of two sites or more"
     for n, f in enumerate(x.faults):
         at = f"faults[{n}]"
         if f.at >= x.length + x.settle:
             yield f"{at}.at: is {f.at}; expected before the end, {x.length + x.settle}"
         if f.zone and f.zone not in zones:
             yield f"{at}.zone: is {f.zone!r}; expected one of {', '.join(zones)}"
-        if f.kind in (*AT_ENDPOINTS, "sidecar_crash") and not (f.part or f.names or f.zone):
+        if f.kind in (*AT_ENDPOINTS, *AT_SIDECARS) and not (f.part or f.names or f.zone):
             yield f"{at}: says whom by none of part, names and zone"
         if f.kind.startswith("link") and (not f.zone or len(zones) < 2):
             yield f"{at}.zone: a link's fault needs a zone, and two zones at least"
@@ -302,12 +318,15 @@
             yield f"{at}.size: is {f.size}; expected the part that errs, over 0 and at most 1"
         if f.kind in ("pauses", "link_slow") and not f.size:
             yield f"{at}.size: is 0; expected seconds"
-        known = sidecars if f.kind == "sidecar_crash" else [f"e{m}" for m in range(x.endpoints())]
+        known = sidecars if f.kind in AT_SIDECARS else [f"e{m}" for m in range(x.endpoints())]
         for name in f.names:
             if name not in known:
                 yield f"{at}.names: {name!r} is none of {known[0]} to {known[-1]}"
     for n, v in enumerate(x.variants):
-        for table, fields in (("limits", Limits.model_fields), ("clients", Clients.model_fields)):
+        if v.sites and x.sites is None:
+            yield f"variants[{n}].sites: there is no [sites] to change"
+        for table, fields in (("limits", Limits.model_fields), ("clients", Clients.model_fields),
+                              ("sites", SitesTable.model_fields)):
             for key in getattr(v, table):
                 if key not in fields:
                     near = difflib.get_close_matches(key, list(fields), 1)
@@ -325,10 +344,11 @@
 
 
 def overlay(x: Experiment, n: int, v: Variant) -> Iterator[str]:
-    for table, model in (("limits", Limits), ("clients", Clients)):
+    for table, model in (("limits", Limits), ("clients", Clients), ("sites", SitesTable)):
         told = {k: val for k, val in getattr(v, table).items() if k in model.model_fields}
+        base = getattr(x, table)
         try:
-            model.model_validate({**getattr(x, table).model_dump(), **told})
+            model.model_validate({**(base.model_dump() if base else {}), **told})
         except ValidationError as fault:
             for e in fault.errors():
                 yield f"variants[{n}].{table}." + worded(e, told)
--- a/rainspindle/lab/runs.py
+++ b/rainspindle/lab/runs.py
@@ -44,8 +44,11 @@
     world, begun = World(x, x.variant(variant), seed), time.monotonic()
     played = Played(variant, seed, shaded=world.shaded())
     if mode == "virtual":
-        from .virtual import VirtualRun
-        ledger, tolerance = VirtualRun(world).play(on_second), 0.0
+        if x.sites is None:
+            from .virtual import VirtualRun as Run
+        else:
+            from .virtual_sites import SitesRun as Run
+        ledger, tolerance = Run(world).play(on_second), 0.0
     else:
         from .sockets.run import SocketsFault
         from .sockets.run import play as play_sockets
--- a/rainspindle/lab/sockets/__main__.py
+++ b/rainspindle/lab/sockets/__main__.py
@@ -8,10 +8,11 @@
 
 from .child import Child
 from .endpoints import Endpoints
+from .links import Links
 from .lists import Lists
 from .load import Load
 
-ROLES: dict[str, type[Child]] = {"endpoints": Endpoints, "lists": Lists, "load": Load}
+ROLES: dict[str, type[Child]] = {"endpoints": Endpoints, "links": Links, "lists": Lists, "load": Load}
 
 if __name__ == "__main__":
     signal.signal(signal.SIGINT, signal.SIG_IGN)  # the run that started it ends it
--- a/rainspindle/lab/sockets/lists.py
+++ b/rainspindle/lab/sockets/lists.py
@@ -44,9 +44,9 @@
                     yield from connection.send(side.answer(404, b"", close=True), self.loop.now() + 1.0)
                     return
                 if "index" in query:
-                    yield from self.wait(int(query["index"][0]), int(query["wait"][0]) / 1000)
+                    yield from self.wait(sidecar, int(query["index"][0]), int(query["wait"][0]) / 1000)
                 yield from self.rest(self.world.x.registry.answer)
-                registry, now = self.world.registry, self.now()
+                registry, now = self.world.registries[sidecar], self.now()
                 if registry.down(now):
                     yield from connection.send(side.answer(503, b"", close=True), self.loop.now() + 1.0)
                     return
@@ -59,18 +59,18 @@
                 yield from connection.send(side.finished(body, (), close=False), self.loop.now() + 1.0)
                 known = {line.id: line.state.value for line in lines}
                 if whole:
-                    known = {**{f"e{n}": "gone" for n in range(len(self.world.kinds))}, **known}
+                    known = {**{id: "gone" for id in registry.first}, **known}
                 self.ledger.told += [Told(sidecar, int(id[1:]), state, self.now())
                                      for id, state in known.items()]
                 if not side.next_cycle():
                     return
 
-    def wait(self, version: int, seconds: float) -> Coroutine[None]:
+    def wait(self, sidecar: int, version: int, seconds: float) -> Coroutine[None]:
         """Until there is something newer, the service goes down, or the time is up."""
-        until = self.loop.now() + seconds
+        until, registry = self.loop.now() + seconds, self.world.registries[sidecar]
         while self.loop.now() < until:
             now = self.now()
-            if self.world.registry.version(now) > version or self.world.registry.down(now):
+            if registry.version(now) > version or registry.down(now):
                 return
             yield min(until, self.loop.now() + LOOK)
 
--- a/rainspindle/lab/sockets/run.py
+++ b/rainspindle/lab/sockets/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import json
 import os
 import shlex
 import signal
@@ -55,6 +56,7 @@
         self.children: list[subprocess.Popen[bytes]] = []
         self.sidecars: dict[int, subprocess.Popen[bytes]] = {}
         self.ports = [free_port() for _ in range(world.x.sidecars.count)]
+        self.link_ports = [free_port() for _ in self.ports] if world.x.sites is not None else []
         self.ledgers: list[Path] = []
         self.figures: dict[str, Any] = {}
         self.killed: set[int] = set()
@@ -97,9 +99,12 @@
         self.keeper.stdin.flush()
 
     def start_sidecar(self, n: int) -> None:
-        policy = self.world.variant.policy
-        line = self.line if policy == "module" else (
-            f"exec {shlex.quote(sys.executable)} -O -m rainspindle.lab.sockets.sidecar {policy}")
+        policy, python = self.world.variant.policy, shlex.quote(sys.executable)
+        line = self.line
+        if self.world.x.sites is not None:
+            line = f"exec {python} -O -m rainspindle gateway --config {self.folder}/s{n}.toml"
+        elif policy != "module":
+            line = f"exec {python} -O -m rainspindle.lab.sockets.sidecar {policy}"
         self.sidecars[n] = subprocess.Popen(
             ["/bin/sh", "-c", line], cwd=ROOT, stdout=subprocess.DEVNULL,
             stderr=(self.folder / f"s{n}.log").open("ab"), start_new_session=True,
@@ -108,13 +113,30 @@
 
     def write_config(self, n: int, discovery: str, endpoints: dict[str, str]) -> None:
         world = self.world
-        lines = world.registry.whole(1)
+        lines = world.registries[n].whole(1)
         known = [entry(line, endpoints[line.id[1:]], world.x.fleet.zones, 0.0) for line in lines]
         (self.folder / f"s{n}.config.json").write_bytes(orjson.dumps({
             "name": f"s{n}", "listen": f"127.0.0.1:{self.ports[n]}", "discovery": discovery,
             "seed": world.seed * 100_003 + n, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": {"generation": 1, "reset": True, "instances": known}, "settings": world.settings(n)}))
 
+    def write_gateway(self, n: int, proxies: dict[str, str]) -> None:
+        """The file of one site's gateway. Of two sites the first dials the second."""
+        world, sites = self.world, self.world.x.sites
+        assert sites is not None
+        zones, zone = world.x.fleet.zones, world.sidecar_zones[n]
+        key = self.folder / "link.key"
+        if not key.exists():
+            key.touch(0o600)
+            key.write_bytes(b"a key of the lab's own")
+        others = [(name, proxies.get(f"{zone} {m}", "")) for m, name in enumerate(zones) if m != zone]
+        peers = [f"[[peers]]\nsite = {json.dumps(name)}\naddress = {json.dumps(address)}\n"
+                 for name, address in others if sites.lean]
+        (self.folder / f"s{n}.toml").write_text(
+            f"[gateway]\nsite = {json.dumps(zones[zone])}\nlink = \"127.0.0.1:{self.link_ports[n]}\"\n"
+            f"platform = \"s{n}.config.json\"\nkeys = [\"link.key\"]\nstall = {sites.stall}\n"
+            f"[intake]\npart = {sites.part}\nfloor = {sites.floor}\n" + "".join(peers))
+
     def await_ready(self, n: int, until: float) -> None:
         request = b"GET /ready HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n"
         while time.monotonic() < until:
@@ -185,7 +207,14 @@
         for g, stand in enumerate(stands):
             endpoints.update(self.said(stand, f"endpoints{g}")["addresses"])
         self.said(load, "load")
+        proxies: dict[str, str] = {}
+        if self.world.x.sites is not None:
+            links = self.child("links", "links")
+            proxies = self.said(links, "links")["addresses"]
+            stands.append(links)
         for n, discovery in enumerate(self.said(lists, "lists")["addresses"]):
+            if self.world.x.sites is not None:
+                self.write_gateway(n, proxies)
             self.write_config(n, discovery, endpoints)
             self.start_sidecar(n)
         until = time.monotonic() + START_TIME
@@ -194,7 +223,8 @@
         self.start = time.monotonic() + 0.3
         for process in (lists, *stands, load):
             self.tell(process, {"start": self.start, "endpoints": endpoints,
-                                "sidecars": [f"127.0.0.1:{port}" for port in self.ports]})
+                                "sidecars": [f"127.0.0.1:{port}" for port in self.ports],
+                                "gateways": [f"127.0.0.1:{port}" for port in self.link_ports]})
         self.cpu_before = {n: self.cpu(n) for n in self.sidecars}
 
     def cpu(self, n: int) -> float:
@@ -206,11 +236,16 @@
         while (now := time.monotonic() - self.start) < self.world.end:
             while acts and acts[0].at <= now:
                 act = acts.pop(0)
+                process = self.sidecars[act.target]
+                self.killed.add(act.target)
                 if act.what == "sidecar_down":
-                    self.killed.add(act.target)
-                    self.sidecars[act.target].kill()
-                    self.sidecars[act.target].wait()
-                    self.keep(-self.sidecars[act.target].pid)
+                    process.kill()
+                    process.wait()
+                    self.keep(-process.pid)
+                elif act.what == "sidecar_freeze":
+                    process.send_signal(signal.SIGSTOP)
+                elif process.poll() is None:
+                    process.send_signal(signal.SIGCONT)
                 else:
                     self.start_sidecar(act.target)
             for n, process in self.sidecars.items():
--- a/rainspindle/lab/virtual.py
+++ b/rainspindle/lab/virtual.py
@@ -10,6 +10,7 @@
 import simpy
 
 from ..host import Outcome, State
+from ..logic import NEVER_RAN
 from ..routing.facade import Did, Facade, Reject, SendThere, Terminate
 from .decide import knobs, maker
 from .ledger import Asked, Ledger, Run, Told
@@ -24,6 +25,9 @@
 OUTCOMES = {"served": Outcome.SERVED, "error": Outcome.ERROR, "full": Outcome.FULL, "lost": Outcome.RESET}
 
 
+Tell = Callable[[str, float, str], None]
+
+
 class Clock:
     """Virtual time: what is due is called in order of time, then of its setting."""
 
@@ -99,12 +103,13 @@
 class Holding:
     """An exchange that a sidecar has taken."""
 
-    __slots__ = ("asked", "expires", "flight", "left", "op", "tries")
+    __slots__ = ("asked", "expires", "flight", "left", "op", "ran", "tell", "tries")
 
-    def __init__(self, op: Operation, asked: Asked, tries: int, expires: float) -> None:
-        self.op, self.asked, self.tries, self.expires = op, asked, tries, expires
+    def __init__(self, op: Operation, asked: Asked, tries: int, expires: float, tell: Tell) -> None:
+        """`tell` is called with the final answer's kind, its hold-off and the run it stems from."""
+        self.op, self.asked, self.tries, self.expires, self.tell = op, asked, tries, expires, tell
         self.flight: Flight | None = None
-        self.left = False
+        self.left = self.ran = False
 
 
 class SidecarNode:
@@ -113,6 +118,7 @@
     def __init__(self, run: VirtualRun, number: int) -> None:
         self.run, self.clock, self.number = run, run.clock, number
         self.zone = run.world.sidecar_zones[number]
+        self.registry = run.world.registries[number]
         self.lives = 0
         self.up = False
 
@@ -127,8 +133,8 @@
         self.looks_at = math.inf
         self.facade = Facade(now, maker(world.variant, world.settings(self.number),
                                         world.seed * 100_003 + self.number * 101 + self.lives, now))
-        self.version = world.registry.version(now)
-        known = world.registry.whole(self.version)
+        self.version = self.registry.version(now)
+        known = self.registry.whole(self.version)
         self.note_starts([(line.id, line.started) for line in known])
         did = self.facade.taken()
         self.apply(self.facade.list_changed(now, known, whole=True, stale=True))
@@ -141,7 +147,7 @@
             if holding.flight is not None:
                 self.close(holding.flight)
             holding.asked.broken = True
-            self.run.client_told(holding, "broken", 0.0, "")
+            holding.tell("broken", 0.0, "")
         self.held.clear()
 
     def living(self, do: Callable[[], None]) -> Callable[[], None]:
@@ -164,7 +170,7 @@
                 del self.held[exchange]
                 kind = "rejected" if isinstance(step, Reject) else "terminated"
                 assert isinstance(step, Reject | Terminate)
-                self.run.client_told(holding, kind, step.hold_off if isinstance(step, Reject) else 0.0, "")
+                holding.tell(kind, step.hold_off if isinstance(step, Reject) else 0.0, "")
         for exchange, number in did.called_off:
             waiting = self.held.get(exchange)
             if waiting is not None and waiting.flight is not None and waiting.flight.number == number:
@@ -184,7 +190,7 @@
     # The list.
 
     def ask(self) -> None:
-        registry, now = self.run.world.registry, self.clock.now
+        registry, now = self.registry, self.clock.now
         answer = self.run.world.x.registry.answer
         if registry.down(now):
             self.clock.at(now + answer, self.living(self.failed))
@@ -199,7 +205,7 @@
         self.apply(self.facade.list_failed(self.clock.now))
 
     def tell(self) -> None:
-        registry, now = self.run.world.registry, self.clock.now
+        registry, now = self.registry, self.clock.now
         lines = registry.since(self.version, now)
         self.version = registry.version(now)
         for line in lines:
@@ -328,6 +334,7 @@
             return
         now, number = self.clock.now, flight.node.model.number
         flight.over, holding.flight = True, None
+        holding.ran = holding.ran or outcome not in NEVER_RAN
         if outcome in (Outcome.SERVED, Outcome.ERROR, Outcome.FULL) and flight.line is not None:
             self.heard[number] = now
             flight.line.idle_since = now
@@ -341,7 +348,7 @@
         self.apply(self.facade.report(now, flight.exchange, flight.number, outcome, holding.left))
         if outcome is Outcome.SERVED:
             if not holding.left:
-                self.run.client_told(holding, "finished", 0.0, token)
+                holding.tell("finished", 0.0, token)
         elif holding.left:
             del self.held[flight.exchange]
 
@@ -354,9 +361,12 @@
         self.types = world.x.traffic
         self.links = world.links()
         self.endpoints = [EndpointNode(self.clock, world.endpoint(n)) for n in range(len(world.kinds))]
-        self.sidecars = [SidecarNode(self, n) for n in range(world.x.sidecars.count)]
+        self.sidecars = [self.sidecar(n) for n in range(world.x.sidecars.count)]
         self.chance = world.chance("back-off")
 
+    def sidecar(self, n: int) -> SidecarNode:
+        return SidecarNode(self, n)
+
     def ways(self, a: int, b: int) -> tuple[LinkModel, LinkModel]:
         return self.links[a, b], self.links[b, a]
 
@@ -379,7 +389,7 @@
         return self.ledger
 
     def befall(self, act: Act) -> None:
-        if act.what == "sidecar_down":
+        if act.what in ("sidecar_down", "sidecar_freeze"):
             if self.sidecars[act.target].up:
                 self.sidecars[act.target].die()
         elif act.what == "sidecar_up":
@@ -405,13 +415,17 @@
         asked = Asked(f"{op.id}.{tries}", op.id, op.type, op.sidecar, op.due, now, op.wait, expiry)
         self.ledger.asked.append(asked)
         wait = min(op.wait, expiry)
-        holding = Holding(op, asked, tries, now + wait - min(ANSWER_TIME, ANSWER_PART * wait))
+        holding = Holding(op, asked, tries, now + wait - min(ANSWER_TIME, ANSWER_PART * wait),
+                          lambda kind, hold_off, token: self.client_told(holding, kind, hold_off, token))
         if not sidecar.up:
             asked.broken = True
             self.again(holding, "rejected", 0.0)  # refused: it never ran
             return
+        self.hand_over(sidecar, holding)
+
+    def hand_over(self, sidecar: SidecarNode, holding: Holding) -> None:
         gives_up = partial(self.give_up, sidecar, sidecar.lives, sidecar.taken + 1, holding)
-        self.clock.at(now + op.wait, gives_up)
+        self.clock.at(self.clock.now + holding.op.wait, gives_up)
         sidecar.take(holding)
 
     def give_up(self, sidecar: SidecarNode, life: int, exchange: int, holding: Holding) -> None:
--- a/rainspindle/lab/world.py
+++ b/rainspindle/lab/world.py
@@ -13,7 +13,7 @@
 import numpy as np
 
 from ..host import Listed, State
-from .experiment import AT_ENDPOINTS, Experiment, Fault, Variant
+from .experiment import AT_ENDPOINTS, AT_SIDECARS, Experiment, Fault, Variant
 from .models.clients import Operation, schedule
 from .models.endpoint import EndpointModel
 from .models.link import Cut, LinkModel
@@ -28,7 +28,7 @@
     """Something that befalls an endpoint or a sidecar."""
 
     at: float
-    what: str  # down, silence, up, hang, slower, pause, err, sidecar_down, sidecar_up
+    what: str  # down, silence, up, hang, slower, pause, err, sidecar_down, sidecar_freeze, sidecar_up
     target: int
     value: float = 0.0
 
@@ -54,6 +54,17 @@
             self.befall(fault, self.rng(f"fault {n}"))
         self.acts.sort(key=lambda a: a.at)
         self.registry = Registry(self.lines, self.changes, self.outages)
+        self.registries = [self.registry] * x.sidecars.count  # by sidecar: what its list service says
+        if x.sites is not None:
+            # A site's list goes down with whatever takes its zone away; the others' stay.
+            of_zone = [self.site_registry(zone) for zone in range(len(x.fleet.zones))]
+            self.registries = [of_zone[zone] for zone in self.sidecar_zones]
+
+    def site_registry(self, zone: int) -> Registry:
+        outages = [(f.at, f.at + f.length) for f in self.x.faults
+                   if f.kind == "list_outage" and f.zone in ("", self.x.fleet.zones[zone])]
+        return Registry([line for line in self.lines if line.zone == zone],
+                        [c for c in self.changes if c.line.zone == zone], outages)
 
     def rng(self, what: str) -> np.random.Generator:
         """A stream of its own for each matter: a further fault must not change the clients' schedule."""
@@ -94,9 +105,10 @@
         if f.kind in AT_ENDPOINTS:
             for n in self.chosen(f, len(self.kinds), self.zones, "e", rng):
                 self.befall_endpoint(f, n, rng)
-        elif f.kind == "sidecar_crash":
+        elif f.kind in AT_SIDECARS:
             for n in self.chosen(f, self.x.sidecars.count, self.sidecar_zones, "s", rng):
-                self.acts += [Act(f.at, "sidecar_down", n), Act(over, "sidecar_up", n)]
+                how = "down" if f.kind == "sidecar_crash" else "freeze"
+                self.acts += [Act(f.at, f"sidecar_{how}", n), Act(over, "sidecar_up", n)]
         elif f.kind == "list_outage":
             self.outages.append((f.at, over))
         else:
--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -14,11 +14,13 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field, replace
 from hashlib import blake2b
+from typing import Generic, TypeVar
 
 from .host import Effect, Group, Host, Listed, Outcome, State, TrafficType
 
 NEVER_RAN = (Outcome.FULL, Outcome.UNCONNECTED, Outcome.UNSENT)
 TELLS_NOTHING = (Outcome.CALLED_OFF, Outcome.UNSENT)
+Place = TypeVar("Place")  # what a key may be sent to: an endpoint here, a site where sites are chosen
 
 
 class Histogram:
@@ -84,17 +86,17 @@
         self.since, self.due, self.on_trial = now, False, False
 
 
-class Entry(Breaker):
+class Entry(Breaker, Generic[Place]):
     """What is kept of one key that has failed."""
 
-    def __init__(self, endpoint: Endpoint, now: float) -> None:
+    def __init__(self, endpoint: Place, now: float) -> None:
         super().__init__(now)
         self.first = self.current = endpoint
         self.tried = [endpoint]
         self.retriable, self.other, self.last = 0, 0, now
 
 
-class FailoverTable:
+class FailoverTable(Generic[Place]):
     """Steps 2 to 5 of the design: failures by key, moves to the next endpoint, and the way back."""
 
     RETRIABLE_LIMIT, OTHER_LIMIT = 2, 5
@@ -103,10 +105,10 @@
     SIZE = 4096
 
     def __init__(self) -> None:
-        self.entries: dict[str, Entry] = {}
+        self.entries: dict[str, Entry[Place]] = {}
 
-    def failure(self, key: str, at: Endpoint, retriable: bool, now: float,
-                next_untried: Callable[[list[Endpoint]], Endpoint | None]) -> None:
+    def failure(self, key: str, at: Place, retriable: bool, now: float,
+                next_untried: Callable[[list[Place]], Place | None]) -> None:
         entry = self.entries.get(key)
         if entry is None:
             if len(self.entries) >= self.SIZE:
@@ -123,7 +125,7 @@
                 return
             entry.current, entry.tried = following, [*entry.tried, following]
 
-    def moved(self, entry: Entry) -> bool:
+    def moved(self, entry: Entry[Place]) -> bool:
         return entry.retriable > self.RETRIABLE_LIMIT or entry.other > self.OTHER_LIMIT
 
     def sweep(self, now: float) -> None:
@@ -266,7 +268,7 @@
         self.ready: list[Endpoint] = []
         self.touched: dict[Endpoint, None] = {}  # those with anything to sweep; a dict keeps the order
         self.ranks: dict[str, list[Endpoint]] = {}
-        self.table = FailoverTable()
+        self.table: FailoverTable[Endpoint] = FailoverTable()
         self.exchanges: dict[int, Exchange] = {}
         self.forwards: dict[tuple[int, int], Forward] = {}
         self.latency, self.wait, self.pace = Histogram(), Histogram(), Histogram()
@@ -488,7 +490,8 @@
             return False
         age = self.cold_age(e, now)
         if age is not None and now >= e.cold_until:
-            e.cold_left = self.budget.draw(age, self.warm_rate, self.chance())
+            # Before a rate is known, all sidecars together count on one exchange in four seconds.
+            e.cold_left = self.budget.draw(age, max(self.warm_rate, 0.25 / self.peers), self.chance())
             e.cold_until = now + self.budget.window
         return age is None or e.cold_left > 0
 
@@ -640,7 +643,10 @@
             self.sweep(now)
 
     def sweep(self, now: float) -> None:
-        self.warm_rate += 0.2 * (self.answers / (now - self.swept) / max(1, len(self.ready)) - self.warm_rate)
+        # Guards against a fleet that is lost whole and starts cold: with none warm, no answers tell nothing.
+        if any(not e.breaker and self.cold_age(e, now) is None for e in self.ready):
+            rate = self.answers / (now - self.swept) / len(self.ready)
+            self.warm_rate += 0.2 * (rate - self.warm_rate)
         self.answers = 0
         self.table.sweep(now)
         self.usual, self.slow = self.latency.quantile(0.5), self.latency.quantile(0.9)
--- a/rainspindle/program/main.py
+++ b/rainspindle/program/main.py
@@ -22,7 +22,12 @@
     check = commands.add_parser("check", help="read a configuration and say whether it can be served")
     for command in (serve, check):
         command.add_argument("--config", metavar="FILE", help="default: $RELAY_CONFIG")
-    serve.add_argument("--log-level", default="info", choices=("debug", "info", "warning", "error"))
+    gateway = commands.add_parser("gateway", help="serve as the gateway of a site until SIGTERM",
+                                  epilog="Example: rainspindle gateway --config deploy/gateway.toml")
+    gateway.add_argument("--config", metavar="FILE", required=True, help="the gateway's own file, TOML")
+    gateway.add_argument("--check", action="store_true", help="read it and say whether it can be served")
+    for command in (serve, gateway):
+        command.add_argument("--log-level", default="info", choices=("debug", "info", "warning", "error"))
     commands.add_parser("version", help="print the version")
     if lab is None:
         commands.add_parser("lab", help="experiments on a model of the fleet, or on loopback sockets")
@@ -56,6 +61,8 @@
         print(f"rainspindle {__version__}")
         return 0
     try:
+        if options.command == "gateway":
+            return gateway(options)
         config = load(options.config, os.environ)
         if options.command == "check":
             print(f"{config.name}: {len(config.known.lines)} endpoints known, "
@@ -64,7 +71,25 @@
         logs.set_up(options.log_level)
         sidecar = Sidecar(config, lambda: load(options.config, os.environ))
     except (ConfigFault, OSError) as fault:
-        print(f"rainspindle: {fault}", file=sys.stderr)
+        for line in str(fault).splitlines():
+            print(f"rainspindle: {line}", file=sys.stderr)
         return 2
     sidecar.run()
     return 0
+
+
+def gateway(options: argparse.Namespace) -> int:
+    """Raises ConfigFault, also where its libraries are missing."""
+    try:
+        from .gateway import Gateway
+        from .gateway_config import load_gateway
+    except ImportError as fault:
+        raise ConfigFault(f"a gateway needs the libraries of requirements-gateway.txt: {fault}") from None
+    config = load_gateway(options.config, os.environ)
+    if options.check:
+        print(f"{config.site}: peers {', '.join(config.peers) or 'none'}, {len(config.keys)} keys, "
+              f"{len(config.sidecar.known.lines)} endpoints known")
+        return 0
+    logs.set_up(options.log_level)
+    Gateway(config, lambda: load_gateway(options.config, os.environ)).run()
+    return 0
--- a/rainspindle/program/serve.py
+++ b/rainspindle/program/serve.py
@@ -14,7 +14,7 @@
 from .. import must
 from ..fronts.http1.back import HttpBack
 from ..fronts.http1.front import HttpFront
-from ..routing.core import Core, Directory
+from ..routing.core import Core, Directory, Taker
 from ..routing.follow import Follower
 from ..transport.address import address_text
 from ..transport.connection import Listener
@@ -75,7 +75,7 @@
         self.core = Core(self.loop, config.facade(self.loop.now()), config.settings, directory,
                          HttpBack(self.loop, self.pool, config.settings, directory), self.follower.want,
                          self.each_tick)
-        self.front = HttpFront(self.loop, self.core, self.core, self.pool, clients)
+        self.front = HttpFront(self.loop, self.core, self.taker(), self.pool, clients)
         known = config.known
         if known.lines:
             self.core.list_changed(known.lines, known.addresses, whole=True, stale=True)
@@ -86,6 +86,16 @@
         self.signals.came = self.signalled
         self.asked = False
 
+    def taker(self) -> Taker:
+        """What the front hands its exchanges to."""
+        return self.core
+
+    def begin_leaving(self) -> None:
+        """SIGTERM has come."""
+
+    def close_listeners(self) -> None:
+        self.listener.close()
+
     def each_tick(self) -> None:
         self.pool.sweep()
         self.front.trim_clients()
@@ -129,12 +139,13 @@
         asked_at = self.loop.now()
         log.info("leaving", extra={"fields": {"held": len(self.core.held),
                                               "clients": len(self.front.clients)}})
+        self.begin_leaving()
         let = asked_at + min(max(self.core.settings.expiries), MOST_LEAVING)
         self.front.leaving, self.core.last_answer = True, let + ALL_ANSWERED
         while self.loop.now() < let + SERVE_ON:
             yield let + SERVE_ON
         self.front.closing = True
-        self.listener.close()
+        self.close_listeners()
         # In the end every exchange has its answer; what is left is a request that never became whole.
         while not self.front.finish_clients() and self.loop.now() < self.core.last_answer + 0.1:
             yield self.loop.now() + 0.02
--- /dev/null
+++ b/rainspindle/protocol/link/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between the gateways of two sites, without I/O: frames, sessions, claims."""
--- a/rainspindle/transport/connection.py
+++ b/rainspindle/transport/connection.py
@@ -112,16 +112,21 @@
         view = memoryview(data)
         while view:
             if self.writable:
-                try:
-                    view = view[self.sock.send(view):]
-                except BlockingIOError:
-                    self.writable = False
-                except OSError as fault:
-                    self.ended = True
-                    raise Broken(str(fault)) from None
+                view = view[self.send_some(view):]
             else:
                 yield from self.await_it(until, unless)
 
+    def send_some(self, view: memoryview) -> int:
+        """How many bytes the kernel took, 0 if it takes none now."""
+        try:
+            return self.sock.send(view)
+        except BlockingIOError:
+            self.writable = False
+            return 0
+        except OSError as fault:
+            self.ended = True
+            raise Broken(str(fault)) from None
+
     def rest(self, seconds: float) -> Coroutine[None]:
         """Lets a moment pass in which the connection may show its end."""
         self.mine()
--- a/tests/test_cases.py
+++ b/tests/test_cases.py
@@ -9,7 +9,7 @@
 import pytest
 
 from rainspindle.host import Effect, Outcome, State
-from rainspindle.logic import Breaker, Entry, FailoverTable, Histogram
+from rainspindle.logic import Breaker, Endpoint, Entry, FailoverTable, Histogram
 from rainspindle.simhost.adapter import serve
 
 from .fleet import Fleet, kind, line
@@ -77,7 +77,7 @@
 
 def test_counts_restart_after_the_window_and_entries_are_bounded() -> None:
     fleet = Fleet([kind()], [line(0), line(1)])
-    table, (a, b) = FailoverTable(), fleet.balancer.ready
+    table, (a, b) = FailoverTable[Endpoint](), fleet.balancer.ready
     table.failure("k", a, True, 0.0, lambda tried: b)
     table.failure("k", a, True, 1.0, lambda tried: b)
     table.failure("k", a, True, 32.0, lambda tried: b)
@@ -91,7 +91,7 @@
 
 def test_entry_drops_when_no_endpoint_is_left() -> None:
     fleet = Fleet([kind()], [line(0)])
-    table, (a,) = FailoverTable(), fleet.balancer.ready
+    table, (a,) = FailoverTable[Endpoint](), fleet.balancer.ready
     for n in range(3):
         table.failure("k", a, True, float(n), lambda tried: None)
     assert not table.entries
@@ -201,6 +201,20 @@
     assert any("back" in x for x in fleet.logs) and fleet.balancer.cold_age(endpoint, fleet.now) is not None
 
 
+def test_a_fleet_that_starts_cold_as_a_whole_gets_work_from_the_first_windows_on() -> None:
+    fleet = Fleet([kind()], [line(n) for n in range(3)], peers=1)  # it got none until it was warm by age
+    serve_some(fleet, 0, 60)
+    fleet.tell([line(n, State.GONE) for n in range(3)])
+    fleet.wait(10.0)
+    fleet.tell([line(n, started=fleet.now) for n in range(3)], whole=True)
+    fleet.told_unready.clear()
+    serve_some(fleet, 100, 60, gap=0.1)
+    assert sum(bool(fleet.held[id].sent) for id in range(100, 160)) > 3
+    new = Fleet([kind()], [line(n, started=999.0) for n in range(3)], peers=1)  # one that has seen none warm
+    serve_some(new, 0, 60, gap=0.1)
+    assert any(new.held[id].sent for id in range(60))
+
+
 def test_a_keyless_exchange_leaves_no_entry() -> None:
     fleet = Fleet([kind()], [line(0)])
     for id in range(2):
--- /dev/null
+++ b/tests/test_crossing.py
@@ -0,0 +1,283 @@
+"""A binding exchange crosses the link, and the link is cut at every single byte, in every manner."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+import pytest
+
+from rainspindle.decisions.sites.intake import Intake
+from rainspindle.fronts.link.link import Link
+from rainspindle.host import Outcome
+from rainspindle.lab.experiment import Link as Spec
+from rainspindle.lab.models.link import LinkModel
+from rainspindle.lab.virtual import Clock
+from rainspindle.lab.virtual_sites import Pipe, VirtualLoop
+from rainspindle.protocol.application import Ask
+from rainspindle.protocol.endpoint import Answered
+from rainspindle.routing.core import Final, Finished, Given, Left, Rejected, Terminated
+from rainspindle.routing.sites import Crossed, Free
+from rainspindle.transport.connection import Broken
+from rainspindle.transport.loop import Coroutine
+
+KEYS = (b"0123456789abcdef",)
+WORK, EXPIRY = 0.2, 1.4
+BODY = b"answer sheet " * 4
+
+
+class Core:
+    """Runs what comes, and counts."""
+
+    last_answer = math.inf
+
+    def __init__(self, pair: Pair) -> None:
+        self.pair, self.alive, self.runs = pair, True, True
+        self.final: Callable[[], Final] = lambda: Finished(Answered(Outcome.SERVED, (), b"done", True))
+
+    def run(self, given: Given, gone: Callable[[], bool]) -> Coroutine[Final]:
+        loop = self.pair.loop
+        assert given.body.body == BODY and given.expires_at <= self.pair.expires
+        until = loop.now() + (WORK if self.runs else 0.0)
+        self.pair.runs += [loop.now()] * self.runs
+        while loop.now() < until and self.alive:
+            if gone():
+                return Left()
+            yield until
+        return self.final()
+
+
+class Cut(Pipe):
+    """Passes so many bytes on; what follows is cut off in the stated manner."""
+
+    def __init__(self, pair: Pair, passes: float, manner: str) -> None:
+        super().__init__(pair.loop, LinkModel(Spec(delay=0.002, jitter=0.0), [], lambda: 0.5))
+        self.pair, self.passes, self.manner, self.is_cut = pair, passes, manner, False
+
+    def deliver(self, data: bytes) -> None:
+        if not self.is_cut and len(data) <= self.passes:
+            self.passes -= len(data)
+            super().deliver(data)
+            return
+        if not self.is_cut:
+            super().deliver(data[:int(self.passes)]) if self.passes >= 1 else None
+            self.is_cut, data = True, data[int(self.passes):]
+            self.pair.cut()
+            if self.manner == "restart":
+                self.pair.restart()
+        if self.manner in ("reset", "restart"):
+            for end in (self, self.other):
+                assert end is not None
+                self.loop.clock.at(self.loop.now() + 0.003, partial(end_now, end))
+        elif self.manner == "late":
+            self.last = max(self.last, self.loop.now() + 2.0)
+            super().deliver(data)
+
+
+def end_now(pipe: Pipe) -> None:
+    pipe.ended = True
+    pipe.wake()
+
+
+class Joined(Link):
+    pair: Pair
+    near = True
+
+    def connect(self, site: str, until: float) -> Coroutine[Any]:
+        yield self.loop.now() + 0.001
+        if not self.pair.way:
+            raise Broken("no way")
+        return self.pair.join()
+
+
+class Pair:
+    """Two links in virtual time. The first connection is cut after so many bytes in one direction."""
+
+    def __init__(self, there: float = math.inf, back: float = math.inf, manner: str = "reset",
+                 again: float = 0.05) -> None:
+        self.clock = Clock()
+        self.faults: list[BaseException] = []
+        self.loop = VirtualLoop(self.clock, self.faults.append)
+        self.limits, self.manner, self.again = (there, back), manner, again
+        self.runs: list[float] = []
+        self.expires = math.inf
+        self.way, self.joined, self.bytes = True, 0, [0, 0]
+        self.epoch = 10
+        self.casa = self.link("casa", 5)
+        self.far_core = Core(self)
+        self.rabat = self.link("rabat", self.epoch)
+        self.casa.set_peers({"rabat": ("0.0.0.0", 1)})
+        self.rabat.set_peers({"casa": None})
+
+    def link(self, site: str, epoch: int) -> Joined:
+        core: Any = self.far_core if site == "rabat" else Core(self)
+        made = Joined(self.loop, site, epoch, lambda: KEYS, core, Intake(0.0, 0.9, 100, lambda line: None),
+                      ("submit",), 0.5, 1, lambda peer, up: None)
+        made.pair = self
+        return made
+
+    def join(self) -> Pipe:
+        self.joined += 1
+        first = self.joined == 1
+        near, far = (Cut(self, limit if first else math.inf, self.manner) for limit in self.limits)
+        near.other, far.other = far, near
+        self.ends = near, far
+        accept: Any = self.rabat.accepted
+        accept(far)
+        return near
+
+    def cut(self) -> None:
+        self.way = False
+
+        def mended() -> None:
+            self.way = True
+        self.clock.at(self.clock.now + self.again, mended)
+
+    def restart(self) -> None:
+        """The far gateway is killed with all it held, and comes back with an empty ledger."""
+        self.far_core.alive = False
+        self.far_core.final = Terminated
+        self.rabat.peers.clear()
+        self.epoch += 1
+        self.far_core = Core(self)
+        self.rabat = self.link("rabat", self.epoch)
+        self.rabat.set_peers({"casa": None})
+
+    def submit(self, may_rerun: bool = False, settle: float = 6.0) -> Crossed:
+        """One exchange from casa to rabat; time goes on long after its answer."""
+        self.clock.env.run(until=self.clock.now + 0.5)
+        self.expires = self.clock.now + EXPIRY
+        self.runs.clear()
+        finals: list[tuple[float, Crossed]] = []
+
+        def one() -> Coroutine[None]:
+            given = Given(0, "k", None, False, self.expires,
+                          Ask(b"x1", b"POST", b"/", BODY, (), 0, "k", None, None, False))
+            final = yield from self.casa.peers["rabat"].cross(given, lambda: False, may_rerun)
+            finals.append((self.clock.now, final))
+        self.loop.spawn(one())
+        self.clock.env.run(until=self.expires + settle)
+        assert not self.faults, self.faults
+        assert len(finals) == 1, "one final answer"
+        at, final = finals[0]
+        assert at <= self.expires + 1e-9
+        if not may_rerun:
+            assert len(self.runs) <= 1, "it ran twice"
+        assert all(ran <= self.expires for ran in self.runs), "it began after its expiry"
+        if isinstance(final, Rejected) or (isinstance(final, Free) and final.never):
+            assert not self.runs, "said never to have run, and ran"
+        if isinstance(final, Finished):
+            assert len(self.runs) >= 1
+        assert not self.casa.peers["rabat"].under
+        return final
+
+
+def crossed(pair: Pair) -> tuple[int, int]:
+    """Bytes that go either way in a day without a cut: what there is to be cut at."""
+    sent = [0, 0]
+    honest = Pipe.deliver
+
+    def counting(pipe: Pipe, data: bytes) -> None:
+        sent[pipe is pair.ends[1]] += len(data)
+        honest(pipe, data)
+    Pipe.deliver = counting  # type: ignore[method-assign, assignment]
+    try:
+        assert isinstance(pair.submit(settle=0.0), Finished) and len(pair.runs) == 1
+    finally:
+        Pipe.deliver = honest  # type: ignore[method-assign]
+    return sent[0], sent[1]
+
+
+def test_it_crosses_and_the_answer_comes_back() -> None:
+    pair = Pair()
+    final = pair.submit()
+    assert isinstance(final, Finished) and final.payload.body == b"done" and len(pair.runs) == 1
+    assert pair.rabat.taken_in == 1 and not pair.rabat.foreign
+
+
+@pytest.mark.parametrize("manner", ["reset", "lost", "late", "restart"])
+@pytest.mark.parametrize("way", ["there", "back"])
+def test_cut_at_every_byte_it_runs_at_most_once_and_has_one_answer_in_time(manner: str, way: str) -> None:
+    there, back = crossed(Pair())
+    total, kinds = there if way == "there" else back, set()
+    for at in range(total + 1):
+        # After the cut the link is mended soon, or not before the expiry.
+        pair = Pair(**{way: at}, manner=manner, again=0.05 if at % 3 else 3.0)
+        final = pair.submit()
+        kinds.add("free" if isinstance(final, Free) else type(final).__name__.lower())
+    assert "finished" in kinds and kinds <= {"finished", "free", "rejected", "terminated"}
+    if manner == "restart" and way == "there":
+        assert "terminated" in kinds  # what a restarted gateway has forgotten proves nothing
+
+
+def test_what_may_rerun_is_free_as_soon_as_its_connection_is_gone() -> None:
+    there, _ = crossed(Pair())
+    for at in range(there // 2, there + 1, 5):
+        final = Pair(there=at, manner="reset", again=3.0).submit(may_rerun=True)
+        assert isinstance(final, Free | Finished)
+
+
+def test_a_site_with_no_room_or_no_such_type_proves_that_nothing_ran() -> None:
+    full = Pair()
+    full.rabat.intake.part, full.rabat.intake.floor = 0.0, 0
+    final = full.submit()
+    assert final == Free(True, 0.5) and not full.runs and full.rabat.refused == 1
+    strange = Pair()
+    strange.rabat.types.clear()
+    assert strange.submit() == Free(True, 0.0)
+
+
+def test_far_rejections_and_terminations_come_back_as_such() -> None:
+    for made, told in ((Terminated(), Terminated()), (Rejected(0.7, False), Free(True, 0.7)),
+                       (Rejected(0.7, True), Rejected(0.7, True))):
+        pair = Pair()
+        pair.far_core.final, pair.far_core.runs = lambda made=made: made, False  # type: ignore[misc]
+        assert pair.submit() == told
+
+
+def test_with_no_connection_it_never_ran_and_that_is_said_at_once() -> None:
+    pair = Pair()
+    pair.way = False
+    assert pair.submit() == Free(True)
+
+
+def test_a_client_that_leaves_ends_it_there_too() -> None:
+    pair = Pair()
+    pair.clock.env.run(until=0.0)
+    pair.expires = 10.0
+    finals: list[Crossed] = []
+    gone = [False]
+
+    def one() -> Coroutine[None]:
+        ask = Ask(b"x1", b"POST", b"/", BODY, (), 0, "k", None, None, False)
+        given = Given(0, "k", None, False, 2.0, ask)
+        finals.append((yield from pair.casa.peers["rabat"].cross(given, lambda: gone[0], False)))
+    task = pair.loop.spawn(one())
+    pair.clock.env.run(until=0.05)
+    assert pair.rabat.foreign
+    gone[0] = True
+    task.wake()
+    pair.clock.env.run(until=1.0)
+    assert finals == [Left()] and not pair.rabat.foreign and pair.rabat.intake.foreign == 0
+
+
+def test_goodbye_takes_nothing_new_and_finishes_what_is_open() -> None:
+    pair = Pair()
+    pair.clock.env.run(until=0.0)
+    pair.clock.at(pair.clock.now + 0.55, pair.rabat.leave)  # while it runs
+    assert isinstance(pair.submit(), Finished)
+    assert pair.submit() == Free(True) and not pair.runs
+
+
+def test_peers_that_are_not_configured_or_were_removed_get_no_line() -> None:
+    pair = Pair()
+    pair.rabat.set_peers({})
+    assert pair.submit() == Free(True) and not pair.rabat.lines
+    pair = Pair()
+    pair.clock.env.run(until=0.0)
+    assert pair.casa.peers["rabat"].lines
+    pair.casa.set_peers({})
+    pair.clock.env.run(until=1.0)
+    assert not pair.casa.lines and not pair.rabat.peers["casa"].lines
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,201 @@
+"""The gateway as a program: its file, its start, SIGHUP and SIGTERM, strangers, and days with two of them."""
+
+from __future__ import annotations
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from rainspindle.lab import runs
+from rainspindle.program.config import ConfigFault
+from rainspindle.program.gateway_config import load_gateway
+from rainspindle.protocol.link import frames as f
+
+from .fleet import ask, entry
+from .lab import experiment
+from .test_program import PATIENCE, ROOT, Service, config
+
+KEY = b"0123456789abcdef"
+
+
+def write(folder: Path, text: str = "", mode: int = 0o600, **platform: Any) -> Path:
+    key = folder / "link.key"
+    key.write_bytes(KEY + b"\n")
+    key.chmod(mode)
+    (folder / "platform.json").write_text(json.dumps(config(**platform)))
+    path = folder / "gateway.toml"
+    path.write_text(text or GOOD)
+    return path
+
+
+GOOD = """
+[gateway]
+site = "casa"
+link = "127.0.0.1:0"
+platform = "platform.json"
+keys = ["link.key"]
+[[peers]]
+site = "rabat"
+[intake]
+part = 0.5
+"""
+
+
+def faults(path: Path) -> list[str]:
+    with pytest.raises(ConfigFault) as raised:
+        load_gateway(str(path), {})
+    return [line.removeprefix(f"{path}: ") for line in str(raised.value).splitlines()]
+
+
+def test_every_fault_of_the_file_is_named_at_once(tmp_path: Path) -> None:
+    assert load_gateway(str(write(tmp_path)), {}).peers == {"rabat": None}
+    assert faults(write(tmp_path, """
+        [gateway]
+        site = "casa"
+        lnik = "127.0.0.1:0"
+        keys = "link.key"
+        platform = "platform.json"
+        [[peers]]
+        address = 5
+        [intake]
+        part = "x"
+        """)) == [
+            "gateway.lnik: unknown key; the nearest known is 'link'", "gateway.link: missing",
+            "gateway.keys: is 'link.key'; Expected `array`, got `str`", "peers[0].site: missing",
+            "peers[0].address: is 5; Expected `str`, got `int`",
+            "intake.part: is 'x'; Expected `float`, got `str`"]
+    assert [line.split(": ")[0] for line in faults(write(tmp_path, """
+        [gateway]
+        site = "casa"
+        link = "casa.example.org:9"
+        platform = "none.json"
+        keys = []
+        stall = 0.01
+        [[peers]]
+        site = "casa"
+        address = "127.0.0.1"
+        [intake]
+        part = 1.0
+        """))] == ["gateway.link", "peers[0].address", "gateway.site", "peers[0].site", "gateway.keys",
+                   "gateway.stall", "intake.part"]
+    assert "gateway.platform: " in faults(write(tmp_path, GOOD.replace("platform.json", "none.json")))[0]
+    assert "600 is needed" in faults(write(tmp_path, mode=0o644))[0]
+    write(tmp_path).with_name("link.key").write_bytes(b"short")
+    assert "16 are needed" in faults(tmp_path / "gateway.toml")[0]
+    assert "not TOML" in faults(write(tmp_path, "[gateway"))[0]
+    refused = subprocess.run([sys.executable, "-m", "rainspindle", "gateway", "--config", "none.toml"],
+                             cwd=ROOT, capture_output=True, text=True, timeout=PATIENCE)
+    assert refused.returncode == 2 and "Traceback" not in refused.stderr
+
+
+class Started(Service):
+    """A gateway under way, started as a service is."""
+
+    def __init__(self, folder: Path) -> None:
+        from .fleet import Stand
+        self.endpoint, self.discovery = Stand(), Stand()
+        known = {"generation": 41, "reset": True, "instances": [entry("e0", self.endpoint.port)]}
+        self.file = write(folder, discovery=f"127.0.0.1:{self.discovery.port}", known=known)
+        self.log = (folder / "log").open("w+")
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "rainspindle", "gateway", "--config", str(self.file)], cwd=ROOT,
+            stdout=subprocess.DEVNULL, stderr=self.log)
+        self.port = int(self.logged_part(r"event=serving listen=127.0.0.1:(\d+)"))
+        self.link_port = int(self.logged_part(r"event=gateway site=casa link=127.0.0.1:(\d+)"))
+
+    def logged_part(self, pattern: str) -> str:
+        import re
+        return self.until(lambda: re.search(pattern, self.logged())).group(1)
+
+
+@pytest.fixture
+def gateway(tmp_path: Path) -> Iterator[Started]:
+    made = Started(tmp_path)
+    yield made
+    made.process.kill()
+    made.process.wait()
+    made.log.close()
+
+
+def test_it_serves_its_own_site_reads_its_file_again_and_leaves(gateway: Started) -> None:
+    sock = socket.create_connection(("127.0.0.1", gateway.port), PATIENCE)
+    sock.sendall(ask("x1"))
+    gateway.next(gateway.endpoint).answer(200, b"done")
+    assert sock.recv(4096).endswith(b"done")
+    gateway.file.write_text(GOOD.replace('site = "rabat"', 'site = "fes"').replace("0.5", "0.3"))
+    gateway.process.send_signal(signal.SIGHUP)
+    assert gateway.logged_part(r'peers="fes at any address" (foreign=0.3)')
+    gateway.file.write_text("[gateway")
+    gateway.process.send_signal(signal.SIGHUP)
+    assert gateway.logged_part(r"(configuration refused)")
+    gateway.process.send_signal(signal.SIGTERM)
+    assert gateway.process.wait(PATIENCE) == 0 and "faults=0" in gateway.logged()
+
+
+def test_strangers_are_few_are_told_why_and_are_ended(gateway: Started) -> None:
+    def stranger() -> socket.socket:
+        return socket.create_connection(("127.0.0.1", gateway.link_port), PATIENCE)
+    rude = stranger()
+    rude.sendall(b"GET / HTTP/1.1\r\n\r\n")
+    told = b""
+    while part := rude.recv(4096):
+        told += part
+    assert b"frame_length" in told
+    many = [stranger() for _ in range(60)]
+    ended = 0
+    for sock in many:  # at most 32 of them stay, and these for two seconds
+        sock.settimeout(PATIENCE)
+        data = b""
+        while part := sock.recv(4096):
+            data += part
+        ended += 1
+    assert ended == 60
+    wrong = stranger()
+    wrong.sendall(f.encode(f.Hello((1,), "rabat", 3, b"n" * 16)) + f.encode(f.Proof((b"x" * 32,))))
+    data = b""
+    while part := wrong.recv(4096):
+        data += part
+    assert f.Reader().receive(data)[-1] == f.Fault("proof")
+    assert "why=proof" in gateway.logged() and gateway.process.poll() is None
+
+
+def day(**changes: Any) -> Any:
+    return experiment(**{"sidecars": {"count": 2, "skew": 0.0}, "sites": {}, "links": {
+        "cross": {"delay": 0.004, "loss": 0.002}}, "variants": [
+            {"name": "module"}, {"name": "alone", "sites": {"lean": False}}], **changes})
+
+
+def test_one_site_leans_on_the_other_in_virtual_time_and_runs_nothing_twice() -> None:
+    silent = {"kind": "silent", "at": 3.0, "length": 8.0, "zone": "b"}
+    flapping = [{"kind": "link_silent", "at": 4.0 + 2 * n, "length": 1.0, "zone": "b",
+                 "direction": ("both", "in", "out")[n % 3]} for n in range(3)]
+    for faults_, better in (([silent], 0.15), ([silent, *flapping], 0.02)):
+        x = day(faults=faults_)
+        leaning, alone = (runs.play(x, "virtual", v, 1) for v in ("module", "alone"))
+        for one in (leaning, alone):
+            assert one.breaks == [] and one.faults == []
+        assert leaning.figures["goodput"] > alone.figures["goodput"] + better
+
+
+def test_a_killed_gateway_comes_back_and_its_peer_is_unharmed() -> None:
+    x = day(faults=[{"kind": "sidecar_crash", "at": 4.0, "length": 3.0, "names": ["s1"]},
+                    {"kind": "errors", "at": 2.0, "length": 9.0, "zone": "a", "size": 0.8}])
+    one = runs.play(x, "virtual", "module", 1)
+    assert one.breaks == [] and one.faults == [] and one.figures["goodput"] > 0.5
+
+
+def test_two_gateways_on_sockets_with_a_silent_site_a_cut_link_and_a_frozen_gateway() -> None:
+    x = day(length=6.0, settle=2.6, clients={"rate": 50.0, "keys": 200}, lateness=5.0,
+            rules={"tolerance": 2.0}, faults=[
+                {"kind": "silent", "at": 1.0, "length": 4.0, "zone": "b"},
+                {"kind": "link_silent", "at": 2.5, "length": 1.0, "zone": "b"},
+                {"kind": "sidecar_freeze", "at": 4.5, "length": 1.0, "names": ["s0"]}])
+    one = runs.play(x, "sockets", "module", 1)
+    assert one.faults == [] and one.breaks == [] and one.figures["goodput"] > 0.3
