Sites: a lost link is not held against the site behind it; a link that flaps serves the homeless

Cause: in the lab a site whose own endpoints were gone turned all away while its link was held off for flapping, and gave the other site up for exchanges that only the link had lost.

Change: while the own site is given up a link that is up is used; what a link loses says nothing of the site. The intake does not grow while own clients feel it.

--- a/rainspindle/decisions/sites/intake.py
+++ b/rainspindle/decisions/sites/intake.py
@@ -48,7 +48,7 @@
         self.foreign -= 1
         if not good:
             self.ease(now)
-        elif filled:
+        elif filled and self.bad <= self.SHARE / 2:  # no more while own clients feel it
             self.window = min(self.window + 1 / self.window, self.MOST)
 
     def own_began(self, now: float) -> None:
--- a/rainspindle/decisions/sites/sites.py
+++ b/rainspindle/decisions/sites/sites.py
@@ -77,8 +77,9 @@
         else:
             self.usable_at = now + (self.hold if self.down_at > -math.inf else 0.0)
 
-    def usable(self, now: float) -> bool:
-        return self.up and now >= self.usable_at
+    def usable(self, now: float, at_any_rate: bool = False) -> bool:
+        """`at_any_rate`: whether the link is used though it flaps."""
+        return self.up and (at_any_rate or now >= self.usable_at)
 
 
 class Sites:
@@ -131,19 +132,23 @@
     def route(self, now: float, key: str | None, retriable: bool) -> Route:
         partition = self.partition(key)
         entry = self.table.entries.get(partition)
-        if entry and entry.due and retriable and entry.first.usable(now) and not entry.first.breaker:
+        if entry and entry.due and retriable and self.usable(entry.first, now) and not entry.first.breaker:
             entry.begin()
             return Route(entry.first.name, partition, partition_trial=entry)
         wanted = entry.current if entry and self.table.moved(entry) else self.own
         for site in (wanted, *self.sites.values()):
             if site.breaker:
-                if site.breaker.due and retriable and site.usable(now):
+                if site.breaker.due and retriable and self.usable(site, now):
                     site.breaker.begin()
                     return Route(site.name, partition, site_trial=site.breaker)
-            elif site.usable(now) and self.ramped(site, partition, now):
+            elif self.usable(site, now) and self.ramped(site, partition, now):
                 return Route(site.name, partition)
         return Route(self.own.name, partition)
 
+    def usable(self, site: Site, now: float) -> bool:
+        # Guards against turning all away while the own site is given up: a link that flaps is then better.
+        return site.usable(now, at_any_rate=self.own.breaker is not None)
+
     def ramped(self, site: Site, partition: str, now: float) -> bool:
         """Whether the partition is among those that a site takes back by now."""
         share = (now - site.back_at) / self.BACK_RAMP
@@ -156,7 +161,7 @@
         paid for by what finishes, so that a site that sheds load does not flood the others."""
         crossed = any(name != self.own.name for name in tried)
         for site in self.sites.values():
-            if site.name not in tried and not site.breaker and site.usable(now):
+            if site.name not in tried and not site.breaker and self.usable(site, now):
                 if site.own:
                     return site.name
                 if crossed or self.own.credit < 1:
@@ -214,7 +219,7 @@
     def count(self, site: Site, route: Route, retriable: bool, now: float) -> None:
         def next_untried(tried: list[Site]) -> Site | None:
             return next((s for s in self.sites.values()
-                         if s not in tried and not s.breaker and s.usable(now)), None)
+                         if s not in tried and not s.breaker and self.usable(s, now)), None)
         before = self.table.entries.get(route.partition)
         moved = before is not None and self.table.moved(before)
         at = before.current if before and moved else site
--- a/rainspindle/lab/bench.py
+++ b/rainspindle/lab/bench.py
@@ -48,6 +48,7 @@
     rate: Positive = 300.0  # of the open loop, exchanges a second
     idle: Count = 400  # connections held to find the cost of one
     repeats: Count = 3
+    gateway: bool = False  # whether a gateway with no peer is measured too
     revisions: list[str] = Field(default_factory=list)  # of this repository, beside the tree as it is
 
 
@@ -77,7 +78,8 @@
 class Rig:
     """The processes of one subject: two endpoints that do no work, and a sidecar unless calls are direct."""
 
-    def __init__(self, tree: Path | None) -> None:
+    def __init__(self, tree: Path | None, gateway: bool = False) -> None:
+        self.gateway = gateway
         self.processes: list[subprocess.Popen[str]] = []
         self.folder = tempfile.TemporaryDirectory(prefix="rainspindle-bench-")
         cores = sorted(os.sched_getaffinity(0))
@@ -107,6 +109,8 @@
             "known": {"generation": 1, "reset": True, "instances": known}, "settings": world.settings(0)}))
         # Another tree has no environment of its own: the libraries are this one's, so only the code differs.
         line = run_line()[0].replace(".venv/bin/python", shlex.quote(sys.executable))
+        if self.gateway:
+            line = f"exec {shlex.quote(sys.executable)} -O -m rainspindle gateway --config {self.gateway_file()}"
         log = (Path(self.folder.name) / "log").open("w")
         process = subprocess.Popen(["/bin/sh", "-c", line], cwd=tree, stdout=subprocess.DEVNULL, stderr=log,
                                    env={**os.environ, "RELAY_CONFIG": str(config), "PYTHONPATH": str(tree)},
@@ -126,6 +130,15 @@
             time.sleep(0.02)
         raise BenchFault(f"the sidecar did not start: {(Path(self.folder.name) / 'log').read_text()[-300:]}")
 
+    def gateway_file(self) -> Path:
+        path = Path(self.folder.name) / "gateway.toml"
+        key = path.with_name("link.key")
+        key.touch(0o600)
+        key.write_text("a key of the benchmark's own")
+        path.write_text('[gateway]\nsite = "a"\nlink = "127.0.0.1:0"\nplatform = "config.json"\n'
+                        'keys = ["link.key"]\n')
+        return path
+
     def drive(self, bench: Bench, rate: float) -> dict[str, float]:
         process = self.fast(2, "drive", self.port, bench.connections, bench.seconds, rate)
         out = process.communicate(timeout=bench.seconds + 30)[0]
@@ -194,11 +207,13 @@
     measured: dict[str, list[dict[str, float]]] = {}
     with trees(bench.revisions) as found:
         subjects: dict[str, Path | None] = {"direct": None, "this tree": ROOT, **found}
+        if bench.gateway:
+            subjects["gateway"] = ROOT
         for repeat in range(bench.repeats):
             for name, tree in list(subjects.items())[::1 if repeat % 2 == 0 else -1]:
                 rig = None
                 try:
-                    rig = Rig(tree)
+                    rig = Rig(tree, name == "gateway")
                     measured.setdefault(name, []).append(rig.measure(bench))
                 finally:
                     if rig is not None:
--- a/rainspindle/lab/experiment.py
+++ b/rainspindle/lab/experiment.py
@@ -221,7 +221,7 @@
 
 FIGURES = ("goodput", "offered", "finished", "late", "rejected", "terminated", "left", "p50_ms", "p90_ms",
            "p99_ms", "tries", "forwards", "busiest", "rules_broken", "executions_twice", "recovery_s",
-           "worst_second", "failures_met", "wasted")
+           "worst_second", "failures_met", "wasted", "site_best", "site_worst", "site_back_s")
 
 
 def load(path: str | Path, **changes: Any) -> Experiment:
--- a/rainspindle/routing/sites.py
+++ b/rainspindle/routing/sites.py
@@ -65,8 +65,7 @@
                 if isinstance(crossed, Free):
                     self.crossed_free += 1
                     free = crossed.never or may_rerun
-                    # Turned away with a time to come back: the site is full, not broken.
-                    good = None if crossed.hold_off > 0 else False
+                    good = None  # the link was lost, of which it is told otherwise, or the site is full
                     final = Rejected(crossed.hold_off or AWAY, False) if free else Terminated()
                 else:
                     final = crossed
