A front for the MySQL wire protocol, first slices; foreign work that was given up is cancelled

Cause: candidate registers speak this protocol, and a statement that records a submission must never run twice. And 20,000 submissions over a link that is cut at random showed one exchange for which the far site sent a further forward after its client had been answered from home.

The core knows answers that broke after their first byte. A far gateway cancels what its sender gave up with the connection, and starts nothing that was on its way for half of a stall.

--- a/rainspindle/fronts/link/crossing.py
+++ b/rainspindle/fronts/link/crossing.py
@@ -98,7 +98,7 @@
                 self.act(under, under.claim.connection_lost())
 
     def pick(self) -> Line | None:
-        ready = [line for line in self.lines if line.session.ready()]
+        ready = [line for line in self.lines if line.session.ready(self.loop.now())]
         return min(ready, key=lambda line: len(line.session.ours) + line.session.waiting / 4096, default=None)
 
     def act(self, under: Under, step: Step) -> None:
--- a/rainspindle/fronts/link/link.py
+++ b/rainspindle/fronts/link/link.py
@@ -5,6 +5,7 @@
 import logging
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from functools import partial
 
 from ...decisions.sites.intake import Intake
@@ -13,10 +14,10 @@
 from ...protocol.link.claims import Ledger
 from ...protocol.link.session import Asked, Came, Event, Leaving, Said, Session, Told, Up
 from ...protocol.link.session import Left as FarLeft
-from ...routing.core import Core, Final, Finished, Given, Left, Rejected
+from ...routing.core import Broke, Core, Final, Finished, Given, Left, Rejected
 from ...transport.address import Address, address_text
 from ...transport.connection import Broken, Connection, Late, OutOfSockets, open_connection
-from ...transport.loop import Coroutine, Loop
+from ...transport.loop import Coroutine, Loop, Task
 from .crossing import Counter, Line, Peer
 
 log = logging.getLogger("rainspindle.link")
@@ -30,15 +31,31 @@
 FULL_HOLD_OFF = 0.5  # seconds that a site with no room for foreign work asks to be left alone
 
 
+@dataclass(slots=True)
+class Foreign:
+    """An exchange that runs here for a peer."""
+
+    line: Line
+    task: Task
+    rerun: bool  # its sender gives it up with the connection
+    cancelled: bool = False
+
+    def cancel(self) -> None:
+        self.cancelled = True
+        self.task.wake()
+
+
 class Link:
     """All links of this gateway with other sites."""
 
     def __init__(self, loop: Loop, site: str, epoch: int, keys: Callable[[], Sequence[bytes]], core: Core,
-                 intake: Intake, type_names: tuple[str, ...], stall: float, dials: int,
-                 on_link: Callable[[str, bool], None]) -> None:
-        """`keys` are those valid now; `dials` connections are held to each peer that has an address."""
+                 intake: Intake, type_names: tuple[str, ...], reruns: Sequence[bool], stall: float,
+                 dials: int, on_link: Callable[[str, bool], None]) -> None:
+        """`keys` are those valid now; `reruns` says by traffic type whether an exchange may run again here
+        and
+        there; `dials` connections are held to each peer that has an address."""
         self.loop, self.site, self.epoch, self.keys = loop, site, epoch, keys
-        self.core, self.intake, self.type_names = core, intake, type_names
+        self.core, self.intake, self.type_names, self.reruns = core, intake, type_names, reruns
         self.stall, self.dials, self.on_link = stall, dials, on_link
         self.types = {name: n for n, name in enumerate(type_names)}
         self.counter = Counter()
@@ -47,8 +64,7 @@
         self.strangers: OrderedDict[Connection, None] = OrderedDict()
         self.lines: dict[Line, Connection] = {}
         self.ledgers: dict[str, Ledger] = {}
-        # running for a peer: whether it was cancelled
-        self.foreign: dict[tuple[str, int, int], list[bool]] = {}
+        self.foreign: dict[tuple[str, int, int], Foreign] = {}  # running for a peer
         self.kept: OrderedDict[tuple[str, int, int], tuple[float, f.Answer, bytes]] = OrderedDict()
         self.leaving = False
         self.taken_in = self.refused = self.faults = 0
@@ -171,6 +187,10 @@
             self.say_why(connection, fault)
         finally:
             del self.lines[line]
+            # Guards against further forwards for what its sender has given up, and had run at home.
+            for foreign in self.foreign.values():
+                if foreign.line is line and foreign.rerun:
+                    foreign.cancel()
             if peer is not None:
                 # What the kernel has taken may run, also where the next write broke.
                 peer.written(session.whole(written))
@@ -208,9 +228,9 @@
         elif isinstance(event, Said):
             peer.said(event.id, event.state)
         elif isinstance(event, FarLeft):
-            cancelled = self.foreign.get((peer.site, epoch, event.id))
-            if cancelled is not None:
-                cancelled[0] = True
+            foreign = self.foreign.get((peer.site, epoch, event.id))
+            if foreign is not None:
+                foreign.cancel()
         elif isinstance(event, Leaving):
             log.info("peer leaves", extra={"fields": {"peer": peer.site}})
         return peer
@@ -220,7 +240,7 @@
     def came(self, line: Line, peer: Peer, epoch: int, event: Came) -> None:
         now, head, ledger = self.loop.now(), event.open, self.ledgers[peer.site]
         kind = self.types.get(head.type_name)
-        why = "late" if event.expires_at <= now else "unknown_type" if kind is None else \
+        why = "late" if event.stale or event.expires_at <= now else "unknown_type" if kind is None else \
             "leaving" if self.leaving else ""
         if why or not self.intake.admit(now):
             # Written down as never to start, so that what is answered here is proof.
@@ -243,16 +263,18 @@
 
     def serve(self, line: Line, peer: Peer, epoch: int, id: int, given: Given) -> Coroutine[None]:
         name = peer.site, epoch, id
-        cancelled = self.foreign[name] = [False]
+        task = self.loop.current
+        assert task is not None
+        foreign = self.foreign[name] = Foreign(line, task, self.reruns[given.type_index])
         good = False
         try:
-            final: Final = yield from self.core.run(given, lambda: cancelled[0])
+            final: Final = yield from self.core.run(given, lambda: foreign.cancelled)
             good = isinstance(final, Finished | Left)
         finally:
             del self.foreign[name]
             self.intake.foreign_ended(self.loop.now(), good)
             self.ledgers[peer.site].done(epoch, id)
-        if isinstance(final, Left):
+        if isinstance(final, Left | Broke):
             line.session.theirs.discard(id)
             return
         body = final.payload.body if isinstance(final, Finished) else b""
--- /dev/null
+++ b/rainspindle/fronts/mysql/__init__.py
@@ -0,0 +1,1 @@
+"""The MySQL wire protocol towards clients, and towards database servers."""
--- a/rainspindle/lab/bench.py
+++ b/rainspindle/lab/bench.py
@@ -110,7 +110,8 @@
         # Another tree has no environment of its own: the libraries are this one's, so only the code differs.
         line = run_line()[0].replace(".venv/bin/python", shlex.quote(sys.executable))
         if self.gateway:
-            line = f"exec {shlex.quote(sys.executable)} -O -m rainspindle gateway --config {self.gateway_file()}"
+            line = (f"exec {shlex.quote(sys.executable)} -O -m rainspindle gateway "
+                    f"--config {self.gateway_file()}")
         log = (Path(self.folder.name) / "log").open("w")
         process = subprocess.Popen(["/bin/sh", "-c", line], cwd=tree, stdout=subprocess.DEVNULL, stderr=log,
                                    env={**os.environ, "RELAY_CONFIG": str(config), "PYTHONPATH": str(tree)},
--- /dev/null
+++ b/rainspindle/lab/mysql/__init__.py
@@ -0,0 +1,1 @@
+"""A stand-in database that speaks the MySQL wire protocol, and what is played against it."""
--- a/rainspindle/lab/virtual_sites.py
+++ b/rainspindle/lab/virtual_sites.py
@@ -15,7 +15,7 @@
 from ..decisions.sites.intake import Intake
 from ..decisions.sites.sites import Sites
 from ..fronts.link.link import Link
-from ..host import Outcome
+from ..host import Effect, Outcome
 from ..protocol.application import Ask
 from ..protocol.endpoint import Answered
 from ..protocol.settings import traffic_type
@@ -181,7 +181,8 @@
         self.router = SiteRouter(self.loop, core, self.sites, self.intake, types, False)
         self.link = VirtualLink(
             self.loop, own, int((now + 10) * 1000) + 1, lambda: (KEY,), core, self.intake,
-            tuple(t["name"] for t in settings["traffic-types"]), sites.stall, 1, self.linked)
+            tuple(t["name"] for t in settings["traffic-types"]),
+            [t.effect is Effect.RETRIABLE for t in types], sites.stall, 1, self.linked)
         self.link.node = self
         # The first of two dials, so that there is one set of connections between them.
         self.link.set_peers({p: ADDRESS if own < p else None for p in peers})
--- a/rainspindle/program/gateway.py
+++ b/rainspindle/program/gateway.py
@@ -10,6 +10,7 @@
 from ..decisions.sites.intake import Intake
 from ..decisions.sites.sites import Sites
 from ..fronts.link.link import Link
+from ..host import Effect
 from ..protocol.settings import traffic_type
 from ..routing.core import Taker
 from ..routing.sites import SiteRouter
@@ -44,7 +45,8 @@
         self.router = SiteRouter(self.loop, self.core, self.sites, self.intake, types, config.one_group)
         self.link = Link(
             self.loop, config.site, new_epoch(), lambda: self.gateway.keys, self.core, self.intake,
-            config.sidecar.settings.type_names, config.stall, config.connections,
+            config.sidecar.settings.type_names, [t.effect is Effect.RETRIABLE for t in types],
+            config.stall, config.connections,
             lambda site, up: self.sites.linked(self.loop.now(), site, up))
         self.link.set_peers(config.peers)
         self.router.peers.update(self.link.peers)
--- a/rainspindle/program/gateway_config.py
+++ b/rainspindle/program/gateway_config.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import difflib
-import tomllib
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -13,6 +11,7 @@
 
 from ..transport.address import Address, parse_address
 from .config import Config, ConfigFault, load
+from .tables import read_secret, read_toml, shape
 
 MOST_KEYS, LEAST_KEY = 2, 16  # keys that are valid at once; bytes of one
 
@@ -59,12 +58,7 @@
 
 def load_gateway(path: str, environment: Mapping[str, str]) -> GatewayConfig:
     """Raises ConfigFault, one line a fault."""
-    try:
-        raw = tomllib.loads(Path(path).read_text())
-    except OSError as fault:
-        raise ConfigFault(f"{path}: {fault.strerror}") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as fault:
-        raise ConfigFault(f"{path}: not TOML: {fault}") from None
+    raw = read_toml(path)
     faults = list(unfit(raw))
     keys: list[bytes] = []
     sidecar = None
@@ -73,7 +67,7 @@
         folder = Path(path).parent
         for name in file.gateway.keys:
             try:
-                keys.append(read_key(folder / name))
+                keys.append(read_secret(folder / name, LEAST_KEY))
             except ConfigFault as fault:
                 faults.append(f"gateway.keys: {fault}")
         try:
@@ -89,19 +83,6 @@
         file.intake.floor, sidecar)
 
 
-def read_key(path: Path) -> bytes:
-    """A key's file: its bytes, less blanks at the end. Others must not be able to read it."""
-    try:
-        mode, key = path.stat().st_mode, path.read_bytes().strip()
-    except OSError as fault:
-        raise ConfigFault(f"{path}: {fault.strerror}") from None
-    if mode & 0o077:
-        raise ConfigFault(f"{path}: others than its owner may read it (mode {mode & 0o777:o}); 600 is needed")
-    if len(key) < LEAST_KEY:
-        raise ConfigFault(f"{path}: {len(key)} bytes; {LEAST_KEY} are needed at least")
-    return key
-
-
 def unfit(raw: dict[str, Any]) -> Iterator[str]:
     """Every fault of form, then every fault between values that are well formed."""
     faults = list(shape(raw, File, ""))
@@ -131,32 +112,3 @@
             ("intake.floor", raw.get("intake", {}).get("floor", 16), 0, 4096)):
         if not low <= value <= high:
             yield f"{at}: is {value}; expected {low} to {high}"
-
-
-def shape(value: Any, model: Any, at: str) -> Iterator[str]:
-    """Faults of one table: unknown keys, what is missing, and values of the wrong type."""
-    if not isinstance(value, dict):
-        yield f"{at or 'the file'}: expected a table"
-        return
-    fields, before = {f.name: f for f in msgspec.structs.fields(model)}, f"{at}." if at else ""
-    for key in value:
-        if key not in fields:
-            near = difflib.get_close_matches(key, list(fields), 1)
-            yield f"{before}{key}: unknown key" + (f"; the nearest known is {near[0]!r}" if near else "")
-    for name, field in fields.items():
-        place = f"{before}{name}"
-        if name not in value:
-            if field.required:
-                yield f"{place}: missing"
-            continue
-        inner = getattr(field.type, "__args__", (None,))[0]
-        if isinstance(field.type, type) and issubclass(field.type, msgspec.Struct):
-            yield from shape(value[name], field.type, place)
-        elif isinstance(inner, type) and issubclass(inner, msgspec.Struct) and isinstance(value[name], list):
-            for n, one in enumerate(value[name]):
-                yield from shape(one, inner, f"{place}[{n}]")
-        else:
-            try:
-                msgspec.convert(value[name], field.type)
-            except msgspec.ValidationError as fault:
-                yield f"{place}: is {value[name]!r:.60}; {fault}"
--- a/rainspindle/program/main.py
+++ b/rainspindle/program/main.py
@@ -26,7 +26,11 @@
                                   epilog="Example: rainspindle gateway --config deploy/gateway.toml")
     gateway.add_argument("--config", metavar="FILE", required=True, help="the gateway's own file, TOML")
     gateway.add_argument("--check", action="store_true", help="read it and say whether it can be served")
-    for command in (serve, gateway):
+    mysql = commands.add_parser("mysql", help="serve clients of the MySQL wire protocol until SIGTERM",
+                                epilog="Example: rainspindle mysql --config deploy/mysql.toml")
+    mysql.add_argument("--config", metavar="FILE", required=True, help="the front's own file, TOML")
+    mysql.add_argument("--check", action="store_true", help="read it and say whether it can be served")
+    for command in (serve, gateway, mysql):
         command.add_argument("--log-level", default="info", choices=("debug", "info", "warning", "error"))
     commands.add_parser("version", help="print the version")
     if lab is None:
@@ -63,6 +67,8 @@
     try:
         if options.command == "gateway":
             return gateway(options)
+        if options.command == "mysql":
+            return mysql(options)
         config = load(options.config, os.environ)
         if options.command == "check":
             print(f"{config.name}: {len(config.known.lines)} endpoints known, "
@@ -93,3 +99,20 @@
     logs.set_up(options.log_level)
     Gateway(config, lambda: load_gateway(options.config, os.environ)).run()
     return 0
+
+
+def mysql(options: argparse.Namespace) -> int:
+    """Raises ConfigFault, also where its libraries are missing."""
+    try:
+        from .mysql import MysqlSidecar
+        from .mysql_config import load_mysql
+    except ImportError as fault:
+        raise ConfigFault(f"the MySQL front needs the libraries of requirements-mysql.txt: {fault}") from None
+    config = load_mysql(options.config, os.environ)
+    if options.check:
+        print(f"{config.listen[0]}:{config.listen[1]}: {len(config.users)} users, {len(config.rules)} rules, "
+              f"{len(config.sidecar.known.lines)} servers known")
+        return 0
+    logs.set_up(options.log_level)
+    MysqlSidecar(config, lambda: load_mysql(options.config, os.environ)).run()
+    return 0
--- a/rainspindle/program/serve.py
+++ b/rainspindle/program/serve.py
@@ -9,15 +9,16 @@
 import socket
 import time
 import traceback
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sized
+from typing import Protocol
 
 from .. import must
 from ..fronts.http1.back import HttpBack
 from ..fronts.http1.front import HttpFront
-from ..routing.core import Core, Directory, Taker
+from ..routing.core import Back, Core, Directory, Taker
 from ..routing.follow import Follower
 from ..transport.address import address_text
-from ..transport.connection import Listener
+from ..transport.connection import Connection, Listener
 from ..transport.loop import Coroutine, Loop
 from ..transport.pool import Pool
 from .config import Config, ConfigFault
@@ -61,6 +62,27 @@
                     self.came(number)
 
 
+class Front(Protocol):
+    """What a sidecar needs of its front."""
+
+    leaving: bool
+    closing: bool
+    ready_from: float
+    most_clients: int
+
+    @property
+    def clients(self) -> Sized: ...
+
+    def accepted(self, connection: Connection) -> None: ...
+
+    def make_room(self) -> bool: ...
+
+    def trim_clients(self) -> None: ...
+
+    def finish_clients(self) -> bool:
+        """On the way out: ends the connections with no request under way; whether none is left."""
+
+
 class Sidecar:
     def __init__(self, config: Config, load: Callable[[], Config]) -> None:
         """`load` reads the configuration again."""
@@ -73,9 +95,8 @@
                                  config.settings.ask_within, config.known)
         directory = Directory()
         self.core = Core(self.loop, config.facade(self.loop.now()), config.settings, directory,
-                         HttpBack(self.loop, self.pool, config.settings, directory), self.follower.want,
-                         self.each_tick)
-        self.front = HttpFront(self.loop, self.core, self.taker(), self.pool, clients)
+                         self.make_back(directory), self.follower.want, self.each_tick)
+        self.front: Front = self.make_front(clients)
         known = config.known
         if known.lines:
             self.core.list_changed(known.lines, known.addresses, whole=True, stale=True)
@@ -86,6 +107,12 @@
         self.signals.came = self.signalled
         self.asked = False
 
+    def make_back(self, directory: Directory) -> Back:
+        return HttpBack(self.loop, self.pool, self.config.settings, directory)
+
+    def make_front(self, most_clients: int) -> Front:
+        return HttpFront(self.loop, self.core, self.taker(), self.pool, most_clients)
+
     def taker(self) -> Taker:
         """What the front hands its exchanges to."""
         return self.core
--- a/rainspindle/protocol/link/frames.py
+++ b/rainspindle/protocol/link/frames.py
@@ -39,6 +39,7 @@
     site: str
     epoch: int  # drawn at the process's start: a restarted gateway is another
     nonce: bytes
+    stall: float = 1.0  # seconds without an answer to a ping after which this side gives a connection up
 
 
 class Proof(Frame, frozen=True):
--- a/rainspindle/protocol/link/session.py
+++ b/rainspindle/protocol/link/session.py
@@ -47,6 +47,7 @@
     open: f.Open
     body: bytes
     expires_at: float  # on our clock, never later than the sender has it
+    stale: bool  # so long on its way that its sender may have given it up, and have it run elsewhere
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,7 +137,7 @@
         self.last_theirs = 0
         self.credit, self.granted = LINK_CREDIT, LINK_CREDIT  # that we may still send; that the peer may
         self.owed = 0  # link credit of bodies that are whole or broken off, not yet given back
-        self.hello = f.Hello(f.VERSIONS, site, epoch, secrets.token_bytes(16))
+        self.hello = f.Hello(f.VERSIONS, site, epoch, secrets.token_bytes(16), stall)
         self.put(self.hello)
 
     # Writing.
@@ -151,13 +152,16 @@
         data, self.out = bytes(self.out), bytearray()
         return data
 
-    def ready(self) -> bool:
-        """Whether an exchange may be opened."""
+    def ready(self, now: float) -> bool:
+        """Whether an exchange may be opened. Not while a ping has waited for half of what a stall is: so
+        whatever
+        is opened is not given up for a stall before as long again has passed, and what has been on its way
+        for longer is not started there."""
         return self.up and not self.peer_leaving and not self.leaving and len(self.ours) < MOST_OPEN \
-            and self.waiting < MOST_WAITING
+            and self.waiting < MOST_WAITING and not (self.pinged and now - self.ping_sent > self.stall / 2)
 
     def open(self, frame: f.Open, body: bytes) -> None:
-        assert self.ready() and frame.size == len(body)
+        assert self.ready(frame.sent) and frame.size == len(body)
         self.ours.add(frame.id)
         self.put(frame)
         self.send_body(frame.id, False, body)
@@ -339,7 +343,7 @@
                 raise LinkFault("greeting_expected", type(frame).__name__)
             if not set(frame.versions) & set(f.VERSIONS):
                 raise LinkFault("version", ",".join(map(str, frame.versions[:8])))
-            if len(frame.nonce) != 16 or not frame.site or frame.epoch <= 0:
+            if len(frame.nonce) != 16 or not frame.site or frame.epoch <= 0 or not 0.1 <= frame.stall <= 100:
                 raise LinkFault("greeting_unfit")
             if frame.site == self.site or (self.expected and frame.site != self.expected):
                 raise LinkFault("site", frame.site[:100])
@@ -406,8 +410,10 @@
         else:
             offset = self.offset(now)
             # A peer whose clock was not measured lately is taken to be late: nothing of it starts.
-            expires = -math.inf if offset is None else body.head.sent + body.head.left + offset
-            events.append(Came(body.head, bytes(body.body), expires))
+            assert self.peer is not None
+            sent = -math.inf if offset is None else body.head.sent + offset
+            events.append(Came(body.head, bytes(body.body), sent + body.head.left,
+                               now - sent > self.peer.stall / 2))
         return True
 
     def credited(self, frame: f.Credit) -> None:
--- a/rainspindle/routing/core.py
+++ b/rainspindle/routing/core.py
@@ -23,7 +23,7 @@
 ANSWER_TIME, ANSWER_PART = 0.015, 0.05  # kept back before the expiry to write the answer, the smaller one
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Given:
     """An exchange as a front took it. `body` is between the front and the back of one protocol."""
 
@@ -35,7 +35,7 @@
     body: Any
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Finished:
     payload: Any  # of the back
 
@@ -58,7 +58,12 @@
     """The client has left: nothing is owed."""
 
 
-Final = Finished | Rejected | Terminated | Left
+@dataclass(frozen=True, slots=True)
+class Broke:
+    """A part of the answer has gone to the client and the rest will not: its connection is to be ended."""
+
+
+Final = Finished | Rejected | Terminated | Left | Broke
 
 
 class Taker(Protocol):
@@ -68,13 +73,14 @@
         """The final answer. `gone` tells whether the client has left; its task is woken when that changes."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Forwarded:
     """What came of one forward."""
 
     outcome: Outcome
     payload: Any = None  # of a served one
     lag: float = 0.0  # how long the answer lay unread
+    broke: bool = False  # after a part of its answer had gone to the client: nothing more can be done
 
 
 @dataclass(slots=True)
@@ -83,6 +89,7 @@
 
     addresses: dict[str, Address] = field(default_factory=dict)
     started: dict[str, float | None] = field(default_factory=dict)
+    draining: dict[str, float] = field(default_factory=dict)  # since when, of those that are told to drain
 
 
 class Back(Protocol):
@@ -173,10 +180,15 @@
                     and line.started != directory.started.get(line.id):
                 self.back.drop(line.id, before[line.id])
             directory.started[line.id] = line.started
+            if line.state is State.DRAINING:
+                directory.draining.setdefault(line.id, self.loop.now())
+            else:
+                directory.draining.pop(line.id, None)
         for id, address in before.items():
             if directory.addresses.get(id) != address:
                 self.back.drop(id, address)
         directory.started = {id: at for id, at in directory.started.items() if id in directory.addresses}
+        directory.draining = {id: at for id, at in directory.draining.items() if id in directory.addresses}
         self.back.keep_only(directory.addresses)
         self.apply(self.facade.list_changed(self.loop.now(), lines, whole, stale))
         self.listed = self.listed or bool(lines) or not stale
@@ -243,9 +255,9 @@
             held.out, held.called_off = None, False
             held.ran = held.ran or came.outcome not in NEVER_RAN
             self.apply(self.facade.report(
-                self.loop.now(), exchange, step.number, came.outcome, held.left, came.lag))
-            if held.left:
-                return Left()
+                self.loop.now(), exchange, step.number, came.outcome, held.left or came.broke, came.lag))
+            if held.left or came.broke:
+                return Left() if held.left else Broke()
             if came.outcome is Outcome.SERVED:
                 return Finished(came.payload)
         must(False, "an exchange is held with nothing sent")
--- a/rainspindle/routing/facade.py
+++ b/rainspindle/routing/facade.py
@@ -92,7 +92,7 @@
                lag: float = 0.0) -> Did:
         """How a forward ended, `lag` ago; `over` where the client has its answer or has left."""
         self.now = now
-        if outcome is Outcome.SERVED:
+        if outcome is Outcome.SERVED or over:
             self.sent.pop(exchange, None)
         self.balancer.forward_ended(now, exchange, number, over, outcome, lag)
         return self.taken()
--- a/tests/test_crossing.py
+++ b/tests/test_crossing.py
@@ -72,7 +72,7 @@
                 assert end is not None
                 self.loop.clock.at(self.loop.now() + 0.003, partial(end_now, end))
         elif self.manner == "late":
-            self.last = max(self.last, self.loop.now() + 2.0)
+            self.last = max(self.last, self.loop.now() + self.pair.late)
             super().deliver(data)
 
 
@@ -96,11 +96,11 @@
     """Two links in virtual time. The first connection is cut after so many bytes in one direction."""
 
     def __init__(self, there: float = math.inf, back: float = math.inf, manner: str = "reset",
-                 again: float = 0.05) -> None:
-        self.clock = Clock()
+                 again: float = 0.05, late: float = 2.0, rerun: bool = False) -> None:
+        self.clock, self.rerun = Clock(), rerun
         self.faults: list[BaseException] = []
         self.loop = VirtualLoop(self.clock, self.faults.append)
-        self.limits, self.manner, self.again = (there, back), manner, again
+        self.limits, self.manner, self.again, self.late = (there, back), manner, again, late
         self.runs: list[float] = []
         self.expires = math.inf
         self.way, self.joined, self.bytes = True, 0, [0, 0]
@@ -114,7 +114,7 @@
     def link(self, site: str, epoch: int) -> Joined:
         core: Any = self.far_core if site == "rabat" else Core(self)
         made = Joined(self.loop, site, epoch, lambda: KEYS, core, Intake(0.0, 0.9, 100, lambda line: None),
-                      ("submit",), 0.5, 1, lambda peer, up: None)
+                      ("submit",), (self.rerun,), 0.5, 1, lambda peer, up: None)
         made.pair = self
         return made
 
@@ -166,6 +166,7 @@
         if not may_rerun:
             assert len(self.runs) <= 1, "it ran twice"
         assert all(ran <= self.expires for ran in self.runs), "it began after its expiry"
+        assert all(ran <= at + 1e-9 for ran in self.runs), "it began after its final answer"
         if isinstance(final, Rejected) or (isinstance(final, Free) and final.never):
             assert not self.runs, "said never to have run, and ran"
         if isinstance(final, Finished):
@@ -204,7 +205,8 @@
     total, kinds = there if way == "there" else back, set()
     for at in range(total + 1):
         # After the cut the link is mended soon, or not before the expiry.
-        pair = Pair(**{way: at}, manner=manner, again=0.05 if at % 3 else 3.0)
+        cut_there, cut_back = (at, math.inf) if way == "there" else (math.inf, at)
+        pair = Pair(cut_there, cut_back, manner, again=0.05 if at % 3 else 3.0)
         final = pair.submit()
         kinds.add("free" if isinstance(final, Free) else type(final).__name__.lower())
     assert "finished" in kinds and kinds <= {"finished", "free", "rejected", "terminated"}
@@ -214,9 +216,12 @@
 
 def test_what_may_rerun_is_free_as_soon_as_its_connection_is_gone() -> None:
     there, _ = crossed(Pair())
-    for at in range(there // 2, there + 1, 5):
+    for at in range(0, there + 1, 5):
         final = Pair(there=at, manner="reset", again=3.0).submit(may_rerun=True)
         assert isinstance(final, Free | Finished)
+    for late in range(50, 80, 3):  # what was stalled comes after it was given up here, and not yet there
+        for at in range(0, there + 1, 23):
+            Pair(there=at, manner="late", again=3.0, late=late / 100).submit(may_rerun=True)
 
 
 def test_a_site_with_no_room_or_no_such_type_proves_that_nothing_ran() -> None:
@@ -229,6 +234,26 @@
     assert strange.submit() == Free(True, 0.0)
 
 
+def test_what_its_sender_has_given_up_with_the_connection_is_cancelled_there() -> None:
+    for rerun in (True, False):
+        pair = Pair(rerun=rerun)
+        pair.clock.env.run(until=0.0)
+
+        def cut(pair: Pair = pair) -> None:
+            assert pair.rabat.foreign  # it runs there
+            pair.cut()
+            for end in pair.ends:
+                end_now(end)
+        pair.again = 9.0
+        pair.clock.at(0.55, cut)
+        pair.clock.at(0.60, lambda pair=pair, rerun=rerun: check(pair, rerun))  # type: ignore[misc]
+        pair.submit(may_rerun=rerun)
+
+
+def check(pair: Pair, cancelled: bool) -> None:
+    assert bool(pair.rabat.foreign) != cancelled
+
+
 def test_far_rejections_and_terminations_come_back_as_such() -> None:
     for made, told in ((Terminated(), Terminated()), (Rejected(0.7, False), Free(True, 0.7)),
                        (Rejected(0.7, True), Rejected(0.7, True))):
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -193,6 +193,7 @@
     for of in (pair.a, pair.b):
         of.tick(pair.clock(of))
     pair.a.take()  # a's bytes are lost on the way: both sides notice, whichever way stalls
+    assert pair.a.ready(pair.now) and not pair.a.ready(pair.now + 0.6 * s.STALL)
     pair.carry(pair.b)
     pair.a.take()
     pair.now += s.STALL
@@ -213,6 +214,7 @@
         (event,) = [e for e in pair.events[pair.b] if isinstance(e, Came)]
         assert event.expires_at - pair.apart <= expires_here
         assert event.expires_at - pair.apart >= expires_here - 0.1
+        assert event.stale == (delay > s.STALL / 2)  # it may have been given up, and run elsewhere
     pair.now += s.CLOCK_AGE + 1  # not measured for long: nothing starts
     pair.opened(2)
     pair.carry(pair.a)
@@ -221,6 +223,7 @@
 
 def test_what_is_written_whole_is_known_to_the_byte() -> None:
     pair = up()
+    assert pair.a.ready(pair.now)
     before = pair.a.queued
     pair.opened(1, b"x" * 100)
     pair.opened(2, b"y" * f.MOST_BODY)  # its second half waits for credit
--- /dev/null
+++ b/tests/test_mysql_codec.py
@@ -0,0 +1,285 @@
+"""The MySQL codec by itself, statements by the rules, and the front's file; a small part of the fuzzing."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import random
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rainspindle.decisions.statements.digest import digest
+from rainspindle.decisions.statements.parse import parse
+from rainspindle.decisions.statements.statements import Rule, Statements
+from rainspindle.program.config import ConfigFault
+from rainspindle.program.mysql_config import load_mysql
+from rainspindle.protocol.mysql.messages import (
+    OURS,
+    AnswerReader,
+    Can,
+    Column,
+    Command,
+    Err,
+    Greeting,
+    Login,
+    Ok,
+    Prepared,
+    Status,
+    eof,
+)
+from rainspindle.protocol.mysql.wire import Cursor, Malformed, PacketReader, lenenc, lenenc_bytes, packets
+
+from .test_program import config
+
+LARGE = 0xFFFFFF
+
+
+@settings(max_examples=60, deadline=None, derandomize=True, database=None)
+@given(st.lists(st.binary(max_size=300), max_size=8), st.integers(0, 2**32))
+def test_packets_come_whole_however_they_are_cut(payloads: list[bytes], seed: int) -> None:
+    rng, data = random.Random(seed), b""
+    for sequence, payload in enumerate(payloads):
+        data += packets(payload, sequence)
+    reader, found = PacketReader(1 << 20), []
+    while data:
+        cut = rng.randrange(1, 20)
+        reader.receive(data[:cut])
+        data = data[cut:]
+        while (whole := reader.payload()) is not None:
+            found.append(whole)
+    assert found == payloads and not reader.begun
+
+
+@pytest.mark.parametrize("size", [LARGE - 1, LARGE, LARGE + 1, 2 * LARGE])
+def test_payloads_of_16_mib_and_more(size: int) -> None:
+    payload = b"x" * size
+    reader = PacketReader(64 << 20)
+    reader.receive(packets(payload, 3))
+    reader.restart(3)
+    assert reader.payload() == payload and reader.sequence == 3 + size // LARGE + 1
+    small = PacketReader(1 << 20)
+    small.receive(packets(payload, 0)[:100])
+    with pytest.raises(Malformed, match="at most"):
+        small.payload()
+
+
+def test_numbers_out_of_order_and_values_past_the_end_are_named() -> None:
+    reader = PacketReader(1000)
+    reader.receive(packets(b"x", 1))
+    with pytest.raises(Malformed, match="packet 1 where 0 was due"):
+        reader.payload()
+    for value in (0, 250, 251, 65535, 65536, 1 << 24, 1 << 40):
+        assert Cursor(lenenc(value)).lenenc() == value
+    for data in (b"", b"\xfc\x01", b"\xff", b"\xfb", b"\x05ab"):
+        with pytest.raises(Malformed):
+            Cursor(data).lenenc_bytes()
+
+
+def test_greetings_and_log_ins_go_both_ways() -> None:
+    greeting = Greeting("8.0.1", 77, bytes(range(1, 21)), OURS, "caching_sha2_password")
+    assert Greeting.decode(greeting.encode()) == greeting
+    for database in ("", "reg"):
+        login = Login(OURS, "anna", b"p" * 32, database)
+        found = Login.decode(login.encode())
+        assert (found.user, found.proof, found.database, found.plugin) == (
+            "anna",
+            b"p" * 32,
+            database,
+            login.plugin,
+        )
+    with pytest.raises(Malformed, match=r"before 4\.1"):
+        Login.decode(b"\0" * 40)
+    assert Err.decode(Err(1213, "40001", "again").encode()) == Err(1213, "40001", "again")
+
+
+SAMPLES = [
+    Greeting("8.0.1", 77, bytes(range(1, 21)), OURS, "x").encode(),
+    Login(OURS, "a", b"p", "d").encode(),
+    Ok(3, 7).encode(OURS),
+    Err(1, "HY000", "x").encode(),
+    Prepared(1, 2, 3).encode(),
+    lenenc(2),
+    Column("n").encode(),
+    eof(Status.AUTOCOMMIT),
+    lenenc_bytes(b"row"),
+    b"\xfe\0\0\2\0\0\0",
+]
+
+
+def fuzz(seed: int, count: int) -> None:
+    """Mutated packets: each is read, or is malformed; nothing else, and nothing grows."""
+    rng = random.Random(seed)
+    for _ in range(count):
+        data = bytearray(rng.choice(SAMPLES))
+        for _ in range(rng.randrange(4)):
+            if data and rng.random() < 0.7:
+                data[rng.randrange(len(data))] = rng.choice(
+                    (0, 1, 0xFB, 0xFC, 0xFD, 0xFE, 0xFF, rng.randrange(256))
+                )
+            elif rng.random() < 0.5:
+                del data[rng.randrange(len(data) + 1) :]
+            else:
+                data += rng.randbytes(rng.randrange(9))
+        for read in (Greeting.decode, Login.decode, Ok.decode, Err.decode, Prepared.decode):
+            with contextlib.suppress(Malformed):
+                read(bytes(data))
+        answer = AnswerReader(rng.choice((OURS, OURS & ~Can.DEPRECATE_EOF)), rng.choice(list(Command)))
+        with contextlib.suppress(Malformed):
+            for _ in range(6):
+                if answer.packet(rng.choice((bytes(data), rng.choice(SAMPLES)))):
+                    break
+
+
+def test_mutated_packets_are_read_or_malformed() -> None:
+    fuzz(11, 4000)
+
+
+def test_the_end_of_every_kind_of_answer_is_known() -> None:
+    def whole(can: Can, command: Command, *payloads: bytes) -> list[bool]:
+        answer = AnswerReader(can, command)
+        return [answer.packet(p) for p in payloads]
+
+    old, row, column = OURS & ~Can.DEPRECATE_EOF, lenenc_bytes(b"x"), Column("n").encode()
+    end = Ok().encode(OURS, 0xFE)
+    more = Ok(status=Status.MORE_RESULTS).encode(OURS, 0xFE)
+    assert whole(OURS, Command.QUERY, Ok().encode(OURS)) == [True]
+    assert whole(OURS, Command.QUERY, lenenc(1), column, row, end) == [False, False, False, True]
+    assert whole(old, Command.QUERY, lenenc(1), column, eof(Status(0)), row, eof(Status(0))) == [
+        False
+    ] * 4 + [True]
+    assert whole(OURS, Command.QUERY, lenenc(1), column, more, Ok().encode(OURS)) == [False] * 3 + [True]
+    assert whole(OURS, Command.QUERY, lenenc(1), column, row, Err(1, "HY000", "x").encode())[-1]
+    assert whole(OURS, Command.PREPARE, Prepared(1, 1, 2).encode(), column, column, column)[-2:] == [
+        False,
+        True,
+    ]
+    assert whole(old, Command.PREPARE, Prepared(1, 0, 1).encode(), column, eof(Status(0))) == [
+        False,
+        False,
+        True,
+    ]
+    with pytest.raises(Malformed, match="local file"):
+        whole(OURS, Command.QUERY, b"\xfbname")
+
+
+# Statements.
+
+
+RULES = (
+    Rule(0, frozenset(("select", "show")), frozenset(("candidates",)), "column:id"),
+    Rule(0, frozenset(("show",)), key="none"),
+    Rule(1, frozenset(("insert", "update")), key="parameter:0"),
+    Rule(0, frozenset(("select",)), key="hint"),
+)
+
+
+def test_rules_say_what_a_statement_is_and_where_its_key_is() -> None:
+    known = Statements(RULES, 2, [0, 1, 2], parse, most=3)
+
+    def meant(sql: str, *values: str) -> tuple[int, str | None]:
+        found = known.meaning(sql, "anna", "session 1", values)
+        return found.traffic_type, found.key
+
+    assert meant("SELECT * FROM candidates WHERE id = 'O''Neil' AND x > 3") == (0, "O'Neil")
+    assert meant("select * from Candidates where 7=`id`") == (0, "7")
+    assert meant("SELECT * FROM candidates WHERE id = 7 OR 1 = 1") == (0, "session 1")
+    assert meant("SELECT * FROM candidates JOIN secrets USING (id) WHERE id = 7 /* key=k9 */") == (0, "k9")
+    assert meant("SHOW TABLES") == (0, None)
+    assert meant("INSERT INTO exams (a) VALUES (?)", "v1") == (1, "v1")
+    assert meant("SELECT 1; DELETE FROM exams WHERE a = 1") == (2, "session 1")  # as its most binding part
+    for odd in (
+        "DELETE FROM exams",
+        "selct 1",
+        "SELECT 'open",
+        "SELECT 1 /*! + 1 */",
+        "x" * 300_000,
+        "",
+        "SELECT * FROM candidates WHERE id = 7 FOR UPDATE",
+    ):
+        assert meant(odd)[0] == 2 or "FOR UPDATE" in odd
+    assert len(known.cache) <= 3 and known.misses > 8
+    before = known.misses
+    assert meant("SELECT 5") == meant("SELECT   6 ") and known.misses <= before + 1
+
+
+@pytest.mark.parametrize(
+    ("sql", "leaves"),
+    [
+        ("SET @x = 1", {"unknown"}),
+        ("SELECT @x := 1", {"variable"}),
+        ("SELECT @x", {"variable"}),
+        ("CREATE TEMPORARY TABLE t (a INT)", {"temporary"}),
+        ("LOCK TABLES a WRITE", {"lock"}),
+        ("SELECT GET_LOCK('a', 1)", {"lock"}),
+        ("PREPARE s FROM 'x'", {"prepare"}),
+        ("CALL p()", {"unknown"}),
+        ("SET NAMES utf8mb4", {"set"}),
+        ("SET autocommit = 0", {"set", "autocommit"}),
+        ("SET autocommit=1", {"set"}),
+        ("SET GLOBAL x = 1", {"unknown"}),
+        ("USE reg", {"use"}),
+        ("SELECT LAST_INSERT_ID()", {"insert_id"}),
+        ("SELECT 1", set()),
+        ("BEGIN", set()),
+        ("SELECT 1 INTO OUTFILE 'x'", {"unknown"}),
+    ],
+)
+def test_what_a_statement_leaves_behind(sql: str, leaves: set[str]) -> None:
+    assert Statements((), 0, [0], parse).meaning(sql, "u", "s").leaves == leaves
+
+
+@settings(max_examples=300, deadline=None, derandomize=True, database=None)
+@given(st.text(alphabet="'\"`\\/*-#;? aSELECT1.0x@\n", max_size=60))
+def test_any_text_has_a_meaning_and_takes_bounded_time(text: str) -> None:
+    found = digest(text)
+    if found is not None:
+        assert "`" in found.text or ("'" not in found.text and '"' not in found.text)
+    assert Statements((), 0, [0], parse).meaning(text, "u", "s").traffic_type == 0
+
+
+# The file.
+
+
+def test_every_fault_of_the_file_is_named_at_once(tmp_path: Path) -> None:
+    (tmp_path / "platform.json").write_text(json.dumps(config()))
+    secret = tmp_path / "anna.password"
+    secret.write_text("x")
+    secret.chmod(0o600)
+    good = """
+        [mysql]
+        listen = "127.0.0.1:0"
+        platform = "platform.json"
+        default = "book"
+        [[users]]
+        name = "anna"
+        password = "anna.password"
+        [[rules]]
+        traffic_type = "look"
+        kinds = ["select"]
+        key = "column:id"
+        """
+    path = tmp_path / "mysql.toml"
+    path.write_text(good)
+    assert load_mysql(str(path), {}).rules == (Rule(0, frozenset(("select",)), frozenset(), "column:id"),)
+    path.write_text(
+        good.replace('"book"', '"look"')
+        .replace('"select"', '"selct"')
+        .replace("column:id", "column")
+        .replace("127.0.0.1:0", "here")
+        .replace('traffic_type = "look"', 'traffic_type = "lok"')
+    )
+    with pytest.raises(ConfigFault) as raised:
+        load_mysql(str(path), {})
+    assert [line.removeprefix(f"{path}: ").split(": ")[0] for line in str(raised.value).splitlines()] == [
+        "mysql.listen",
+        "rules[0].kinds",
+        "rules[0].key",
+        "rules[0].traffic_type",
+        "mysql.default",
+    ]
+    path.write_text(good.replace("most", "x").replace("[[users]]", "[[user]]"))
+    with pytest.raises(ConfigFault, match="user: unknown key; the nearest known is 'users'"):
+        load_mysql(str(path), {})
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -207,7 +207,7 @@
     for _ in range(20):
         intake.own_began(20.0)
     assert 15 <= intake.most() <= 20  # half of all under way, and no more
-    for n in range(60):
+    for n in range(300):
         intake.admit(20.0 + n * 0.1)
         intake.own_ended(20.0 + n * 0.1, False)
         intake.own_began(20.0 + n * 0.1)
