A binding exchange may be an endpoint's trial after 15 s in which no other was

A binding exchange was never an endpoint's trial, so with binding ones alone each server that was ever out stayed out for good.

Change: an endpoint due for its trial for 15 s takes a binding exchange as its trial.

--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -251,6 +251,7 @@
     QUEUE = 1.0  # exchanges that all sidecars together let wait at one endpoint
     DEPTH = 6  # endpoints in service that a key may be sent to, so that its work is saved where it is known
     CROWDED, CROWDED_OUT = 0.2, 0.5  # mean times, in parts of the promised time
+    LAST_TRIAL = 15.0  # seconds after which a binding exchange may be an endpoint's trial
     BACK_RAMP = 5.0  # seconds over which an endpoint's keys come back after a good trial
 
     def __init__(self, host: Host, seed: int, now: float, *, peers: int, zone: int, types: list[TrafficType],
@@ -528,7 +529,10 @@
             if e.line.state is not State.READY or not open_to(e):
                 continue
             if e.breaker:
-                if e.breaker.due and not further and x.type.effect is not Effect.BINDING:
+                # Guards against an endpoint out for good where none but binding exchanges come: one may try
+                # at last.
+                if e.breaker.due and not further and (x.type.effect is not Effect.BINDING
+                                                      or now - e.breaker.since > self.LAST_TRIAL):
                     return e, None, True
                 continue
             if not self.ramped(e, x.key, now) or drawn < self.crowding(
--- a/tests/test_cases.py
+++ b/tests/test_cases.py
@@ -215,6 +215,25 @@
     assert any(new.held[id].sent for id in range(60))
 
 
+def test_where_all_is_binding_an_endpoint_gets_its_trial_at_last() -> None:
+    fleet = Fleet([kind(Effect.BINDING)], [line(0), line(1)])  # both were out for good
+    for id in range(40):
+        held = fleet.arrive(id, key=f"k{id}")
+        if held.sent:
+            fleet.end(id, 0, Outcome.ERROR)
+        fleet.wait(0.1)
+    assert all(e.breaker for e in fleet.balancer.ready)
+    fleet.wait(10.0)
+    assert not fleet.arrive(100).sent
+    fleet.wait(6.0)
+    sent = [fleet.arrive(id, key=f"k{id}").sent for id in range(200, 206)]
+    assert sum(map(len, sent)) == 2  # one each
+    for id in range(200, 206):
+        if fleet.held[id].sent:
+            fleet.end(id, 0, Outcome.SERVED)
+    assert not any(e.breaker for e in fleet.balancer.ready)
+
+
 def test_a_keyless_exchange_leaves_no_entry() -> None:
     fleet = Fleet([kind()], [line(0)])
     for id in range(2):
