--- a/rainspindle/lab/mysql/trial.py
+++ b/rainspindle/lab/mysql/trial.py
@@ -84,9 +84,11 @@
 class Client(threading.Thread):
     """Statements one after another; each has one end."""
 
-    def __init__(self, ports: list[int], ids: list[int], pace: float, seed: int) -> None:
+    def __init__(self, ports: list[int], ids: list[int], pace: float, seed: int, reads: float) -> None:
+        """`reads` retriable statements come with each binding one."""
         super().__init__(daemon=True)
         self.ports, self.ids, self.pace, self.rng = ports, ids, pace, random.Random(seed)
+        self.reads, self.read_ends = reads, Counter[str]()
         self.ends: dict[int, str] = {}
         self.times: list[float] = []
         self.connection: Any = None
@@ -96,22 +98,24 @@
         for id in self.ids:
             time.sleep(max(0.0, due - time.monotonic()))
             due += self.rng.expovariate(1 / self.pace)
+            if self.rng.random() < self.reads:
+                self.read_ends[self.one(f"SELECT {id}")] += 1
             begun = time.monotonic()
             for _ in range(2):
-                self.ends[id] = self.one(id)
+                self.ends[id] = self.one(f"INSERT INTO exams (k) VALUES ('id{id}')")
                 if self.ends[id] != "rejected" or time.monotonic() - begun > PROMISED:
                     break
                 time.sleep(0.05)
             self.times.append(time.monotonic() - begun)
 
-    def one(self, id: int) -> str:
+    def one(self, sql: str) -> str:
         try:
             if self.connection is None:
                 self.connection = pymysql.connect(
                     host="127.0.0.1", port=self.rng.choice(self.ports), user=USER, password=PASSWORD,
                     autocommit=None, read_timeout=2 * EXPIRY, connect_timeout=2)
             with self.connection.cursor() as cursor:
-                cursor.execute(f"INSERT INTO exams (k) VALUES ('id{id}')")
+                cursor.execute(sql)
             return "finished"
         except pymysql.err.OperationalError as fault:
             code = fault.args[0]
@@ -124,7 +128,8 @@
             return "lost"
 
 
-def trial(statements: int, clients: int, seconds: float, seed: int, front: bool) -> dict[str, Any]:
+def trial(statements: int, clients: int, seconds: float, seed: int, reads: float, front: bool
+          ) -> dict[str, Any]:
     stands = subprocess.Popen([sys.executable, "-m", __spec__.name, "--databases", "--seed", str(seed),
                                "--seconds", str(seconds)], cwd=ROOT, stdin=subprocess.PIPE,
                               stdout=subprocess.PIPE, text=True)
@@ -141,7 +146,7 @@
             stands.stdin.write("{}\n")
             stands.stdin.flush()
             parts = [list(range(n, statements, clients)) for n in range(clients)]
-            threads = [Client(targets, part, seconds / max(len(part), 1), seed * 1000 + n)
+            threads = [Client(targets, part, seconds / max(len(part), 1), seed * 1000 + n, reads)
                        for n, part in enumerate(parts)]
             for thread in threads:
                 thread.start()
@@ -158,6 +163,7 @@
     finished = np.array([end == "finished" for thread in threads for end in thread.ends.values()])
     return {
         "statements": len(ends), "ends": dict(Counter(ends.values())),
+        "reads": dict(sum((thread.read_ends for thread in threads), Counter[str]())),
         "in_time": float((finished & (times <= PROMISED)).mean()),
         "ran_twice": sum(count > 1 for count in ran.values()),
         "rejected_and_ran": sum(ends[id] == "rejected" for id in ran),
@@ -170,8 +176,8 @@
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
         port = int(sock.getsockname()[1])
-    types = [{"name": "submit", "effect": "non_idempotent", "promised-time": PROMISED * 1000,
-              "expiry": EXPIRY * 1000}]
+    types = [{"name": name, "effect": effect, "promised-time": PROMISED * 1000, "expiry": EXPIRY * 1000}
+             for name, effect in (("submit", "non_idempotent"), ("read", "read_like"))]
     known = [{"instanceId": f"e{n}", "hostPort": f"127.0.0.1:{p}", "zone": "a", "cell": 0, "weight": 1.0,
               "lifecycle": "SERVING", "startedAtMs": 0} for n, p in enumerate(ports)]
     (folder / "platform.json").write_text(json.dumps({
@@ -191,7 +197,8 @@
     (folder / "mysql.toml").write_text(
         f'[mysql]\nlisten = "127.0.0.1:{port}"\nplatform = "platform.json"\ndefault = "submit"\n'
         '[[users]]\nname = "anna"\npassword = "anna.password"\n'
-        '[[rules]]\nkinds = ["insert"]\ntraffic_type = "submit"\nkey = "column:k"\n')
+        '[[rules]]\nkinds = ["insert"]\ntraffic_type = "submit"\nkey = "column:k"\n'
+        '[[rules]]\nkinds = ["select"]\ntraffic_type = "read"\nkey = "none"\n')
     process = subprocess.Popen([sys.executable, "-O", "-m", "rainspindle", "mysql", "--config",
                                 str(folder / "mysql.toml"), "--log-level", "error"], cwd=ROOT)
     until = time.monotonic() + 20
@@ -212,13 +219,14 @@
     parser.add_argument("--clients", type=int, default=16)
     parser.add_argument("--seconds", type=float, default=80.0)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--reads", type=float, default=0.5, help="retriable statements for each binding one")
     parser.add_argument("--json", action="store_true")
     parser.add_argument("--databases", action="store_true", help=argparse.SUPPRESS)
     o = parser.parse_args()
     if o.databases:
         databases(o.seed, o.seconds)
         return 0
-    found = {name: trial(o.statements, o.clients, o.seconds, o.seed, front)
+    found = {name: trial(o.statements, o.clients, o.seconds, o.seed, o.reads, front)
              for name, front in (("front", True), ("random server", False))}
     if o.json:
         print(json.dumps(found))
--- a/rainspindle/routing/core.py
+++ b/rainspindle/routing/core.py
@@ -205,26 +205,13 @@
         return min(came + wait - min(ANSWER_TIME, ANSWER_PART * wait), self.last_answer)
 
     def run(self, given: Given, gone: Callable[[], bool]) -> Coroutine[Final]:
+        """Does the steps that the module decides, until there is a final answer."""
         task = self.loop.current
         assert task is not None
         self.taken += 1
         exchange = self.taken
         held = self.held[exchange] = Held(task)
-        try:
-            self.apply(self.facade.pick(self.loop.now(), exchange, given.type_index, given.key, given.hint,
-                                        given.expires_at, given.repeat))
-            return (yield from self.follow(given, exchange, held, gone))
-        except Exception as fault:  # a defect: the client still gets its one answer, the module forgets it
-            self.loop.on_fault(fault)
-            self.apply(self.facade.left(self.loop.now(), exchange))
-            if held.out is not None:
-                self.facade.report(self.loop.now(), exchange, held.out, Outcome.CALLED_OFF, over=True)
-            return Terminated()
-        finally:
-            del self.held[exchange]
 
-    def follow(self, given: Given, exchange: int, held: Held, gone: Callable[[], bool]) -> Coroutine[Final]:
-        """Does the steps that the module decides, until there is a final answer."""
         def left() -> bool:
             if not held.left and gone():
                 held.left = True
@@ -238,27 +225,38 @@
             left()
             return held.called_off
 
-        while held.steps:
-            step = held.steps.popleft()
-            must(not held.steps, "one step at a time for an exchange")
-            if isinstance(step, Reject):
-                return Rejected(step.hold_off, held.ran)
-            if isinstance(step, Terminate):
-                return Terminated()
-            held.out = step.number
-            address = self.directory.addresses.get(step.endpoint)
-            if address is None:
-                came = Forwarded(Outcome.UNSENT)
-            else:
-                until = min(self.loop.now() + step.patience, given.expires_at)
-                came = yield from self.back.forward(given, step.endpoint, address, until, before, after)
-            held.out, held.called_off = None, False
-            held.ran = held.ran or came.outcome not in NEVER_RAN
-            self.apply(self.facade.report(
-                self.loop.now(), exchange, step.number, came.outcome, held.left or came.broke, came.lag))
-            if held.left or came.broke:
-                return Left() if held.left else Broke()
-            if came.outcome is Outcome.SERVED:
-                return Finished(came.payload)
-        must(False, "an exchange is held with nothing sent")
-        return Terminated()
+        try:
+            self.apply(self.facade.pick(self.loop.now(), exchange, given.type_index, given.key, given.hint,
+                                        given.expires_at, given.repeat))
+            while held.steps:
+                step = held.steps.popleft()
+                must(not held.steps, "one step at a time for an exchange")
+                if isinstance(step, Reject):
+                    return Rejected(step.hold_off, held.ran)
+                if isinstance(step, Terminate):
+                    return Terminated()
+                held.out = step.number
+                address = self.directory.addresses.get(step.endpoint)
+                if address is None:
+                    came = Forwarded(Outcome.UNSENT)
+                else:
+                    until = min(self.loop.now() + step.patience, given.expires_at)
+                    came = yield from self.back.forward(given, step.endpoint, address, until, before, after)
+                held.out, held.called_off = None, False
+                held.ran = held.ran or came.outcome not in NEVER_RAN
+                self.apply(self.facade.report(
+                    self.loop.now(), exchange, step.number, came.outcome, held.left or came.broke, came.lag))
+                if held.left or came.broke:
+                    return Left() if held.left else Broke()
+                if came.outcome is Outcome.SERVED:
+                    return Finished(came.payload)
+            must(False, "an exchange is held with nothing sent")
+            return Terminated()
+        except Exception as fault:  # a defect: the client still gets its one answer, the module forgets it
+            self.loop.on_fault(fault)
+            self.apply(self.facade.left(self.loop.now(), exchange))
+            if held.out is not None:
+                self.facade.report(self.loop.now(), exchange, held.out, Outcome.CALLED_OFF, over=True)
+            return Terminated()
+        finally:
+            del self.held[exchange]
