--- a/rainspindle/host.py
+++ b/rainspindle/host.py
@@ -63,6 +63,7 @@
     share: float
     state: State
     started: float | None
+    kind: int = 0  # of machine, by number
 
 
 class Host(Protocol):
@@ -87,4 +88,7 @@
 
     def close_idle(self, endpoint: str) -> None: ...
 
+    def tell(self, payload: str) -> None:
+        """A message of 256 bytes at most to all other sidecars, where that is allowed; it may be lost."""
+
     def log(self, line: str) -> None: ...
--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -9,6 +9,7 @@
 
 import math
 import zlib
+from base64 import b64encode
 from collections import deque
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field, replace
@@ -168,6 +169,73 @@
         return int(room / parts + chance), self.window / parts
 
 
+class Grade:
+    """The times of one kind of endpoint, by how many exchanges it held when one came."""
+
+    MOST, ENOUGH, SLOWER, STEP = 32, 8.0, 0.3, 0.15
+
+    def __init__(self) -> None:
+        self.sums, self.counts = [0.0] * self.MOST, [0.0] * self.MOST
+        self.free, self.time = 1, 0.0  # held with no harm to one another; the usual time among so many
+
+    def add(self, held: int, seconds: float) -> None:
+        held = min(held, self.MOST - 1)
+        self.sums[held] += math.log(max(seconds, 1e-4))
+        self.counts[held] += 1
+
+    def learn(self) -> bool:
+        """At each sweep; whether the time has changed by so much that ranks are made anew."""
+        total, count, free = 0.0, 0.0, 0
+        for sums, counts in zip(self.sums, self.counts, strict=True):
+            if counts < self.ENOUGH or (count and sums / counts - total / count > self.SLOWER):
+                break
+            total, count, free = total + sums, count + counts, free + 1
+        self.free = max(free, 1)
+        self.sums, self.counts = [s * 0.95 for s in self.sums], [c * 0.95 for c in self.counts]
+        time = math.exp(total / count) if count >= 2 * self.ENOUGH else self.time
+        if abs(time - self.time) > self.STEP * self.time:
+            self.time = time
+            return True
+        return False
+
+
+class Peers:
+    """What the other sidecars last told: how many of their exchanges each endpoint holds.
+
+    Guards against a load that no sidecar of a pool sees by its own exchanges. May hurt where word is old."""
+
+    LASTS, MOST = 0.5, 55
+
+    def __init__(self) -> None:
+        self.held: dict[str, int] = {}  # by endpoint's mark
+        self.total = 0
+        self.by: dict[str, tuple[float, dict[str, int]]] = {}
+
+    def told(self, now: float, who: str, payload: str) -> None:
+        self.drop(who)
+        counts = {payload[n:n + 3]: ord(payload[n + 3]) - 33 for n in range(0, len(payload) - 3, 4)}
+        self.by[who] = now, counts
+        self.add(counts, 1)
+
+    def drop(self, who: str) -> None:
+        if who in self.by:
+            self.add(self.by.pop(who)[1], -1)
+
+    def add(self, counts: dict[str, int], sign: int) -> None:
+        for mark, count in counts.items():
+            self.held[mark] = self.held.get(mark, 0) + sign * count
+            self.total += sign * count
+
+    def sweep(self, now: float) -> None:
+        for who in [who for who, (at, _) in self.by.items() if now - at > self.LASTS]:
+            self.drop(who)
+        self.held = {mark: count for mark, count in self.held.items() if count}
+
+    def word(self, endpoints: Collection[Endpoint]) -> str:
+        most = sorted((e for e in endpoints if e.out), key=lambda e: -len(e.out))[:self.MOST]
+        return "".join(e.mark + chr(33 + min(len(e.out), 93)) for e in most)
+
+
 class ForwardBudget:
     """Forwards beyond each exchange's first: in any window so many, and a share of the exchanges taken."""
 
@@ -225,6 +293,7 @@
     trial: Breaker | None
     endpoint_trial: bool
     writing: bool = False  # its body is still coming: the endpoint has not begun
+    held: int = 0  # what the endpoint held when it was sent
     overdue: bool = False
     lost: bool = False
     flowing: bool = False
@@ -242,6 +311,7 @@
 
     def __init__(self, line: Listed, may_wait: float) -> None:
         self.id, self.may_wait = line.id, may_wait
+        self.mark = b64encode(zlib.crc32(line.id.encode()).to_bytes(4, "big"))[:3].decode()
         self.out: dict[tuple[int, int], Forward] = {}  # these still end after a restart
         self.reset(line)
 
@@ -300,12 +370,13 @@
     LATEST, LATEST_SPAN, LATEST_AGE = 12, 0.5, 2.5  # forwards and seconds by which present waits are known
     LEARN, UNLEARN = 0.2, 0.02  # parts by which the rate of warm endpoints rises and falls at a sweep
     LAST_TRIAL, BACK_WAIT = 15.0, 1.0  # seconds until a binding one may be a trial, or first at one put back
+    FASTER = 1.0
     BACK_RAMP = 5.0  # seconds over which an endpoint's keys come back after a good trial
 
     def __init__(self, host: Host, seed: int, now: float, *, peers: int, zone: int, types: list[TrafficType],
                  max_forwards: int, parallel: bool, may_call_off: bool, max_hold_off: float,
                  asks_list: bool, ask_within: float, use_shares: bool, cross_price: float,
-                 budget: ColdBudget, further: ForwardBudget | None = None) -> None:
+                 budget: ColdBudget, further: ForwardBudget | None = None, tells: bool = False) -> None:
         self.host, self.seed, self.zone, self.types = host, seed, zone, types
         self.max_forwards, self.parallel, self.may_call_off = max_forwards, parallel, may_call_off
         self.peers, self.max_hold_off, self.ask_within = max(peers, 1), max_hold_off, ask_within
@@ -330,6 +401,7 @@
         self.newcomers = self.lost = False  # many endpoints are cold; its own zone answers next to nothing
         self.counts: dict[str, float] = {}  # exchanges by key, halved now and then
         self.swept, self.sweeps = now, 0
+        self.tells, self.pool, self.grades = tells, Peers(), dict[int, Grade]()
         if asks_list:
             host.watch_list()
         host.wake(self.TICK, "tick")
@@ -368,8 +440,10 @@
         # Guards against growth: the ids of endpoints are ever new. One with something out still ends it.
         self.endpoints = {e.id: e for e in self.endpoints.values() if e.out or e.line.state is not State.GONE}
         self.touched = {e: None for e in self.touched if e.id in self.endpoints}
-        self.ready = [e for _, e in sorted(self.endpoints.items()) if e.line.state is State.READY]
-        self.ranks.clear()
+        ready = [e for _, e in sorted(self.endpoints.items()) if e.line.state is State.READY]
+        if ready != self.ready or self.use_shares:
+            self.ready = ready
+            self.ranks.clear()
 
     def disable(self, now: float, id: str) -> None:
         """The staff take an endpoint out: it gets nothing, whatever a list tells, until `enable`."""
@@ -401,6 +475,16 @@
             self.host.log("list lost: asking again")
         self.host.wake(min(0.25 * 2**self.list_failures, self.ask_within / 4) * (0.5 + self.chance()), "list")
 
+    def peer_told(self, now: float, who: str, payload: str) -> None:
+        self.pool.told(now, who, payload)
+
+    def held(self, e: Endpoint) -> int:
+        """What an endpoint holds: its own forwards here, and those of the other sidecars as last told."""
+        return len(e.out) + self.pool.held.get(e.mark, 0)
+
+    def grade(self, e: Endpoint) -> Grade:
+        return self.grades.get(e.line.kind) or self.grades.setdefault(e.line.kind, Grade())
+
     # Exchanges.
 
     def exchange_arrived(self, now: float, id: int, type_index: int, key: str | None, hint: float | None,
@@ -553,7 +637,7 @@
                 self.further.sent.append(now)
         if self.cold_age(endpoint, now) is not None:
             endpoint.cold_left -= 1
-        forward = Forward(x, x.forwards, endpoint, now, trial, endpoint_trial, x.coming)
+        forward = Forward(x, x.forwards, endpoint, now, trial, endpoint_trial, x.coming, self.held(endpoint))
         self.forwards[x.id, x.forwards], endpoint.sent_at = forward, now
         self.touched[endpoint] = None
         if not x.coming:
@@ -604,6 +688,8 @@
             def distance(e: Endpoint) -> float:
                 word = blake2b(f"{key}|{e.id}".encode(), digest_size=8).digest()
                 weight = e.line.share if self.use_shares and e.line.share > 0 else 1.0
+                if self.tells and (time := self.grade(e).time):
+                    weight = time ** -self.FASTER
                 weight *= self.local_boost if e.line.zone == self.zone else 1.0
                 return -math.log((int.from_bytes(word, "big") + 1) / 2**64) / weight
             ranked = self.ranks[key] = sorted(self.ready, key=distance)
@@ -627,7 +713,9 @@
 
     def room(self, e: Endpoint, mean: float, now: float) -> bool:
         """Below the design's skip line, below its window, and within the budget if cold."""
-        if len(e.out) > self.SKIP_FACTOR * mean + self.SKIP_PLUS or len(e.out) >= e.window:
+        held = self.held(e)
+        plus = self.grade(e).free - 1 if self.tells else self.SKIP_PLUS
+        if held > self.SKIP_FACTOR * mean + plus or len(e.out) >= e.window:
             return False
         age = self.cold_age(e, now)
         if age is not None and now >= e.cold_until:
@@ -640,7 +728,7 @@
     def pick(self, x: Exchange, now: float, within: Callable[[Endpoint], bool] | None
              ) -> tuple[Endpoint, Breaker | None, bool] | None:
         ranked, further = self.rank(x.key), bool(x.forwards)
-        mean = len(self.forwards) / len(ranked) if ranked else 0.0
+        mean = (len(self.forwards) + self.pool.total) / len(ranked) if ranked else 0.0
         entry = self.table.entries.get(x.key)
         if entry and entry.current.line.state is not State.READY:
             del self.table.entries[x.key]  # step 4: the entry drops when its endpoint is unready
@@ -710,6 +798,7 @@
         for at in (endpoint, self) if x.hint else ():  # by weight: short work tells of waits, not pace
             at.pace.add(latency / x.hint, x.hint / 0.1)
         self.measure(endpoint, latency, x.hint)
+        self.grade(endpoint).add(forward.held, latency)
         endpoint.answered(now, forward.sent, endpoint.calm or self.calm or promised, promised)
         if forward.trial and self.table.entries.get(x.key) is forward.trial:
             del self.table.entries[x.key]
@@ -818,6 +907,8 @@
                     and (now - forward.sent) * self.able(e, now) >= overdue:
                 forward.overdue = True
                 self.judge(e, True, now, "silent")
+        if self.tells:
+            self.host.tell(self.pool.word(self.touched))
         self.jams = {zone: self.jammed(zone, latest, now) for zone, latest in self.latest.items()}
         if now - self.swept >= self.SWEEP:
             self.sweep(now)
@@ -831,6 +922,11 @@
             rate = sum(e.answers for e in warm) / (now - self.swept) / len(warm)
             part = self.LEARN if rate > self.warm_rate else self.UNLEARN
             self.warm_rate += part * (rate - self.warm_rate)
+        self.pool.sweep(now)
+        if any([g.learn() for g in self.grades.values()]) and self.tells:
+            self.ranks.clear()
+            if self.sweeps % 5 == 0:
+                self.host.log("grades " + ", ".join(f"{n}: {g.free} {g.time:.3f}" for n, g in sorted(self.grades.items())))
         self.table.sweep(now)
         self.usual, self.slow = self.latency.quantile(0.5), self.latency.quantile(0.9)
         if self.latency.total >= 8:
--- a/rainspindle/simhost/adapter.py
+++ b/rainspindle/simhost/adapter.py
@@ -61,6 +61,9 @@
     def close_idle(self, endpoint: str) -> None:
         self.act("ShutIdle", endpoint=endpoint)
 
+    def tell(self, payload: str) -> None:
+        self.act("Share", target="all", payload=payload)
+
     def log(self, line: str) -> None:
         self.act("Log", **{"reason-text": line})
 
@@ -128,8 +131,10 @@
                 instance.answer_started(now, m["corr"], m["try"], m["duration"] / 1000)
             case "CrashNow":
                 del self.instances[id]
-            case "Memo" | "ProbeResult":
-                pass  # instances share nothing, and send no probes: the trials are real exchanges
+            case "Memo":
+                instance.peer_told(now, str(m["who"]), m["payload"])
+            case "ProbeResult":
+                pass  # none are sent: the trials are real exchanges
             case _:
                 raise Fault(f"an unknown message name {name!r}")
 
@@ -139,7 +144,7 @@
     share = entry.get("share")
     return Listed(entry["endpoint"], entry.get("block") or 0, entry.get("locality") or 0,
                   1.0 if share is None else share, STATES[entry["mode"]],
-                  started / 1000 if started else None)
+                  started / 1000 if started else None, entry.get("model") or 0)
 
 
 def serve(source: BinaryIO, sink: BinaryIO) -> int:
