--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -176,6 +176,7 @@
 
     def __init__(self) -> None:
         self.sums, self.counts = [0.0] * self.MOST, [0.0] * self.MOST
+        self.calm = 0.0
         self.free, self.time = 1, 0.0  # held with no harm to one another; the usual time among so many
 
     def add(self, held: int, seconds: float) -> None:
@@ -183,16 +184,19 @@
         self.sums[held] += math.log(max(seconds, 1e-4))
         self.counts[held] += 1
 
+    def at(self, held: int) -> float:
+        """The usual time where so many are held before."""
+        return self.time * max(1.0, (held + 1) / self.free)
+
     def learn(self) -> bool:
         """At each sweep; whether the time has changed by so much that ranks are made anew."""
-        total, count, free = 0.0, 0.0, 0
-        for sums, counts in zip(self.sums, self.counts, strict=True):
-            if counts < self.ENOUGH or (count and sums / counts - total / count > self.SLOWER):
-                break
-            total, count, free = total + sums, count + counts, free + 1
-        self.free = max(free, 1)
+        times = [s / c if c >= self.ENOUGH else math.inf for s, c in zip(self.sums, self.counts, strict=True)]
+        alone = min(times)
+        if alone < math.inf:
+            self.calm = min(self.calm + 0.01, alone) if self.calm else alone
+            self.free = 1 + max((h for h, t in enumerate(times) if t < self.calm + self.SLOWER), default=0)
         self.sums, self.counts = [s * 0.95 for s in self.sums], [c * 0.95 for c in self.counts]
-        time = math.exp(total / count) if count >= 2 * self.ENOUGH else self.time
+        time = math.exp(self.calm) if self.calm else 0.0
         if abs(time - self.time) > self.STEP * self.time:
             self.time = time
             return True
@@ -204,7 +208,7 @@
 
     Guards against a load that no sidecar of a pool sees by its own exchanges. May hurt where word is old."""
 
-    LASTS, MOST = 0.5, 55
+    LASTS, MOST = 0.5, 85
 
     def __init__(self) -> None:
         self.held: dict[str, int] = {}  # by endpoint's mark
@@ -213,7 +217,9 @@
 
     def told(self, now: float, who: str, payload: str) -> None:
         self.drop(who)
-        counts = {payload[n:n + 3]: ord(payload[n + 3]) - 33 for n in range(0, len(payload) - 3, 4)}
+        counts: dict[str, int] = {}
+        for n in range(0, len(payload) - 2, 3):
+            counts[payload[n:n + 3]] = counts.get(payload[n:n + 3], 0) + 1
         self.by[who] = now, counts
         self.add(counts, 1)
 
@@ -232,8 +238,7 @@
         self.held = {mark: count for mark, count in self.held.items() if count}
 
     def word(self, endpoints: Collection[Endpoint]) -> str:
-        most = sorted((e for e in endpoints if e.out), key=lambda e: -len(e.out))[:self.MOST]
-        return "".join(e.mark + chr(33 + min(len(e.out), 93)) for e in most)
+        return "".join(e.mark * len(e.out) for e in endpoints if e.out)[:3 * self.MOST]
 
 
 class ForwardBudget:
@@ -370,13 +375,14 @@
     LATEST, LATEST_SPAN, LATEST_AGE = 12, 0.5, 2.5  # forwards and seconds by which present waits are known
     LEARN, UNLEARN = 0.2, 0.02  # parts by which the rate of warm endpoints rises and falls at a sweep
     LAST_TRIAL, BACK_WAIT = 15.0, 1.0  # seconds until a binding one may be a trial, or first at one put back
-    FASTER = 1.0
+    FASTER, TELL, POOLED = 1.0, 0.03, 0.5
+    TELL_COST = 0.003
     BACK_RAMP = 5.0  # seconds over which an endpoint's keys come back after a good trial
 
     def __init__(self, host: Host, seed: int, now: float, *, peers: int, zone: int, types: list[TrafficType],
                  max_forwards: int, parallel: bool, may_call_off: bool, max_hold_off: float,
                  asks_list: bool, ask_within: float, use_shares: bool, cross_price: float,
-                 budget: ColdBudget, further: ForwardBudget | None = None, tells: bool = False) -> None:
+                 budget: ColdBudget, further: ForwardBudget | None = None, tells: bool = False, peer_price: float = 0.0) -> None:
         self.host, self.seed, self.zone, self.types = host, seed, zone, types
         self.max_forwards, self.parallel, self.may_call_off = max_forwards, parallel, may_call_off
         self.peers, self.max_hold_off, self.ask_within = max(peers, 1), max_hold_off, ask_within
@@ -401,15 +407,25 @@
         self.newcomers = self.lost = False  # many endpoints are cold; its own zone answers next to nothing
         self.counts: dict[str, float] = {}  # exchanges by key, halved now and then
         self.swept, self.sweeps = now, 0
+        self.worths: dict[float, float] = {}
         self.tells, self.pool, self.grades = tells, Peers(), dict[int, Grade]()
         if asks_list:
             host.watch_list()
         host.wake(self.TICK, "tick")
+        self.word, self.told_at, self.rate, self.came, self.peer_price = "", now, 0.0, 0, peer_price
+        if tells:
+            host.wake(self.TELL, "tell")
 
     def chance(self) -> float:
         self.draws += 1
         return zlib.crc32(b"%d:%d" % (self.seed, self.draws)) / 2**32
 
+    def place(self, worth: float) -> float:
+        """Where an exchange stands among the latest by its worth, 0 to 1: the least are turned away first."""
+        self.worths[worth] = self.worths.get(worth, 0.0) + 1
+        below = sum(count for other, count in self.worths.items() if other < worth)
+        return (below + self.chance() * self.worths[worth]) / sum(self.worths.values())
+
     # The list.
 
     def list_changed(self, now: float, lines: Collection[Listed], whole: bool, stale: bool) -> None:
@@ -494,11 +510,12 @@
         promised = min(kind.promised_time + kind.stretch * (hint or 0.0), kind.expiry)
         x = self.exchanges[id] = Exchange(
             id, kind, key or f"{self.chance()}", hint or 0.0, now + promised, expires_at, repeat, bool(key),
-            coming, drawn=self.chance(), groups=(("type", type_index), ("tenant", tenant or 0)))
+            coming, drawn=self.place(kind.value), groups=(("type", type_index), ("tenant", tenant or 0)))
         if self.further:
             self.further.taken.append(now)
         self.counts[x.key] = self.counts.get(x.key, 0.0) + 1
         self.counted += 1
+        self.came += 1
         if self.counted >= self.COUNTED:
             self.counts, self.counted = {k: n / 2 for k, n in self.counts.items() if n > 1}, self.counted / 2
         too_slow = (self.group_is_slow(x) and x.drawn < self.SLOW_TURNED) or self.is_too_long(x)
@@ -525,12 +542,13 @@
         first = int(self.chance() * share * len(ranked) / self.SKIP_FACTOR)
         return ranked[first:] + ranked[:first]
 
-    def crowding(self, times: float, promised: float) -> float:
+    def crowding(self, times: float, promised: float, calm: float = 0.0) -> float:
         """The chance with which an exchange is turned away: none while times are short, or not yet swept.
 
         Guards against queues that many sidecars make with one forward each, which none of them sees."""
-        chance = (times / promised - self.CROWDED) / (self.CROWDED_OUT - self.CROWDED)
-        return min(chance, self.MOST_TURNED) if self.sweeps else 0.0
+        part = self.POOLED if self.tells else 1.0
+        least, most = max(self.CROWDED * promised * part, 1.5 * calm), max(self.CROWDED_OUT * promised * part, 3 * calm)
+        return min((times - least) / (most - least), self.MOST_TURNED) if self.sweeps else 0.0
 
     def body_spent(self, now: float, id: int) -> None:
         if x := self.exchanges.get(id):
@@ -755,7 +773,7 @@
         usual, drawn, looked = self.latency.low_mean(0.0, 2.0), x.drawn, 0
         # Guards against turning away what newcomers could do: they are idle while the rest is jammed, and
         # the cold budget bounds what they get. And against a lost zone taken for a jam: others may be idle.
-        jammed = drawn < max(self.crowding(usual, x.type.promised_time),
+        jammed = not self.tells and drawn < max(self.crowding(usual, x.type.promised_time),
                              0.0 if self.lost else self.jams.get(self.zone, 0.0))
         # Guards against long work that is never tried: hints err by so much, and what is turned away for its
         # hint tells nothing of it. Only while nothing waits; wastes what is truly too long.
@@ -764,7 +782,7 @@
         for e in ranked:
             if looked >= max(self.DEPTH, len(ranked) / 3):
                 break
-            if (jammed or drawn < self.jams.get(e.line.zone, 0.0)) and self.cold_age(e, now) is None:
+            if (jammed or (not self.tells and drawn < self.jams.get(e.line.zone, 0.0))) and self.cold_age(e, now) is None:
                 continue
             looked += not e.breaker
             if e.line.state is not State.READY or not open_to(e):
@@ -775,8 +793,9 @@
                                                       or now - e.breaker.since > self.LAST_TRIAL):
                     return e, None, True
                 continue
-            if not self.ramped(e, x.key, now) or drawn < self.crowding(
-                    e.latency.low_mean(usual, 2.0), x.type.promised_time):
+            if not self.ramped(e, x.key, now) or drawn < (self.crowding(
+                    e.latency.low_mean(usual, 2.0), x.type.promised_time) if not self.tells else
+                    self.crowding(self.grade(e).at(self.held(e)), x.type.promised_time, self.grade(e).time)):
                 continue
             time = e.predicted(now, x.hint, self.usual, self.usual_wait, self.usual_pace)
             if time <= left / 2:
@@ -888,6 +907,14 @@
     def woken(self, now: float, token: str) -> None:
         if token == "list":
             return self.host.watch_list()
+        if token == "tell":
+            word = self.pool.word(self.touched)
+            cost = (self.peers - 1) * len(word) / 256 * self.peer_price / max(self.rate, 1.0)
+            self.host.wake(max(self.TELL, cost / self.TELL_COST), "tell")
+            if word != self.word or now - self.told_at > 0.2:
+                self.word, self.told_at = word, now
+                self.host.tell(word)
+            return
         self.host.wake(self.TICK, "tick")
         overdue = 3 * self.slow or max(t.promised_time for t in self.types)  # or: no answer to go by yet
         for forward in list(self.forwards.values()):  # the oldest first
@@ -907,8 +934,6 @@
                     and (now - forward.sent) * self.able(e, now) >= overdue:
                 forward.overdue = True
                 self.judge(e, True, now, "silent")
-        if self.tells:
-            self.host.tell(self.pool.word(self.touched))
         self.jams = {zone: self.jammed(zone, latest, now) for zone, latest in self.latest.items()}
         if now - self.swept >= self.SWEEP:
             self.sweep(now)
@@ -923,6 +948,9 @@
             part = self.LEARN if rate > self.warm_rate else self.UNLEARN
             self.warm_rate += part * (rate - self.warm_rate)
         self.pool.sweep(now)
+        self.rate += 0.3 * (self.came / (now - self.swept) - self.rate)
+        self.came = 0
+        self.worths = {worth: count * 0.8 for worth, count in self.worths.items() if count > 0.5}
         if any([g.learn() for g in self.grades.values()]) and self.tells:
             self.ranks.clear()
             if self.sweeps % 5 == 0:
--- a/rainspindle/protocol/settings.py
+++ b/rainspindle/protocol/settings.py
@@ -84,7 +84,8 @@
         asks_list=s["discovery"] == "on_request", ask_within=seconds(contract["ask-within"]),
         use_shares=s.get("weight-kind") in ("nominal", "rough"),
         cross_price=(s.get("prices") or {}).get("cross-zone") or 0.0, budget=budget,
-        further=forward_budget(contract), tells=bool(limits.get("peers")))
+        further=forward_budget(contract), tells=bool(limits.get("peers")),
+        peer_price=(s.get("prices") or {}).get("peer") or 0.0)
 
 
 @dataclass(frozen=True, slots=True)
