Each endpoint's window bounds what all sidecars of a pool have there

Cause: a window floor of one for each of 15 sidecars let 8 be held by endpoints of one core in a burst, and at 4 sidecars windows of 1.2 to 2 turned away exchanges while cores stood idle.

--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -172,7 +172,7 @@
 class Grade:
     """The times of one kind of endpoint, by how many exchanges it held when one came."""
 
-    MOST, ENOUGH, SLOWER, STEP = 32, 8.0, 0.3, 0.15
+    MOST, ENOUGH, SLOWER, STEP, KEEP = 40, 30.0, 0.3, 0.15, 0.95
 
     def __init__(self) -> None:
         self.sums, self.counts = [0.0] * self.MOST, [0.0] * self.MOST
@@ -190,12 +190,20 @@
 
     def learn(self) -> bool:
         """At each sweep; whether the time has changed by so much that ranks are made anew."""
-        times = [s / c if c >= self.ENOUGH else math.inf for s, c in zip(self.sums, self.counts, strict=True)]
-        alone = min(times)
-        if alone < math.inf:
-            self.calm = min(self.calm + 0.01, alone) if self.calm else alone
-            self.free = 1 + max((h for h, t in enumerate(times) if t < self.calm + self.SLOWER), default=0)
-        self.sums, self.counts = [s * 0.95 for s in self.sums], [c * 0.95 for c in self.counts]
+        groups, total, count = list[tuple[int, float]](), 0.0, 0.0
+        for held, (part, n) in enumerate(zip(self.sums, self.counts, strict=True)):
+            total, count = total + part, count + n
+            if count >= self.ENOUGH:
+                groups.append((held, total / count))
+                total = count = 0.0
+        if groups:
+            lowest = groups[0][1]
+            self.calm = min(self.calm + 0.01, lowest) if self.calm else lowest
+            for held, mean in groups:
+                if mean > self.calm + self.SLOWER:
+                    break
+                self.free = held + 1
+        self.sums, self.counts = [s * self.KEEP for s in self.sums], [c * self.KEEP for c in self.counts]
         time = math.exp(self.calm) if self.calm else 0.0
         if abs(time - self.time) > self.STEP * self.time:
             self.time = time
@@ -330,7 +338,7 @@
         self.breaker: Breaker | None = None
         self.reported = math.inf  # exchanges that wait there, as it last said, where it says so
 
-    def answered(self, now: float, sent: float, calm: float, promised: float) -> None:
+    def answered(self, now: float, sent: float, calm: float, promised: float, held: int) -> None:
         self.answered_at, self.answered_sent = now, max(self.answered_sent, sent)
         self.credit = min(self.credit + self.EARNED, self.MOST_CREDIT)
         # Guards against overdriving: what waits is the window less what is in work; more where work is short.
@@ -339,7 +347,7 @@
         more = max(1.0, self.WAIT_PART * promised / calm)
         if waiting > max(self.may_wait * more, self.busy / 2, self.busy - 0.5):
             self.ease(now, sent)
-        elif len(self.out) + 1 >= self.window:  # earned by use: idle times must not allow a burst
+        elif held + 1 >= self.window:  # earned by use: idle times must not allow a burst
             self.window = min(self.window + 1 / self.window, self.MOST_WINDOW)
 
     def ease(self, now: float, sent: float) -> None:
@@ -439,7 +447,7 @@
                 self.left_out[line.id], line = line, replace(line, state=State.LEFT_OUT)
             known = self.endpoints.get(line.id)
             if known is None:
-                self.endpoints[line.id] = Endpoint(line, self.QUEUE / self.peers)
+                self.endpoints[line.id] = Endpoint(line, self.QUEUE / (1 if self.tells else self.peers))
             elif line.started and line.started != known.line.started:
                 known.reset(line)
                 self.host.log(f"{line.id} restarted {now - line.started:.1f} s ago: cold")
@@ -733,7 +741,7 @@
         """Below the design's skip line, below its window, and within the budget if cold."""
         held = self.held(e)
         plus = self.grade(e).free - 1 if self.tells else self.SKIP_PLUS
-        if held > self.SKIP_FACTOR * mean + plus or len(e.out) >= e.window:
+        if held > self.SKIP_FACTOR * mean + plus or held >= e.window:
             return False
         age = self.cold_age(e, now)
         if age is not None and now >= e.cold_until:
@@ -818,7 +826,7 @@
             at.pace.add(latency / x.hint, x.hint / 0.1)
         self.measure(endpoint, latency, x.hint)
         self.grade(endpoint).add(forward.held, latency)
-        endpoint.answered(now, forward.sent, endpoint.calm or self.calm or promised, promised)
+        endpoint.answered(now, forward.sent, endpoint.calm or self.calm or promised, promised, self.held(endpoint))
         if forward.trial and self.table.entries.get(x.key) is forward.trial:
             del self.table.entries[x.key]
         if endpoint.breaker:
@@ -974,7 +982,7 @@
         for e in list(self.touched):
             if e.breaker:
                 e.breaker.sweep(now, FailoverTable.TRIAL_DELAY)
-            e.busy += 0.3 * (e.answers * e.calm / (now - self.swept) - e.busy)
+            e.busy += 0.3 * (e.answers * (self.peers if self.tells else 1) * e.calm / (now - self.swept) - e.busy)
             e.answers = 0
             if e.latency.total >= 4:
                 e.calm = min(e.calm * 1.01 or math.inf, e.latency.quantile(0.5))
