--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -342,7 +342,7 @@
         self.answered_at, self.answered_sent = now, max(self.answered_sent, sent)
         self.credit = min(self.credit + self.EARNED, self.MOST_CREDIT)
         # Guards against overdriving: what waits is the window less what is in work; more where work is short.
-        waiting = self.window * (1 - calm / max(self.latency.quantile(0.5, calm, 1.0), calm))
+        waiting = min(self.window, held + 1) * (1 - calm / max(self.latency.quantile(0.5, calm, 1.0), calm))
         self.answers, self.row = self.answers + 1, 0.0
         more = max(1.0, self.WAIT_PART * promised / calm)
         if waiting > max(self.may_wait * more, self.busy / 2, self.busy - 0.5):
@@ -740,8 +740,8 @@
     def room(self, e: Endpoint, mean: float, now: float) -> bool:
         """Below the design's skip line, below its window, and within the budget if cold."""
         held = self.held(e)
-        plus = self.grade(e).free - 1 if self.tells else self.SKIP_PLUS
-        if held > self.SKIP_FACTOR * mean + plus or held >= e.window:
+        free = self.grade(e).free if self.tells else 0
+        if held > self.SKIP_FACTOR * mean + (free - 1 if free else self.SKIP_PLUS) or held >= max(e.window, free):
             return False
         age = self.cold_age(e, now)
         if age is not None and now >= e.cold_until:
