Crowding in a pool begins at the calm time and is full at twice that

Cause: half of the worth of pack-buy is in exchanges of over twice the mean work, which miss their time where two share a core; sharing wins no throughput.

--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -383,7 +383,7 @@
     LATEST, LATEST_SPAN, LATEST_AGE = 12, 0.5, 2.5  # forwards and seconds by which present waits are known
     LEARN, UNLEARN = 0.2, 0.02  # parts by which the rate of warm endpoints rises and falls at a sweep
     LAST_TRIAL, BACK_WAIT = 15.0, 1.0  # seconds until a binding one may be a trial, or first at one put back
-    FASTER, TELL, POOLED = 1.0, 0.03, 0.5
+    FASTER, TELL, POOLED = 1.0, 0.03, 0.25
     TELL_COST = 0.003
     BACK_RAMP = 5.0  # seconds over which an endpoint's keys come back after a good trial
 
@@ -555,7 +555,7 @@
 
         Guards against queues that many sidecars make with one forward each, which none of them sees."""
         part = self.POOLED if self.tells else 1.0
-        least, most = max(self.CROWDED * promised * part, 1.5 * calm), max(self.CROWDED_OUT * promised * part, 3 * calm)
+        least, most = max(self.CROWDED * promised * part, calm), max(self.CROWDED_OUT * promised * part, 2 * calm)
         return min((times - least) / (most - least), self.MOST_TURNED) if self.sweeps else 0.0
 
     def body_spent(self, now: float, id: int) -> None:
