Free places of a kind by the mean of what its groups held; no window in a pool

Cause: a group's upper end stood for all of it, so free places came out two or three times too many under load.

--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -177,7 +177,7 @@
     def __init__(self) -> None:
         self.sums, self.counts = [0.0] * self.MOST, [0.0] * self.MOST
         self.calm = 0.0
-        self.free, self.time = 1, 0.0  # held with no harm to one another; the usual time among so many
+        self.free, self.time = 1.0, 0.0  # held with no harm to one another; the usual time among so many
 
     def add(self, held: int, seconds: float) -> None:
         held = min(held, self.MOST - 1)
@@ -190,19 +190,19 @@
 
     def learn(self) -> bool:
         """At each sweep; whether the time has changed by so much that ranks are made anew."""
-        groups, total, count = list[tuple[int, float]](), 0.0, 0.0
+        groups, total, count, places = list[tuple[float, float]](), 0.0, 0.0, 0.0
         for held, (part, n) in enumerate(zip(self.sums, self.counts, strict=True)):
-            total, count = total + part, count + n
+            total, count, places = total + part, count + n, places + held * n
             if count >= self.ENOUGH:
-                groups.append((held, total / count))
-                total = count = 0.0
+                groups.append((places / count, total / count))
+                total = count = places = 0.0
         if groups:
             lowest = groups[0][1]
             self.calm = min(self.calm + 0.01, lowest) if self.calm else lowest
             for held, mean in groups:
                 if mean > self.calm + self.SLOWER:
                     break
-                self.free = held + 1
+                self.free = 1 + held
         self.sums, self.counts = [s * self.KEEP for s in self.sums], [c * self.KEEP for c in self.counts]
         time = math.exp(self.calm) if self.calm else 0.0
         if abs(time - self.time) > self.STEP * self.time:
@@ -741,7 +741,7 @@
         """Below the design's skip line, below its window, and within the budget if cold."""
         held = self.held(e)
         free = self.grade(e).free if self.tells else 0
-        if held > self.SKIP_FACTOR * mean + (free - 1 if free else self.SKIP_PLUS) or held >= max(e.window, free):
+        if held > self.SKIP_FACTOR * mean + (free - 1 if free else self.SKIP_PLUS) or (not self.tells and held >= e.window):
             return False
         age = self.cold_age(e, now)
         if age is not None and now >= e.cold_until:
