In a pool a forward waits to its expiry

Cause: a retriable forward given up at the promised time goes on at its endpoint, held by nobody's count, and its client tries again beside it.

--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -694,7 +694,7 @@
         if x.type.late_value <= 0:
             # Guards against work thrown away: where nothing waits, what is not done by then is long itself,
             # and the client's next try would be worked beside it. An untrue report costs a place meanwhile.
-            if endpoint.reported < self.NONE_WAITS:
+            if endpoint.reported < self.NONE_WAITS or self.tells:
                 return left
             # Guards against waste: a forward sent after a time-out had hardly a chance, yet both are worked.
             return min(promised, left) if promised > 0 else left
