--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -216,14 +216,18 @@
 
     Guards against a load that no sidecar of a pool sees by its own exchanges. May hurt where word is old."""
 
-    LASTS, MOST = 0.5, 85
+    LASTS, MOST, RATES = 0.5, 85, "="
 
     def __init__(self) -> None:
         self.held: dict[str, int] = {}  # by endpoint's mark
         self.total = 0
         self.by: dict[str, tuple[float, dict[str, int]]] = {}
+        self.rates: dict[str, tuple[float, list[int]]] = {}  # exchanges a second, by tenant
 
     def told(self, now: float, who: str, payload: str) -> None:
+        if payload.startswith(self.RATES):
+            self.rates[who] = now, [int(rate) for rate in payload[1:].split(",")]
+            return
         self.drop(who)
         counts: dict[str, int] = {}
         for n in range(0, len(payload) - 2, 3):
@@ -244,6 +248,7 @@
         for who in [who for who, (at, _) in self.by.items() if now - at > self.LASTS]:
             self.drop(who)
         self.held = {mark: count for mark, count in self.held.items() if count}
+        self.rates = {who: told for who, told in self.rates.items() if now - told[0] < 3.0}
 
     def word(self, endpoints: Collection[Endpoint]) -> str:
         return "".join(e.mark * len(e.out) for e in endpoints if e.out)[:3 * self.MOST]
@@ -390,7 +395,8 @@
     def __init__(self, host: Host, seed: int, now: float, *, peers: int, zone: int, types: list[TrafficType],
                  max_forwards: int, parallel: bool, may_call_off: bool, max_hold_off: float,
                  asks_list: bool, ask_within: float, use_shares: bool, cross_price: float,
-                 budget: ColdBudget, further: ForwardBudget | None = None, tells: bool = False, peer_price: float = 0.0) -> None:
+                 budget: ColdBudget, further: ForwardBudget | None = None, tells: bool = False, peer_price: float = 0.0,
+                 allowances: tuple[float, ...] = (), excess_value: float = 1.0) -> None:
         self.host, self.seed, self.zone, self.types = host, seed, zone, types
         self.max_forwards, self.parallel, self.may_call_off = max_forwards, parallel, may_call_off
         self.peers, self.max_hold_off, self.ask_within = max(peers, 1), max_hold_off, ask_within
@@ -416,6 +422,8 @@
         self.counts: dict[str, float] = {}  # exchanges by key, halved now and then
         self.swept, self.sweeps = now, 0
         self.worths: dict[float, float] = {}
+        self.allowances, self.excess_value = allowances, excess_value
+        self.rates, self.asked, self.over = [0.0] * len(allowances), [0] * len(allowances), [0.0] * len(allowances)
         self.tells, self.pool, self.grades = tells, Peers(), dict[int, Grade]()
         if asks_list:
             host.watch_list()
@@ -516,9 +524,14 @@
                          tenant: int | None = None) -> None:
         kind = self.types[type_index]
         promised = min(kind.promised_time + kind.stretch * (hint or 0.0), kind.expiry)
+        worth = kind.value
+        if self.allowances and tenant is not None:
+            self.asked[tenant] += 1
+            if self.chance() < self.over[tenant]:
+                worth *= self.excess_value
         x = self.exchanges[id] = Exchange(
             id, kind, key or f"{self.chance()}", hint or 0.0, now + promised, expires_at, repeat, bool(key),
-            coming, drawn=self.place(kind.value), groups=(("type", type_index), ("tenant", tenant or 0)))
+            coming, drawn=self.place(worth), groups=(("type", type_index), ("tenant", tenant or 0)))
         if self.further:
             self.further.taken.append(now)
         self.counts[x.key] = self.counts.get(x.key, 0.0) + 1
@@ -958,6 +971,13 @@
         self.pool.sweep(now)
         self.rate += 0.3 * (self.came / (now - self.swept) - self.rate)
         self.came = 0
+        if self.allowances and self.tells:
+            self.rates = [r + 0.5 * (n / (now - self.swept) - r) for r, n in zip(self.rates, self.asked, strict=True)]
+            self.asked = [0] * len(self.rates)
+            self.host.tell(Peers.RATES + ",".join(f"{r:.0f}" for r in self.rates))
+            for n, allowed in enumerate(self.allowances):
+                rate = self.rates[n] + sum(told[n] for _, told in self.pool.rates.values() if n < len(told))
+                self.over[n] = max(0.0, 1 - allowed / rate) if rate else 0.0
         self.worths = {worth: count * 0.8 for worth, count in self.worths.items() if count > 0.5}
         if any([g.learn() for g in self.grades.values()]) and self.tells:
             self.ranks.clear()
--- a/rainspindle/protocol/settings.py
+++ b/rainspindle/protocol/settings.py
@@ -85,7 +85,9 @@
         use_shares=s.get("weight-kind") in ("nominal", "rough"),
         cross_price=(s.get("prices") or {}).get("cross-zone") or 0.0, budget=budget,
         further=forward_budget(contract), tells=bool(limits.get("peers")),
-        peer_price=(s.get("prices") or {}).get("peer") or 0.0)
+        peer_price=(s.get("prices") or {}).get("peer") or 0.0,
+        allowances=tuple(t.get("allowance-per-s") or math.inf for t in s.get("tenants") or ()),
+        excess_value=number(s, "excess-value", 1.0))
 
 
 @dataclass(frozen=True, slots=True)
