--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import math
 import zlib
 from base64 import b64encode
@@ -170,88 +171,103 @@
 
 
 class Grade:
-    """The times of one kind of endpoint, by how many exchanges it held when one came."""
+    """What one kind of endpoint can do: the times it takes by how many exchanges it held when one came.
 
-    MOST, ENOUGH, SLOWER, STEP, KEEP = 40, 30.0, 0.3, 0.15, 0.95
+    Guards against slow and small kinds where no list tells their sizes. May hurt where kinds are uneven."""
+
+    MOST, ENOUGH, SLOWER, STEP, KEEP, START = 40, 30.0, 0.3, 0.15, 0.95, 4.0
 
     def __init__(self) -> None:
-        self.sums, self.counts = [0.0] * self.MOST, [0.0] * self.MOST
-        self.calm = 0.0
-        self.free, self.time = 1.0, 0.0  # held with no harm to one another; the usual time among so many
+        self.sums, self.counts = [0.0] * self.MOST, [0.0] * self.MOST  # of logarithms; of answers
+        self.calm, self.found = 0.0, self.START  # as learnt here: the usual time with few held, the free places
+        self.time, self.free = 0.0, self.START  # as all sidecars have it: their middle values
 
     def add(self, held: int, seconds: float) -> None:
-        held = min(held, self.MOST - 1)
-        self.sums[held] += math.log(max(seconds, 1e-4))
-        self.counts[held] += 1
+        self.sums[min(held, self.MOST - 1)] += math.log(seconds)
+        self.counts[min(held, self.MOST - 1)] += 1
 
     def at(self, held: int) -> float:
         """The usual time where so many are held before."""
         return self.time * max(1.0, (held + 1) / self.free)
 
-    def learn(self) -> bool:
-        """At each sweep; whether the time has changed by so much that ranks are made anew."""
+    def learn(self) -> None:
+        """How many may be held before times rise: what was never held so far is no limit."""
         groups, total, count, places = list[tuple[float, float]](), 0.0, 0.0, 0.0
         for held, (part, n) in enumerate(zip(self.sums, self.counts, strict=True)):
             total, count, places = total + part, count + n, places + held * n
             if count >= self.ENOUGH:
-                groups.append((places / count, total / count))
+                groups.append((places / count, math.exp(total / count)))
                 total = count = places = 0.0
         if groups:
-            lowest = groups[0][1]
-            self.calm = min(self.calm + 0.01, lowest) if self.calm else lowest
-            for held, mean in groups:
-                if mean > self.calm + self.SLOWER:
-                    break
-                self.free = 1 + held
+            self.calm = min(self.calm * 1.01 or math.inf, groups[0][1])
+            slow = [n for n, (_, time) in enumerate(groups) if time > self.calm * (1 + self.SLOWER)]
+            if slow:
+                self.found = 1 + groups[slow[0] - 1][0] if slow[0] else 1.0
+            else:
+                self.found = max(self.found, 1 + groups[-1][0])
         self.sums, self.counts = [s * self.KEEP for s in self.sums], [c * self.KEEP for c in self.counts]
-        time = math.exp(self.calm) if self.calm else 0.0
-        if abs(time - self.time) > self.STEP * self.time:
-            self.time = time
-            return True
-        return False
+
+    def agree(self, told: list[tuple[float, float]]) -> bool:
+        """Takes the middle of what all sidecars learnt; whether ranks are to be made anew."""
+        known = [*told, (self.calm, self.found)] if self.calm else told
+        if not known:
+            return False
+        time, self.free = (sorted(values)[len(known) // 2] for values in zip(*known, strict=True))
+        if abs(time - self.time) <= self.STEP * self.time:
+            return False
+        self.time = time
+        return True
 
 
-class Peers:
-    """What the other sidecars last told: how many of their exchanges each endpoint holds.
+class Pool:
+    """What the other sidecars last told: what endpoints hold of theirs, what tenants ask, what kinds can do.
 
     Guards against a load that no sidecar of a pool sees by its own exchanges. May hurt where word is old."""
 
-    LASTS, MOST, RATES = 0.5, 85, "="
+    LASTS, MOST, MARK, FACTS = 0.5, 85, 3, "="
 
     def __init__(self) -> None:
         self.held: dict[str, int] = {}  # by endpoint's mark
         self.total = 0
-        self.by: dict[str, tuple[float, dict[str, int]]] = {}
-        self.rates: dict[str, tuple[float, list[int]]] = {}  # exchanges a second, by tenant
+        self.words: dict[str, tuple[float, list[str]]] = {}  # a mark for each exchange out, by sidecar
+        self.rates: dict[str, tuple[float, list[float]]] = {}  # exchanges a second by tenant
+        self.kinds: dict[str, dict[int, tuple[float, float]]] = {}  # calm time and free places
 
     def told(self, now: float, who: str, payload: str) -> None:
-        if payload.startswith(self.RATES):
-            self.rates[who] = now, [int(rate) for rate in payload[1:].split(",")]
+        """Raises ValueError where it is not what a sidecar tells."""
+        if payload.startswith(self.FACTS):
+            rates, *kinds = payload[1:].split(";")
+            self.rates[who] = now, [float(rate) for rate in rates.split(",") if rate]
+            self.kinds[who] = {int(kind): (float(time), float(free))
+                               for kind, time, free in (told.split(":") for told in kinds)}
             return
         self.drop(who)
-        counts: dict[str, int] = {}
-        for n in range(0, len(payload) - 2, 3):
-            counts[payload[n:n + 3]] = counts.get(payload[n:n + 3], 0) + 1
-        self.by[who] = now, counts
-        self.add(counts, 1)
+        marks = [payload[n:n + self.MARK] for n in range(0, len(payload), self.MARK)]
+        self.words[who] = now, marks
+        self.add(marks, 1)
 
     def drop(self, who: str) -> None:
-        if who in self.by:
-            self.add(self.by.pop(who)[1], -1)
+        if who in self.words:
+            self.add(self.words.pop(who)[1], -1)
 
-    def add(self, counts: dict[str, int], sign: int) -> None:
-        for mark, count in counts.items():
-            self.held[mark] = self.held.get(mark, 0) + sign * count
-            self.total += sign * count
+    def add(self, marks: list[str], sign: int) -> None:
+        for mark in marks:
+            self.held[mark] = self.held.get(mark, 0) + sign
+        self.total += sign * len(marks)
 
     def sweep(self, now: float) -> None:
-        for who in [who for who, (at, _) in self.by.items() if now - at > self.LASTS]:
+        for who in [who for who, (at, _) in self.words.items() if now - at > self.LASTS]:
             self.drop(who)
+        for who in [who for who, (at, _) in self.rates.items() if now - at > 6 * self.LASTS]:
+            del self.rates[who], self.kinds[who]
         self.held = {mark: count for mark, count in self.held.items() if count}
-        self.rates = {who: told for who, told in self.rates.items() if now - told[0] < 3.0}
 
     def word(self, endpoints: Collection[Endpoint]) -> str:
-        return "".join(e.mark * len(e.out) for e in endpoints if e.out)[:3 * self.MOST]
+        return "".join(e.mark * len(e.out) for e in endpoints if e.out)[:self.MARK * self.MOST]
+
+    def facts(self, rates: list[float], grades: dict[int, Grade]) -> str:
+        kinds = (f"{kind}:{grade.calm:.4f}:{grade.found:.1f}" for kind, grade in grades.items() if grade.calm)
+        return ";".join([self.FACTS + ",".join(f"{rate:.0f}" for rate in rates), *kinds])[:256]
 
 
 class ForwardBudget:
@@ -390,6 +406,7 @@
     LAST_TRIAL, BACK_WAIT = 15.0, 1.0  # seconds until a binding one may be a trial, or first at one put back
     FASTER, TELL, POOLED = 1.0, 0.03, 0.25
     TELL_COST = 0.003
+    MOST_HELD = 3
     BACK_RAMP = 5.0  # seconds over which an endpoint's keys come back after a good trial
 
     def __init__(self, host: Host, seed: int, now: float, *, peers: int, zone: int, types: list[TrafficType],
@@ -424,7 +441,7 @@
         self.worths: dict[float, float] = {}
         self.allowances, self.excess_value = allowances, excess_value
         self.rates, self.asked, self.over = [0.0] * len(allowances), [0] * len(allowances), [0.0] * len(allowances)
-        self.tells, self.pool, self.grades = tells, Peers(), dict[int, Grade]()
+        self.tells, self.pool, self.grades = tells, Pool(), dict[int, Grade]()
         if asks_list:
             host.watch_list()
         host.wake(self.TICK, "tick")
@@ -508,7 +525,8 @@
         self.host.wake(min(0.25 * 2**self.list_failures, self.ask_within / 4) * (0.5 + self.chance()), "list")
 
     def peer_told(self, now: float, who: str, payload: str) -> None:
-        self.pool.told(now, who, payload)
+        with contextlib.suppress(ValueError):  # not from a sidecar of this release
+            self.pool.told(now, who, payload)
 
     def held(self, e: Endpoint) -> int:
         """What an endpoint holds: its own forwards here, and those of the other sidecars as last told."""
@@ -754,7 +772,7 @@
         """Below the design's skip line, below its window, and within the budget if cold."""
         held = self.held(e)
         free = self.grade(e).free if self.tells else 0
-        if held > self.SKIP_FACTOR * mean + (free - 1 if free else self.SKIP_PLUS) or (not self.tells and held >= e.window):
+        if held > self.SKIP_FACTOR * mean + (free - 1 if free else self.SKIP_PLUS) or (held >= self.MOST_HELD * free if free else held >= e.window):
             return False
         age = self.cold_age(e, now)
         if age is not None and now >= e.cold_until:
@@ -838,7 +856,7 @@
         for at in (endpoint, self) if x.hint else ():  # by weight: short work tells of waits, not pace
             at.pace.add(latency / x.hint, x.hint / 0.1)
         self.measure(endpoint, latency, x.hint)
-        self.grade(endpoint).add(forward.held, latency)
+        self.grade(endpoint).add(forward.held, max(latency, 1e-4))
         endpoint.answered(now, forward.sent, endpoint.calm or self.calm or promised, promised, self.held(endpoint))
         if forward.trial and self.table.entries.get(x.key) is forward.trial:
             del self.table.entries[x.key]
@@ -959,6 +977,21 @@
         if now - self.swept >= self.SWEEP:
             self.sweep(now)
 
+    def learn_pool(self, now: float) -> None:
+        lasted = now - self.swept
+        self.rates = [r + 0.5 * (n / lasted - r) for r, n in zip(self.rates, self.asked, strict=True)]
+        self.asked = [0] * len(self.rates)
+        for n, allowed in enumerate(self.allowances):
+            rate = self.rates[n] + sum(told[n] for _, told in self.pool.rates.values() if n < len(told))
+            self.over[n] = max(0.0, 1 - allowed / rate) if rate else 0.0
+        anew = False
+        for kind, grade in self.grades.items():
+            grade.learn()
+            anew |= grade.agree([told[kind] for told in self.pool.kinds.values() if kind in told])
+        if anew:
+            self.ranks.clear()
+        self.host.tell(self.pool.facts(self.rates, self.grades))
+
     def sweep(self, now: float) -> None:
         # Guards against a fleet that starts cold or is replaced: what warm ones did is forgotten slowly.
         warm = [e for e in self.ready if self.cold_age(e, now) is None]
@@ -971,18 +1004,9 @@
         self.pool.sweep(now)
         self.rate += 0.3 * (self.came / (now - self.swept) - self.rate)
         self.came = 0
-        if self.allowances and self.tells:
-            self.rates = [r + 0.5 * (n / (now - self.swept) - r) for r, n in zip(self.rates, self.asked, strict=True)]
-            self.asked = [0] * len(self.rates)
-            self.host.tell(Peers.RATES + ",".join(f"{r:.0f}" for r in self.rates))
-            for n, allowed in enumerate(self.allowances):
-                rate = self.rates[n] + sum(told[n] for _, told in self.pool.rates.values() if n < len(told))
-                self.over[n] = max(0.0, 1 - allowed / rate) if rate else 0.0
         self.worths = {worth: count * 0.8 for worth, count in self.worths.items() if count > 0.5}
-        if any([g.learn() for g in self.grades.values()]) and self.tells:
-            self.ranks.clear()
-            if self.sweeps % 5 == 0:
-                self.host.log("grades " + ", ".join(f"{n}: {g.free} {g.time:.3f}" for n, g in sorted(self.grades.items())))
+        if self.tells:
+            self.learn_pool(now)
         self.table.sweep(now)
         self.usual, self.slow = self.latency.quantile(0.5), self.latency.quantile(0.9)
         if self.latency.total >= 8:
