--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -175,7 +175,7 @@
 
     Guards against slow and small kinds where no list tells their sizes. May hurt where kinds are uneven."""
 
-    MOST, ENOUGH, SLOWER, STEP, KEEP, START = 40, 30.0, 0.3, 0.15, 0.95, 4.0
+    MOST, ENOUGH, SLOWER, STEP, KEEP, START = 40, 30.0, 0.15, 0.15, 0.95, 2.0
 
     def __init__(self) -> None:
         self.sums, self.counts = [0.0] * self.MOST, [0.0] * self.MOST  # of logarithms; of answers
