Cores of a kind from the list's live weights and what is held

Cause: no time tells seven cores at once from two until they are filled, but a list whose weights move with load tells what each core holds.

--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -179,6 +179,7 @@
 
     def __init__(self) -> None:
         self.sums, self.counts = [0.0] * self.MOST, [0.0] * self.MOST  # of logarithms; of answers
+        self.size = self.listed_load = self.listed_held = 0.0  # where weights move with load
         self.calm, self.found = 0.0, self.START  # as learnt here: the usual time with few held, the free places
         self.time, self.free = 0.0, self.START  # as all sidecars have it: their middle values
 
@@ -190,6 +191,14 @@
         """The usual time where so many are held before."""
         return self.time * max(1.0, (held + 1) / self.free)
 
+    def listed(self, share: float, held: int) -> None:
+        """A weight that is the size over one more than what a core holds: the cores are what is held by that."""
+        self.size = max(self.size, share)
+        self.listed_load += self.size / share - 1
+        self.listed_held += held
+        if self.listed_load > 1:
+            self.found = max(1.0, self.listed_held / self.listed_load)
+
     def learn(self) -> None:
         """How many may be held before times rise: what was never held so far is no limit."""
         groups, total, count, places = list[tuple[float, float]](), 0.0, 0.0, 0.0
@@ -201,7 +210,9 @@
         if groups:
             self.calm = min(self.calm * 1.01 or math.inf, groups[0][1])
             slow = [n for n, (_, time) in enumerate(groups) if time > self.calm * (1 + self.SLOWER)]
-            if slow:
+            if self.listed_load > 1:
+                self.listed_load, self.listed_held = self.listed_load * self.KEEP, self.listed_held * self.KEEP
+            elif slow:
                 self.found = 1 + groups[slow[0] - 1][0] if slow[0] else 1.0
             else:
                 self.found = max(self.found, 1 + groups[-1][0])
@@ -413,7 +424,7 @@
                  max_forwards: int, parallel: bool, may_call_off: bool, max_hold_off: float,
                  asks_list: bool, ask_within: float, use_shares: bool, cross_price: float,
                  budget: ColdBudget, further: ForwardBudget | None = None, tells: bool = False, peer_price: float = 0.0,
-                 allowances: tuple[float, ...] = (), excess_value: float = 1.0) -> None:
+                 allowances: tuple[float, ...] = (), excess_value: float = 1.0, live: bool = False) -> None:
         self.host, self.seed, self.zone, self.types = host, seed, zone, types
         self.max_forwards, self.parallel, self.may_call_off = max_forwards, parallel, may_call_off
         self.peers, self.max_hold_off, self.ask_within = max(peers, 1), max_hold_off, ask_within
@@ -441,6 +452,7 @@
         self.worths: dict[float, float] = {}
         self.allowances, self.excess_value = allowances, excess_value
         self.rates, self.asked, self.over = [0.0] * len(allowances), [0] * len(allowances), [0.0] * len(allowances)
+        self.live = live
         self.tells, self.pool, self.grades = tells, Pool(), dict[int, Grade]()
         if asks_list:
             host.watch_list()
@@ -468,6 +480,9 @@
             self.list_failures, self.list_lost = 0, False
         named = {line.id for line in lines}
         for line in lines:
+            if self.live and line.share > 0 and line.id in self.endpoints:
+                e = self.endpoints[line.id]
+                self.grade(e).listed(line.share, self.held(e))
             if line.id in self.left_out:
                 self.left_out[line.id], line = line, replace(line, state=State.LEFT_OUT)
             known = self.endpoints.get(line.id)
--- a/rainspindle/protocol/settings.py
+++ b/rainspindle/protocol/settings.py
@@ -87,7 +87,7 @@
         further=forward_budget(contract), tells=bool(limits.get("peers")),
         peer_price=(s.get("prices") or {}).get("peer") or 0.0,
         allowances=tuple(t.get("allowance-per-s") or math.inf for t in s.get("tenants") or ()),
-        excess_value=number(s, "excess-value", 1.0))
+        excess_value=number(s, "excess-value", 1.0), live=s.get("weight-kind") == "live")
 
 
 @dataclass(frozen=True, slots=True)
