--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -21,7 +21,6 @@
 
 NEVER_RAN = (Outcome.FULL, Outcome.UNCONNECTED, Outcome.UNSENT)
 TELLS_NOTHING = (Outcome.CALLED_OFF, Outcome.UNSENT)
-Kind = tuple[str, int]  # a traffic type, or a tenant
 Place = TypeVar("Place")  # what a key may be sent to: an endpoint here, a site where sites are chosen
 
 
@@ -313,7 +312,6 @@
     id: int
     type: TrafficType
     key: str
-    hint: float
     promised_at: float
     expires_at: float
     repeat: bool
@@ -326,7 +324,6 @@
     ran_at: float = math.inf  # when the first forward that may have run was sent
     ran_where: Endpoint | None = None
     spent: bool = False  # a part of its body has gone and is kept nowhere
-    groups: tuple[Kind, ...] = ()  # its traffic type and its tenant
 
 
 @dataclass(eq=False, slots=True)
@@ -362,13 +359,12 @@
 
     def reset(self, line: Listed) -> None:
         self.line, self.cold_left, self.cold_until = line, 0, -math.inf  # forwards left in this cold window
-        self.latency, self.wait, self.pace = Histogram(), Histogram(), Histogram()
+        self.latency = Histogram()
         self.credit, self.window, self.calm = self.START_CREDIT, 1 + self.START_WAITS * self.may_wait, 0.0
         self.answers, self.busy, self.row = 0, 0.0, 0.0  # answers this second, cores busy, failures in a row
         self.answered_at = self.answered_sent = self.sent_at = self.eased_at = self.back_at = -math.inf
         self.failures, self.outcomes = [0.0, 0.0], [0, 0]  # this half of the 10 s or more, the one before
         self.breaker: Breaker | None = None
-        self.reported = math.inf  # exchanges that wait there, as it last said, where it says so
 
     def answered(self, now: float, sent: float, calm: float, promised: float, held: int) -> None:
         self.answered_at, self.answered_sent = now, max(self.answered_sent, sent)
@@ -386,12 +382,9 @@
         if sent > self.eased_at:  # at most once for what was out together
             self.window, self.eased_at = max(self.LEAST_WINDOW, self.window * 0.5), now
 
-    def predicted(self, now: float, hint: float, usual: float, usual_wait: float, usual_pace: float) -> float:
+    def predicted(self, now: float, usual: float) -> float:
         oldest = now - next(iter(self.out.values())).sent if self.out else 0.0
-        if not hint:
-            return max(self.latency.quantile(0.75, usual, 1.0), oldest)
-        work = hint * self.pace.quantile(0.5, usual_pace, 2.0)
-        return max(self.wait.quantile(0.75, usual_wait, 1.0), oldest) + work
+        return max(self.latency.quantile(0.75, usual, 1.0), oldest)
 
     def trips(self, usual: float) -> bool:
         """`usual` is the share that fails at all in service."""
@@ -402,11 +395,9 @@
 class Balancer:
     TICK, SWEEP, FORGET, HALF, AGE = 0.1, 1.0, 2, 5, 10  # seconds; sweeps
     COUNTED, FEW = 128.0, 8.0  # exchanges by which a sidecar knows its hot keys, at most and at least
-    # In parts of the promised time, what half of a slow group takes; its part turned away; "nothing waits".
-    SLOW_GROUP, SLOW_TURNED, NONE_WAITS = 0.7, 0.85, 0.5
     # What all sidecars let wait at an endpoint; the endpoints that a key may be sent to.
     SKIP_FACTOR, SKIP_PLUS, QUEUE, DEPTH = 1.25, 2, 1.0, 6
-    QUIET, CROWDED, CROWDED_OUT, HINTS_ERR = 0.15, 0.2, 0.5, 2.0  # parts of the promised time; a factor
+    CROWDED, CROWDED_OUT = 0.2, 0.5  # parts of the promised time
     JAM, JAM_OUT, MOST_CALM = 0.06, 0.2, 0.14  # waits of the latest forwards, and calm times, likewise
     # The part of the waits, the lowest, that is a jam's: three fifths leave the sick out; where a part of
     # the fleet is cold it does less than it is, and three quarters see that in time.
@@ -430,8 +421,6 @@
         self.peers, self.max_hold_off, self.ask_within = max(peers, 1), max_hold_off, ask_within
         self.use_shares, self.local_boost, self.budget = use_shares, math.exp(cross_price * 25), budget
         self.further, self.most_value = further, max(t.value for t in types)
-        self.too_long: dict[str, Forward] = {}  # by key, the last that took too long where nothing waits
-        self.groups, self.slow_groups = dict[Kind, Histogram](), set[Kind]()  # times by type, by tenant
         self.draws, self.warm_rate, self.counted, self.list_failures, self.list_lost = 0, 0.0, 0.0, 0, False
         self.endpoints: dict[str, Endpoint] = {}
         self.left_out: dict[str, Listed | None] = {}  # by order, each with its line as a list last told it
@@ -442,8 +431,8 @@
         self.table: FailoverTable[Endpoint] = FailoverTable()
         self.exchanges: dict[int, Exchange] = {}
         self.forwards: dict[tuple[int, int], Forward] = {}
-        self.latency, self.wait, self.pace = Histogram(), Histogram(), Histogram()
-        self.usual = self.usual_wait = self.usual_pace = self.slow = self.calm = 0.0
+        self.latency = Histogram()
+        self.usual = self.slow = self.calm = 0.0
         self.latest: dict[int, deque[Forward]] = {}  # by zone
         self.jams: dict[int, float] = {}  # the chance that a zone is passed over for what its latest waited
         self.newcomers = self.lost = False  # many endpoints are cold; its own zone answers next to nothing
@@ -552,19 +541,19 @@
 
     # Exchanges.
 
-    def exchange_arrived(self, now: float, id: int, type_index: int, key: str | None, hint: float | None,
+    def exchange_arrived(self, now: float, id: int, type_index: int, key: str | None,
                          expires_at: float, repeat: bool = False, coming: bool = False,
                          tenant: int | None = None) -> None:
         kind = self.types[type_index]
-        promised = min(kind.promised_time + kind.stretch * (hint or 0.0), kind.expiry)
+        promised = min(kind.promised_time, kind.expiry)
         worth = kind.value
         if self.allowances and tenant is not None:
             self.asked[tenant] += 1
             if self.chance() < self.over[tenant]:
                 worth *= self.excess_value
         x = self.exchanges[id] = Exchange(
-            id, kind, key or f"{self.chance()}", hint or 0.0, now + promised, expires_at, repeat, bool(key),
-            coming, drawn=self.place(worth), groups=(("type", type_index), ("tenant", tenant or 0)))
+            id, kind, key or f"{self.chance()}", now + promised, expires_at, repeat, bool(key),
+            coming, drawn=self.place(worth))
         if self.further:
             self.further.taken.append(now)
         self.counts[x.key] = self.counts.get(x.key, 0.0) + 1
@@ -572,21 +561,9 @@
         self.came += 1
         if self.counted >= self.COUNTED:
             self.counts, self.counted = {k: n / 2 for k, n in self.counts.items() if n > 1}, self.counted / 2
-        too_slow = (self.group_is_slow(x) and x.drawn < self.SLOW_TURNED) or self.is_too_long(x)
-        if too_slow or not self.advance(x, now):
+        if not self.advance(x, now):
             self.give_up(x, now)
 
-    def is_too_long(self, x: Exchange) -> bool:
-        """Guards against work that is too long anywhere and comes again: nothing waited at its endpoint,
-        which answered others since. May hurt where reports lie, or the connection fell silent."""
-        f = self.too_long.get(x.key) if x.repeat else None
-        return f is not None and f.endpoint.answered_sent > f.sent
-
-    def group_is_slow(self, x: Exchange) -> bool:
-        """Guards against trips, jams and further forwards for a traffic type or tenant that waits everywhere.
-        Most of it is turned away: it would be late and hold places. May hurt what of it would not."""
-        return not self.slow_groups.isdisjoint(x.groups)
-
     def spread(self, key: str, ranked: list[Endpoint]) -> list[Endpoint]:
         """The ranks, turned by chance for a key that makes more than one endpoint's part of the traffic.
 
@@ -628,24 +605,16 @@
             forward.endpoint.out.pop((id, number), None)  # it has done its work, however slow its client
 
     def forward_ended(self, now: float, id: int, number: int, over: bool, outcome: Outcome,
-                      lag: float = 0.0, waiting: float | None = None) -> None:
-        """`waiting`: exchanges that wait at the endpoint, where a report came with its end."""
+                      lag: float = 0.0) -> None:
         forward = self.forwards.pop((id, number), None)
         if forward is None:
             return
         x, endpoint = forward.exchange, forward.endpoint
-        if waiting is not None:
-            endpoint.reported = waiting
         endpoint.out.pop((id, number), None)
         x.out -= 1
-        if endpoint.reported < self.NONE_WAITS and now - lag - forward.sent > x.type.promised_time \
-                and not (forward.flowing or forward.writing):  # which goes by the client's pace
-            self.too_long[x.key] = forward
         if outcome is not Outcome.SERVED:
             forward.took = now - forward.sent if outcome is Outcome.TIMED_OUT else -1.0
-        for group in x.groups if outcome in (Outcome.SERVED, Outcome.TIMED_OUT) else ():
-            self.groups.setdefault(group, Histogram()).add(now - lag - forward.sent)
-        if self.group_is_slow(x) or outcome in TELLS_NOTHING:
+        if outcome in TELLS_NOTHING:
             if forward.trial:
                 forward.trial.told_nothing()
             if forward.endpoint_trial and endpoint.breaker:
@@ -715,7 +684,7 @@
         if not x.coming:
             endpoint.out[x.id, x.forwards] = forward
         # Guards against a jam seen where all is slow for being new.
-        if not x.coming and not self.group_is_slow(x) and self.cold_age(endpoint, now) is None:
+        if not x.coming and self.cold_age(endpoint, now) is None:
             self.latest.setdefault(endpoint.line.zone, deque()).append(forward)
         x.forwards, x.out = x.forwards + 1, x.out + 1
         x.tried.append(endpoint)
@@ -737,16 +706,9 @@
         if x.type.effect is Effect.BINDING:
             return left  # nothing is gained by an early time-out: it could not go again
         promised = x.promised_at - now
-        if x.type.late_value <= 0:
-            # Guards against work thrown away: where nothing waits, what is not done by then is long itself,
-            # and the client's next try would be worked beside it. An untrue report costs a place meanwhile.
-            if endpoint.reported < self.NONE_WAITS or self.tells:
-                return left
-            # Guards against waste: a forward sent after a time-out had hardly a chance, yet both are worked.
-            return min(promised, left) if promised > 0 else left
-        # The last moment at which another forward could be in time, but a late answer still earns something.
-        again = max(promised - 0.5 * self.usual, 3 * self.slow)
-        return min(again, left) if x.forwards < self.max_forwards and again > 0 else left
+        # Guards against waste: a forward sent after a time-out had hardly a chance, yet both are worked. In a
+        # pool that knows what endpoints hold, what was given up would go on there, seen by nobody.
+        return left if self.tells or promised <= 0 else min(promised, left)
 
     # The pick.
 
@@ -829,10 +791,6 @@
         # the cold budget bounds what they get. And against a lost zone taken for a jam: others may be idle.
         jammed = not self.tells and drawn < max(self.crowding(usual, x.type.promised_time),
                              0.0 if self.lost else self.jams.get(self.zone, 0.0))
-        # Guards against long work that is never tried: hints err by so much, and what is turned away for its
-        # hint tells nothing of it. Only while nothing waits; wastes what is truly too long.
-        quiet = usual < self.QUIET * x.type.promised_time and not any(jam > 0 for jam in self.jams.values())
-        most = left * self.HINTS_ERR if x.hint and quiet and not further else left
         for e in ranked:
             if looked >= max(self.DEPTH, len(ranked) / 3):
                 break
@@ -851,13 +809,13 @@
                     e.latency.low_mean(usual, 2.0), x.type.promised_time) if not self.tells else
                     self.crowding(self.grade(e).at(self.held(e)), x.type.promised_time, self.grade(e).time)):
                 continue
-            time = e.predicted(now, x.hint, self.usual, self.usual_wait, self.usual_pace)
+            time = e.predicted(now, self.usual)
             if time <= left / 2:
                 return e, None, False
             # Guards against a lock-out: where nothing is out, one forward may always ask again.
             if not e.out and now - e.sent_at > max(1.0, self.peers * 0.25) and not further:
                 return e, None, False
-            if time < best_time and time <= most:
+            if time < best_time and time <= left:
                 best, best_time = e, time
         return (best, None, False) if best else None
 
@@ -868,9 +826,7 @@
         promised = x.type.promised_time
         # Guards against taking a cold endpoint for a sick one: by what it would take when warm.
         late, forward.took = latency * self.able(endpoint, now) > promised, max(latency, 1e-6)
-        for at in (endpoint, self) if x.hint else ():  # by weight: short work tells of waits, not pace
-            at.pace.add(latency / x.hint, x.hint / 0.1)
-        self.measure(endpoint, latency, x.hint)
+        self.measure(endpoint, latency)
         self.grade(endpoint).add(forward.held, max(latency, 1e-4))
         endpoint.answered(now, forward.sent, endpoint.calm or self.calm or promised, promised, self.held(endpoint))
         if forward.trial and self.table.entries.get(x.key) is forward.trial:
@@ -892,14 +848,11 @@
         while latest and (latest[0].sent < now - self.LATEST_AGE
                           or (len(latest) > self.LATEST and latest[0].sent < now - self.LATEST_SPAN)):
             latest.popleft()
-        # Guards against a jam seen in what is short: it waits for the others' work, not for its own.
-        work = sum(f.exchange.hint for f in latest) * self.usual_pace / max(len(latest), 1)
         for f in latest:
             if f.took >= 0 and not f.endpoint.breaker:
-                x, promised = f.exchange, f.exchange.type.promised_time
-                own = x.hint * self.usual_pace or min(self.calm or math.inf, self.MOST_CALM * promised)
-                part = max(own, work)
-                least, most = max(self.JAM * promised, 2 * part), max(self.JAM_OUT * promised, 4 * part)
+                promised = f.exchange.type.promised_time
+                own = min(self.calm or math.inf, self.MOST_CALM * promised)
+                least, most = max(self.JAM * promised, 2 * own), max(self.JAM_OUT * promised, 4 * own)
                 answered += f.endpoint.answered_sent >= f.sent
                 waits.append(((f.took or now - f.sent) - own - least) / (most - least))
         if zone == self.zone:
@@ -909,11 +862,9 @@
         low = sorted(waits)[:math.ceil((self.LOW_COLD if self.newcomers else self.LOW) * len(waits))]
         return max(0.0, min(sum(low) / len(low), self.MOST_TURNED)) if self.sweeps else 0.0
 
-    def measure(self, endpoint: Endpoint, latency: float, hint: float) -> None:
-        for at, pace in ((endpoint, endpoint.pace.quantile(0.3)), (self, self.usual_pace)):
-            at.latency.add(latency)
-            if hint:
-                at.wait.add(max(0.0, latency - hint * pace))
+    def measure(self, endpoint: Endpoint, latency: float) -> None:
+        endpoint.latency.add(latency)
+        self.latency.add(latency)
 
     def note_failure(self, forward: Forward, outcome: Outcome, now: float) -> None:
         x, endpoint = forward.exchange, forward.endpoint
@@ -921,7 +872,7 @@
         if outcome is Outcome.FULL or (outcome is Outcome.TIMED_OUT and not lost):
             endpoint.ease(now, forward.sent)
         if outcome is Outcome.TIMED_OUT and not lost:
-            self.measure(endpoint, now - forward.sent, x.hint)  # or the quick alone would be seen
+            self.measure(endpoint, now - forward.sent)  # or the quick alone would be seen
         elif outcome is Outcome.FULL:
             self.latency.add(x.type.promised_time)
         # Guards against long work: a time-out says nothing of an endpoint that answered since.
@@ -955,7 +906,7 @@
     def restore(self, endpoint: Endpoint, now: float, latency: float) -> None:
         self.host.log(f"{endpoint.id} back: trial answered in {latency:.3f} s")
         endpoint.breaker, endpoint.failures, endpoint.outcomes = None, [0.0, 0.0], [0, 0]
-        endpoint.latency, endpoint.wait = Histogram(), Histogram()
+        endpoint.latency = Histogram()
         endpoint.back_at = now  # guards against one good trial sending all keys back at once
 
     def woken(self, now: float, token: str) -> None:
@@ -972,7 +923,7 @@
         self.host.wake(self.TICK, "tick")
         overdue = 3 * self.slow or max(t.promised_time for t in self.types)  # or: no answer to go by yet
         for forward in list(self.forwards.values()):  # the oldest first
-            if forward.writing or forward.flowing or self.group_is_slow(forward.exchange):
+            if forward.writing or forward.flowing:
                 continue
             if now - forward.sent < overdue:
                 break
@@ -1026,17 +977,7 @@
         self.usual, self.slow = self.latency.quantile(0.5), self.latency.quantile(0.9)
         if self.latency.total >= 8:
             self.calm = min(self.calm * 1.01, self.usual) if self.calm else self.usual
-        self.usual_wait, self.usual_pace = self.wait.quantile(0.5), self.pace.quantile(0.4)
         self.sweeps += 1
-        few, seen = self.FEW, self.slow_groups  # what is slow already lets few pass
-        typical = {g: h.quantile(0.5) for g, h in self.groups.items() if h.total >= (2 if g in seen else few)}
-        least = self.SLOW_GROUP * min(t.promised_time for t in self.types)
-        self.slow_groups = {g for g, time in typical.items() if time > least and any(
-            g[0] == other[0] and time > 4 * usual for other, usual in typical.items())}
-        if self.slow_groups != seen:
-            self.host.log("slow everywhere: " + (", ".join(
-                f"{sort} {n} {typical[sort, n]:.2f} s" for sort, n in sorted(self.slow_groups)) or "none"))
-        self.too_long = {k: f for k, f in self.too_long.items() if now - f.sent < self.AGE * self.SWEEP}
         forget, halve, age = (self.sweeps % n == 0 for n in (self.FORGET, self.HALF, self.AGE))
         for e in list(self.touched):
             if e.breaker:
@@ -1047,12 +988,10 @@
                 e.calm = min(e.calm * 1.01 or math.inf, e.latency.quantile(0.5))
             if halve and (age or sum(e.outcomes) > 8):  # where little comes, it is kept longer
                 e.failures, e.outcomes = [0.0, e.failures[0]], [0, e.outcomes[0]]
-            for histogram in (e.latency, e.wait, e.pace) if forget else ():
-                if histogram.total > 8 or age:
-                    histogram.halve()
+            if forget and (e.latency.total > 8 or age):
+                e.latency.halve()
             if halve and not (e.out or e.breaker or e.latency.total or any(e.outcomes)):
                 del self.touched[e]  # nothing left to sweep: most endpoints, where traffic is thin
         self.swept = now
-        for histogram in (self.latency, self.wait, self.pace, *self.groups.values()) if forget else ():
-            if histogram.total > 8 or halve:
-                histogram.halve()
+        if forget and (self.latency.total > 8 or halve):
+            self.latency.halve()
--- a/rainspindle/simhost/adapter.py
+++ b/rainspindle/simhost/adapter.py
@@ -72,7 +72,6 @@
     def __init__(self) -> None:
         self.instances: dict[str, Balancer] = {}
         self.pages: dict[int, list[Listed]] = {}
-        self.waiting_at: dict[str, int] = {}  # where an instance's reports tell what waits at an endpoint
         self.outbox: list[Message] = []
 
     def batch(self, line: bytes) -> bytes:
@@ -100,24 +99,17 @@
         id = m["sidecar-id"]
         if name == "Hello":
             self.instances[id] = make_balancer(SimHost(id, self.outbox), m["salt"], now, m["settings"])
-            fields = (m["settings"].get("telemetry") or {}).get("fields") or []
-            self.waiting_at.pop(id, None)
-            if "pending" in fields:
-                self.waiting_at[id] = fields.index("pending")
             return
         instance = self.instances.get(id)
         if instance is None:
             raise Fault(f"{name} for {id}, which was never started")
         match name:
             case "Incoming":
-                hint = m.get("predicted")
                 instance.exchange_arrived(now, m["corr"], m["lane"], m.get("route-key"),
-                                          None if hint is None else hint / 1000, m["not-after"] / 1000,
+                                          m["not-after"] / 1000,
                                           bool(m.get("repeat")), tenant=m.get("billing"))
             case "Verdict":
-                report, at = m.get("feedback"), self.waiting_at.get(id)
-                instance.forward_ended(now, m["corr"], m["try"], bool(m.get("over")), OUTCOMES[m["how"]],
-                                       waiting=report[at] if report and at is not None else None)
+                instance.forward_ended(now, m["corr"], m["try"], bool(m.get("over")), OUTCOMES[m["how"]])
             case "DeadlineHit":
                 instance.woken(now, m["ctx"])
             case "ClientLeft":
