--- a/rainspindle/decisions/operation/learnt.py
+++ b/rainspindle/decisions/operation/learnt.py
@@ -8,22 +8,23 @@
 import math
 from typing import Any
 
+from ...histogram import Histogram
 from ...host import State
-from ...logic import Balancer, Breaker, Endpoint, Entry, Histogram
+from ...logic import Balancer, Breaker, Endpoint, Entry
 
 KEPT = ("credit", "window", "calm", "busy", "row", "failures", "outcomes", "cold_left")
-OWN = ("warm_rate", "usual", "usual_wait", "usual_pace", "slow", "calm", "counts", "counted")
+OWN = ("warm_rate", "usual", "slow", "calm", "counts", "counted")
 
 
 def give(balancer: Balancer, now: float) -> dict[str, Any]:
     """What was learnt, for `take`; times as ages in seconds."""
     return {
         **{name: getattr(balancer, name) for name in OWN},
-        "times": [h.bins for h in (balancer.latency, balancer.wait, balancer.pace)],
+        "times": balancer.latency.bins,
         "put_back": {id: now - at for id, at in balancer.put_back.items()},
         "endpoints": {e.id: {
             **{name: getattr(e, name) for name in KEPT}, "age": now - (e.line.started or -math.inf),
-            "times": [h.bins for h in (e.latency, e.wait, e.pace)], "cold_since": now - e.cold_until,
+            "times": e.latency.bins, "cold_since": now - e.cold_until,
             "out": now - e.breaker.since if e.breaker else None, "back": now - e.back_at,
             } for e in balancer.touched},
         "keys": {key: [entry.first.id, entry.current.id, [e.id for e in entry.tried], entry.retriable,
@@ -50,7 +51,7 @@
         if e and e.line.state is not State.LEFT_OUT and (
                 e.line.started is None or abs(ago(kept["age"]) - e.line.started) < 1.0):
             names = {name: kept[name] for name in KEPT}
-            names["latency"], names["wait"], names["pace"] = map(histogram, kept["times"])
+            names["latency"] = histogram(kept["times"])
             names["cold_until"], names["back_at"] = ago(kept["cold_since"]), ago(kept["back"])
             names["breaker"] = None if kept["out"] is None else Breaker(now - kept["out"])
             known.append((e, names))
@@ -63,7 +64,7 @@
             entry.tried = [taken[id] for id in tried]
             entry.retriable, entry.other = int(retriable), int(other)
     own = {name: given[name] for name in OWN}
-    own["latency"], own["wait"], own["pace"] = map(histogram, given["times"])
+    own["latency"] = histogram(given["times"])
     own["put_back"] = {id: now - age for id, age in given["put_back"].items()}
     for at, names in ((balancer, own), *known):
         for name, value in names.items():
--- a/rainspindle/host.py
+++ b/rainspindle/host.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -48,8 +49,6 @@
     promised_time: float
     expiry: float
     memory_span: float
-    late_value: float  # share of the value that an answer after the promised time still earns
-    stretch: float  # the promised time grows by this multiple of the exchange's own work
     value: float = 1.0
 
 
@@ -66,6 +65,14 @@
     kind: int = 0  # of machine, by number
 
 
+@dataclass(frozen=True, slots=True)
+class Facts:
+    """What one sidecar of a pool has learnt."""
+
+    rates: tuple[float, ...]  # exchanges a second that came to it, by tenant
+    kinds: dict[int, tuple[float, float]]  # calm time and free places, by kind of machine
+
+
 class Host(Protocol):
     """All that the decision module can do. Times are seconds."""
 
@@ -88,7 +95,10 @@
 
     def close_idle(self, endpoint: str) -> None: ...
 
-    def tell(self, payload: str) -> None:
-        """A message of 256 bytes at most to all other sidecars, where that is allowed; it may be lost."""
+    def tell_held(self, marks: Sequence[int]) -> None:
+        """Tells the other sidecars the endpoint of each exchange out, by its mark of 24 bits; may be lost."""
+
+    def tell_facts(self, facts: Facts) -> None:
+        """Tells the other sidecars what was learnt; it may be lost."""
 
     def log(self, line: str) -> None: ...
--- a/rainspindle/program/main.py
+++ b/rainspindle/program/main.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from .. import __version__
-from . import logs
+from . import logs, moving
 from .config import ConfigFault, load
 from .serve import Sidecar
 
@@ -32,6 +32,7 @@
     mysql.add_argument("--check", action="store_true", help="read it and say whether it can be served")
     for command in (serve, gateway, mysql):
         command.add_argument("--log-level", default="info", choices=("debug", "info", "warning", "error"))
+    moving.add_to(commands)
     commands.add_parser("version", help="print the version")
     if lab is None:
         commands.add_parser("lab", help="experiments on a model of the fleet, or on loopback sockets")
@@ -65,6 +66,8 @@
         print(f"rainspindle {__version__}")
         return 0
     try:
+        if options.command == "move":
+            return moving.main(options)
         if options.command == "gateway":
             return gateway(options)
         if options.command == "mysql":
--- a/rainspindle/program/serve.py
+++ b/rainspindle/program/serve.py
@@ -24,6 +24,7 @@
 from ..routing.follow import Follower
 from ..transport.address import address_text
 from ..transport.connection import Connection, Listener
+from ..transport.datagrams import Datagrams
 from ..transport.loop import Coroutine, Loop
 from ..transport.pool import Pool
 from .config import Config, ConfigFault
@@ -108,7 +109,7 @@
         self.loop = Loop(self.fault)
         self.began, self.told = self.loop.now(), False
         self.alone_at = math.inf  # when a process beside this one is gone for certain
-        self.faults = 0
+        self.faults = self.unread = 0
         clients, connections = caps(config)
         self.pool = Pool(self.loop, connections, config.settings.idle_time)
         self.follower = Follower(self.loop, config.discovery, config.decoder,
@@ -121,6 +122,12 @@
         if known.lines:
             self.core.list_changed(known.lines, known.addresses, whole=True, stale=True)
         self.follower.core = self.core
+        if not config.asks_list:
+            self.follower.want()  # a pushed list is watched unasked: on sockets it comes by a watch
+        self.peers: Datagrams | None = None
+        if config.peers is not None:
+            self.peers = Datagrams(self.loop, config.peers.listen, config.peers.others, self.heard_peer)
+            self.core.tell = self.peers.tell
         self.stages = Stages(min(max(config.settings.expiries), MOST_LEAVING))
         self.listener = Listener(self.loop, config.listen, self.front.accepted, self.front.make_room,
                                  shared=config.console is not None)
@@ -156,6 +163,13 @@
         if not self.listener.closed:
             self.listener.close()
 
+    def heard_peer(self, who: str, message: str) -> None:
+        try:
+            self.core.apply(self.core.facade.heard(self.loop.now(), who, message))
+        except ValueError as fault:  # of another release, or cut: what it tells is old soon anyhow
+            self.unread += 1
+            log.debug("unreadable message", extra={"fields": {"from": who, "why": fault}})
+
     def heard(self, change: ListChange) -> None:
         self.told = True
         self.operation.listed(list(change.addresses))
@@ -217,7 +231,7 @@
         old, self.config = self.config, new
         self.front.most_clients, self.pool.most = caps(new)
         self.follower.move(new.discovery)
-        later = [name for name in ("name", "listen", "raw_settings", "console")
+        later = [name for name in ("name", "listen", "raw_settings", "console", "peers")
                  if getattr(old, name) != getattr(new, name)]
         log.info("configuration read again", extra={"fields": {
             "discovery": address_text(new.discovery), "sockets": new.sockets,
@@ -278,5 +292,7 @@
         yield "taken", self.core.taken
         yield "connections_made", self.pool.made
         yield "connections_reused", self.pool.reused
+        if self.peers is not None:
+            yield "peers_unread", self.unread + self.peers.strangers
         yield "faults", self.faults
         yield "broken", dict(must.broken)
--- a/rainspindle/protocol/application.py
+++ b/rainspindle/protocol/application.py
@@ -34,6 +34,7 @@
     wait: float | None  # how long the client waits, counted from its sending
     hint: float | None
     repeat: bool
+    tenant: int | None = None  # its number in the settings
     more: bool = False  # whether `body` is only its first part
     length: int | None = None  # of the whole body, where that is told
 
@@ -221,13 +222,14 @@
         try:
             wait = headers.get(b"x-timeout-ms")
             cost = headers.get(b"x-cost", b"").decode("latin-1")  # in microseconds, X-Attrs in milliseconds
-            predicted = attributes(headers.get(b"x-attrs", b"")).get("predicted")
+            further = attributes(headers.get(b"x-attrs", b""))
+            predicted, tenant = further.get("predicted"), further.get("billing")
             hint = number(cost) / 1e6 if cost else number(predicted) / 1000 if predicted else None
             return Ask(
                 id, method, target, body, going_on(all_headers), self.types[name],
                 cookie(headers.get(b"cookie", b""), "user"),
                 None if wait is None else number(wait.decode("latin-1")) / 1000, hint,
-                headers.get(b"x-retried") == b"1", more,
+                headers.get(b"x-retried") == b"1", int(number(tenant)) if tenant else None, more,
                 int(headers[b"content-length"]) if more and b"content-length" in headers else None)
         except ValueError:
             return Bad(400, "X-Timeout-Ms, X-Cost or X-Attrs is not a number")
--- a/rainspindle/protocol/discovery.py
+++ b/rainspindle/protocol/discovery.py
@@ -27,9 +27,10 @@
 
 
 class ListDecoder:
-    def __init__(self, zones: Sequence[str], clock_offset: float) -> None:
+    def __init__(self, zones: Sequence[str], clock_offset: float, kinds: Sequence[str] = ()) -> None:
         """`clock_offset` is what is added to Unix time to give the sidecar's own; it never changes, or
         every start time would look like a new start."""
+        self.kinds = {name: n for n, name in enumerate(kinds)}
         self.zones, self.clock_offset = {name: n for n, name in enumerate(zones)}, clock_offset
 
     def decode(self, message: Any) -> ListChange:
@@ -46,7 +47,8 @@
         weight, started = e.get("weight"), e.get("startedAtMs")
         return Listed(str(e["instanceId"]), int(e.get("cell") or 0), self.zones.get(e.get("zone") or "", -1),
                       1.0 if weight is None else float(weight), STATES[e["lifecycle"]],
-                      started / 1000 + self.clock_offset if started else None)
+                      started / 1000 + self.clock_offset if started else None,
+                      self.kinds.get(e.get("machineType") or "", len(self.kinds)))
 
 
 class DiscoverySide:
--- a/rainspindle/protocol/settings.py
+++ b/rainspindle/protocol/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -15,6 +16,7 @@
     "non_idempotent": Effect.BINDING,
 }
 CONNECT_PART = 0.25  # of the promised time
+WEIGHTS = ("off", "nominal", "rough", "live")
 GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
 
 
@@ -30,8 +32,7 @@
         raise ValueError(f"unknown group {group!r}")
     return TrafficType(
         EFFECTS[t["effect"]], GROUPS[group], seconds(t["promised-time"]), seconds(t["expiry"]),
-        seconds(t.get("memory-span")), t.get("overdue-value") or 0.0, t.get("aim-stretch") or 0.0,
-        number(t, "value", 1.0))
+        seconds(t.get("memory-span")), number(t, "value", 1.0))
 
 
 def number(s: dict[str, Any], key: str, absent: float) -> float:
@@ -55,13 +56,37 @@
     return ForwardBudget(free, share, seconds(over))
 
 
-def soft_removal(contract: dict[str, Any]) -> bool:
-    value = contract.get("soft-removal")
+def flag(s: dict[str, Any], key: str) -> bool:
+    value = s.get(key)
     if value is not None and not isinstance(value, bool):
-        raise ValueError(f"soft-removal is neither true nor false: {value!r}")
+        raise ValueError(f"{key} is neither true nor false: {value!r}")
     return bool(value)
 
 
+def choice(s: dict[str, Any], key: str, of: Sequence[str], absent: str) -> str:
+    value = s.get(key)
+    if value is not None and value not in of:
+        raise ValueError(f"{key} is none of {', '.join(of)}: {value!r}")
+    return absent if value is None else str(value)
+
+
+def allowances(s: dict[str, Any]) -> tuple[float, ...]:
+    """Exchanges a second that each tenant may ask of all sidecars."""
+    tenants = s.get("tenants") or []
+    if not isinstance(tenants, list) or not all(isinstance(tenant, dict) for tenant in tenants):
+        raise ValueError("tenants is no list of tenants")
+    return tuple(number(tenant, "allowance-per-s", 0.0) or math.inf for tenant in tenants)
+
+
+def soft_removal(contract: dict[str, Any]) -> bool:
+    return flag(contract, "soft-removal")
+
+
+def asks_list(s: dict[str, Any]) -> bool:
+    """Whether the list comes only where it is asked for."""
+    return choice(s, "discovery", ("on_request", "pushed"), "on_request") == "on_request"
+
+
 def make_balancer(host: Host, seed: int, now: float, s: dict[str, Any]) -> Balancer:
     try:
         return balancer(host, seed, now, s)
@@ -75,19 +100,18 @@
     soft_removal(contract)
     budget = ColdBudget(contract["fall-multiple"], seconds(contract["tip-after"]), contract["cold-from"],
                         seconds(contract["cold"]))
+    prices, weights = s.get("prices") or {}, choice(s, "weight-kind", WEIGHTS, "off")
     return Balancer(
         host, seed, now, peers=s.get("peers-total") or 1, zone=s["zone"],
         types=[traffic_type(t) for t in s["traffic-types"]],
         max_forwards=limits["max-forwards"], parallel=bool(limits.get("parallel-tries")),
         may_call_off=bool(limits.get("cancel")),
         max_hold_off=seconds(limits.get("max-retry-after")) if limits.get("retry-after") else 0.0,
-        asks_list=s["discovery"] == "on_request", ask_within=seconds(contract["ask-within"]),
-        use_shares=s.get("weight-kind") in ("nominal", "rough"),
-        cross_price=(s.get("prices") or {}).get("cross-zone") or 0.0, budget=budget,
-        further=forward_budget(contract), tells=bool(limits.get("peers")),
-        peer_price=(s.get("prices") or {}).get("peer") or 0.0,
-        allowances=tuple(t.get("allowance-per-s") or math.inf for t in s.get("tenants") or ()),
-        excess_value=number(s, "excess-value", 1.0), live=s.get("weight-kind") == "live")
+        asks_list=asks_list(s), ask_within=seconds(contract["ask-within"]),
+        use_shares=weights in ("nominal", "rough"), cross_price=number(prices, "cross-zone", 0.0),
+        budget=budget, further=forward_budget(contract), tells=flag(limits, "peers"),
+        peer_price=number(prices, "peer", 0.0), allowances=allowances(s),
+        excess_value=number(s, "excess-value", 1.0), live=weights == "live")
 
 
 @dataclass(frozen=True, slots=True)
--- a/rainspindle/routing/core.py
+++ b/rainspindle/routing/core.py
@@ -45,6 +45,7 @@
     # goes with one forward; until then `expires_at` tells when it is given up.
     expiry: Callable[[], float] | None = None
     spent: Callable[[], None] = nothing  # the back calls it when a part that is not kept goes to an endpoint
+    tenant: int | None = None
     written: Callable[[], float] = never  # and this after the last byte; until when to wait for the answer
 
 
@@ -135,11 +136,12 @@
 
 class Core:
     def __init__(self, loop: Loop, facade: Facade, settings: SocketSettings, directory: Directory, back: Back,
-                 on_watch: Callable[[], None], on_tick: Callable[[], None] = lambda: None) -> None:
+                 on_watch: Callable[[], None], on_tick: Callable[[], None] = nothing) -> None:
         """`on_watch` is called when the list is to be watched, `on_tick` some times a second."""
         self.loop, self.facade, self.settings = loop, facade, settings
         self.directory, self.back = directory, back
         self.on_watch, self.on_tick = on_watch, on_tick
+        self.tell: Callable[[str], None] = lambda message: None  # the other sidecars, where there are any
         self.held: dict[int, Held] = {}
         self.taken = 0
         self.last_answer = math.inf  # when the last exchange must be answered, on the way out
@@ -164,6 +166,8 @@
         for endpoint in did.close_idle:
             if endpoint in self.directory.addresses:
                 self.back.drop(endpoint, self.directory.addresses[endpoint])
+        for message in did.told:
+            self.tell(message)
         if did.watch:
             self.on_watch()
         if did.wake_at < self.looks_at:
@@ -273,8 +277,9 @@
 
         given.spent, given.written = spent, written
         try:
-            self.apply(self.facade.pick(self.loop.now(), exchange, given.type_index, given.key, given.hint,
-                                        given.expires_at, given.repeat, given.expiry is not None))
+            self.apply(self.facade.pick(
+                self.loop.now(), exchange, given.type_index, given.key, given.expires_at, given.repeat,
+                given.expiry is not None, given.tenant))
             while held.steps:
                 step = held.steps.popleft()
                 must(not held.steps, "one step at a time for an exchange")
--- a/rainspindle/routing/facade.py
+++ b/rainspindle/routing/facade.py
@@ -9,14 +9,15 @@
 import heapq
 import logging
 import math
-from collections.abc import Callable, Collection, Sized
+from collections.abc import Callable, Collection, Sequence, Sized
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from ..decisions.operation import learnt
-from ..host import Host, Listed, Outcome
+from ..decisions.operation import learnt, left_out
+from ..host import Facts, Host, Listed, Outcome
 from ..logic import Balancer
 from ..must import must
+from ..protocol import peers
 
 log = logging.getLogger("rainspindle.decisions")
 
@@ -48,6 +49,7 @@
     steps: list[tuple[int, Step]] = field(default_factory=list)  # by exchange
     called_off: list[tuple[int, int]] = field(default_factory=list)  # exchange and number of the forward
     close_idle: list[str] = field(default_factory=list)  # endpoints
+    told: list[str] = field(default_factory=list)  # messages to the other sidecars
     watch: bool = False  # the list is to be watched from now on
     wake_at: float = math.inf  # when `tick` wants to be called next
 
@@ -62,12 +64,8 @@
 
     def list_failed(self, now: float) -> None: ...
 
-    def disable(self, now: float, id: str) -> None: ...
-
-    def enable(self, now: float, id: str) -> None: ...
-
-    def exchange_arrived(self, now: float, id: int, type_index: int, key: str | None, hint: float | None,
-                         expires_at: float, repeat: bool = False, coming: bool = False) -> None: ...
+    def exchange_arrived(self, now: float, id: int, type_index: int, key: str | None, expires_at: float,
+                         repeat: bool = False, coming: bool = False, tenant: int | None = None) -> None: ...
 
     def body_spent(self, now: float, id: int) -> None: ...
 
@@ -94,11 +92,11 @@
         self.did = Did()
         self.balancer = make(self)
 
-    def pick(self, now: float, exchange: int, type_index: int, key: str | None, hint: float | None,
-             expires_at: float, repeat: bool, coming: bool = False) -> Did:
+    def pick(self, now: float, exchange: int, type_index: int, key: str | None,
+             expires_at: float, repeat: bool, coming: bool = False, tenant: int | None = None) -> Did:
         """`coming`: its body is not whole yet, and each forward is told by `written` when it is."""
         self.now, self.sent[exchange] = now, 0
-        self.balancer.exchange_arrived(now, exchange, type_index, key, hint, expires_at, repeat, coming)
+        self.balancer.exchange_arrived(now, exchange, type_index, key, expires_at, repeat, coming, tenant)
         return self.taken()
 
     def spent(self, now: float, exchange: int) -> None:
@@ -144,10 +142,8 @@
     def leave_out(self, now: float, endpoint: str, out: bool) -> Did:
         """An order of the staff: the endpoint gets nothing from now on, or may again."""
         self.now = now
-        if out:
-            self.balancer.disable(now, endpoint)
-        else:
-            self.balancer.enable(now, endpoint)
+        if isinstance(self.balancer, Balancer):
+            (left_out.disable if out else left_out.enable)(self.balancer, now, endpoint)
         return self.taken()
 
     def give(self, now: float) -> dict[str, Any]:
@@ -164,6 +160,13 @@
             raise ValueError(f"{type(fault).__name__} {fault}") from None
         return self.taken()
 
+    def heard(self, now: float, who: str, message: str) -> Did:
+        """Another sidecar's message. Raises ValueError where it is none."""
+        self.now = now
+        if isinstance(self.balancer, Balancer):
+            peers.hear(self.balancer, now, who, message)
+        return self.taken()
+
     def tick(self, now: float) -> Did:
         """Lets the module do what it set itself to do by now."""
         self.now = now
@@ -216,5 +219,11 @@
     def close_idle(self, endpoint: str) -> None:
         self.did.close_idle.append(endpoint)
 
+    def tell_held(self, marks: Sequence[int]) -> None:
+        self.did.told.append(peers.encode_held(marks))
+
+    def tell_facts(self, facts: Facts) -> None:
+        self.did.told.append(peers.encode_facts(facts))
+
     def log(self, line: str) -> None:
         log.info(line)
--- a/rainspindle/simhost/adapter.py
+++ b/rainspindle/simhost/adapter.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import contextlib
 import sys
+from collections.abc import Sequence
 from typing import Any, BinaryIO
 
 import orjson
 
-from ..host import Listed, Outcome, State
+from ..host import Facts, Listed, Outcome, State
 from ..logic import Balancer
+from ..protocol.peers import encode_facts, encode_held, hear
 from ..protocol.settings import make_balancer
 
 Message = dict[str, Any]
@@ -61,8 +64,11 @@
     def close_idle(self, endpoint: str) -> None:
         self.act("ShutIdle", endpoint=endpoint)
 
-    def tell(self, payload: str) -> None:
-        self.act("Share", target="all", payload=payload)
+    def tell_held(self, marks: Sequence[int]) -> None:
+        self.act("Share", target="all", payload=encode_held(marks))
+
+    def tell_facts(self, facts: Facts) -> None:
+        self.act("Share", target="all", payload=encode_facts(facts))
 
     def log(self, line: str) -> None:
         self.act("Log", **{"reason-text": line})
@@ -124,7 +130,8 @@
             case "CrashNow":
                 del self.instances[id]
             case "Memo":
-                instance.peer_told(now, str(m["who"]), m["payload"])
+                with contextlib.suppress(ValueError):  # not from a sidecar of this release
+                    hear(instance, now, str(m["who"]), m["payload"])
             case "ProbeResult":
                 pass  # none are sent: the trials are real exchanges
             case _:
