--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -99,8 +99,7 @@
     def __init__(self, multiple: float, window: float, cold_from: float, cold: float) -> None:
         self.multiple, self.window, self.cold_from, self.cold = multiple, window, cold_from, cold
 
-    def capacity(self, age: float) -> float:
-        """The least share of its full capacity that an endpoint of this age has."""
+    def capacity(self, age: float) -> float:  # the least share of its full one at this age
         return 1.0 if age >= self.cold else self.cold_from + (1 - self.cold_from) * max(age, 0.0) / self.cold
 
     def draw(self, age: float, warm_rate: float, times: Histogram, peers: int, chance: float
@@ -269,8 +268,7 @@
         oldest = next(iter(self.out.values())).sent if self.out else now
         return max(self.latency.quantile(0.75, usual, 1.0), now - oldest)
 
-    def trips(self, usual: float) -> bool:
-        """`usual` is the share that fails at all in service."""
+    def trips(self, usual: float) -> bool:  # the share that fails at all in service
         failures, share = sum(self.failures), max(self.SHARE, min(2 * usual, self.MOST_SHARE))
         return failures > self.FAILURES and (failures > share * sum(self.outcomes) or self.row >= self.ROW)
 
@@ -343,8 +341,8 @@
             if line.id in self.left_out:
                 self.left_out[line.id], line = line, replace(line, state=State.LEFT_OUT)
             known = self.endpoints.get(line.id)
-            if known and self.live and line.share > 0:
-                self.grade(known).listed(line.share, self.held(known))
+            if self.live and line.share > 0:
+                self.grade(line).listed(line.share, self.held(known) if known else 0)
             if known is None:
                 self.endpoints[line.id] = Endpoint(line, self.QUEUE / self.peers)
             elif line.started and line.started != known.line.started:
@@ -383,8 +381,8 @@
         """What an endpoint holds: its own forwards here, and those of the other sidecars as last told."""
         return len(e.out) + self.pool.held.get(e.mark, 0)
 
-    def grade(self, e: Endpoint) -> Grade:
-        return self.grades.get(e.line.kind) or self.grades.setdefault(e.line.kind, Grade())
+    def grade(self, line: Listed) -> Grade:
+        return self.grades.get(line.kind) or self.grades.setdefault(line.kind, Grade())
 
     def exchange_arrived(self, now: float, id: int, type_index: int, key: str | None,
                          expires_at: float, repeat: bool = False, coming: bool = False,
@@ -543,11 +541,13 @@
             if len(self.ranks) > 4096:
                 self.ranks.clear()
 
+            fastest = min((g.time for g in self.grades.values() if g.time), default=1.0)
+
             def distance(e: Endpoint) -> float:
                 word = blake2b(f"{key}|{e.id}".encode(), digest_size=8).digest()
                 weight = e.line.share if self.use_shares and e.line.share > 0 else 1.0
-                if self.tells:
-                    weight = 1 / (self.grade(e).time or 1.0)
+                if self.tells:  # a kind that is not known yet counts as the fastest, or would never be
+                    weight = 1 / (self.grade(e.line).time or fastest)
                 weight *= self.local_boost if e.line.zone == self.zone else 1.0
                 return -math.log((int.from_bytes(word, "big") + 1) / 2**64) / weight
             ranked = self.ranks[key] = sorted(self.ready, key=distance)
@@ -569,7 +569,7 @@
 
     def room(self, e: Endpoint, mean: float, now: float) -> bool:
         """Below the design's skip line, below its window, and within the budget if cold."""
-        free, held = self.grade(e).free if self.tells else 0.0, self.held(e)
+        free, held = self.grade(e.line).free if self.tells else 0.0, self.held(e)
         if held > self.SKIP_FACTOR * mean + (free - 1 if free else self.SKIP_PLUS) \
                 or held >= (self.MOST_HELD * free or e.window):
             return False
@@ -621,8 +621,9 @@
                                                       or now - e.breaker.since > self.LAST_TRIAL):
                     return e, e.breaker
                 continue
-            times = self.grade(e).at(self.held(e)) if self.tells else e.latency.low_mean(usual, 2.0)
-            if not self.ramped(e, x.key, now) or drawn < self.crowding(times, promised, self.grade(e).time):
+            grade = self.grade(e.line)
+            times = grade.at(self.held(e)) if self.tells else e.latency.low_mean(usual, 2.0)
+            if not self.ramped(e, x.key, now) or drawn < self.crowding(times, promised, grade.time):
                 continue
             time = e.predicted(now, self.usual)
             if time <= left / 2:
@@ -641,7 +642,7 @@
         late = latency * self.able(endpoint, now) > promised
         endpoint.latency.add(latency)
         self.latency.add(latency)
-        self.grade(endpoint).add(forward.held, latency)
+        self.grade(endpoint.line).add(forward.held, latency)
         endpoint.answered(now, forward.sent, endpoint.calm or self.calm or promised, promised)
         if forward.trial and self.table.entries.get(x.key) is forward.trial:
             del self.table.entries[x.key]
@@ -704,9 +705,9 @@
         for forward in list(self.forwards.values()):  # the oldest first
             if forward.writing or forward.flowing:
                 continue
+            e, x = forward.endpoint, forward.exchange
             if now - forward.sent < overdue:
                 break
-            e, x = forward.endpoint, forward.exchange
             # Guards against a silent connection: one overdue and overtaken holds no room, and may go again.
             if not forward.lost and e.answered_sent > forward.sent:
                 forward.lost = True
@@ -723,8 +724,8 @@
 
     def tell(self, now: float) -> None:
         """As often as its price lets, where something has changed; now and then in any case."""
-        word = [e.mark for e in self.touched for _ in e.out]
-        cost = (self.peers - 1) * 3 * len(word) / 256 * self.peer_price / max(self.rate, 1.0)
+        word = [e.mark for e in self.touched for _ in e.out]  # of four bytes each
+        cost = (self.peers - 1) * len(word) / 64 * self.peer_price / max(self.rate, 1.0)
         self.host.wake(max(self.TELL, cost / self.TELL_COST), "tell")
         if word != self.word or now - self.told_at > self.pool.LASTS / 2:
             self.word, self.told_at = word, now
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -32,8 +32,9 @@
     return TrafficType(effect, group, 0.6, 2.0, 0.15, value)
 
 
-def line(n: int, state: State = State.READY, started: float | None = None, zone: int | None = None) -> Listed:
-    return Listed(f"e{n}", n // 2, n % 2 if zone is None else zone, 1.0, state, started)
+def line(n: int, state: State = State.READY, started: float | None = None, zone: int | None = None,
+         share: float = 1.0, machine: int = 0) -> Listed:
+    return Listed(f"e{n}", n // 2, n % 2 if zone is None else zone, share, state, started, machine)
 
 
 @dataclass
--- /dev/null
+++ b/tests/test_pool.py
@@ -0,0 +1,247 @@
+"""Sidecars of a pool: what they tell one another, and what each makes of it."""
+
+from __future__ import annotations
+
+import json
+import socket
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rainspindle.host import Effect, Facts, Outcome, State
+from rainspindle.protocol import peers
+from rainspindle.protocol.discovery import ListDecoder
+
+from .fleet import SETTINGS, Fleet, ask, entry, kind, line
+from .test_program import Service, config, run
+
+POOL: dict[str, Any] = {"tells": True, "shares": False, "cross_price": 0.0}
+
+
+def home(fleet: Fleet, key: str = "k") -> str:
+    return fleet.balancer.rank(key)[0].id
+
+
+def mark(fleet: Fleet, id: str) -> int:
+    return fleet.balancer.endpoints[id].mark
+
+
+def served(fleet: Fleet, count: int, took: float = 0.05, first: int = 0, **arrival: Any) -> None:
+    for id in range(first, first + count):
+        held = fleet.arrive(id, key=f"key{id}", **arrival)
+        fleet.wait(took)
+        if held.sent:
+            fleet.end(id, 0, Outcome.SERVED)
+
+
+def test_what_others_have_at_an_endpoint_passes_it_over_until_their_word_is_old() -> None:
+    fleet = Fleet([kind()], [line(n, zone=0) for n in range(4)], **POOL)  # a sidecar sees a part of the load
+    first = home(fleet)
+    fleet.balancer.peer_holds(fleet.now, "2", [mark(fleet, first)] * 9)
+    assert fleet.arrive(1).sent[0].endpoint != first
+    fleet.balancer.peer_holds(fleet.now, "2", [])
+    assert fleet.arrive(2).sent[0].endpoint == first
+    fleet.balancer.peer_holds(fleet.now, "2", [mark(fleet, first)] * 9)
+    fleet.wait(2.0)
+    assert fleet.balancer.pool.total == 0 and fleet.arrive(3).sent[0].endpoint == first
+
+
+def test_each_word_names_every_exchange_out_and_is_told_when_it_changes() -> None:
+    fleet = Fleet([kind(Effect.BINDING)], [line(n, zone=0) for n in range(4)], **POOL)
+    for id in range(3):
+        fleet.arrive(id, key=f"key{id}", wait=2.0)
+    fleet.wait(0.2)
+    words = [told for told in fleet.told_peers if not isinstance(told, Facts)]
+    assert sorted(words[-1]) == sorted(mark(fleet, h.sent[0].endpoint) for h in fleet.held.values())
+    assert len(words) <= 2, "nothing has changed since the first"
+
+
+def test_a_slow_kind_gets_fewer_keys_once_its_times_are_known() -> None:
+    fleet = Fleet([kind()], [line(n, zone=0, machine=n % 2)
+                             for n in range(8)], **POOL)
+    for id in range(400):
+        held = fleet.arrive(id, key=f"key{id}")
+        fleet.wait(0.09 if int(held.sent[0].endpoint[1:]) % 2 else 0.03)
+        fleet.end(id, 0, Outcome.SERVED)
+    slow = sum(int(home(fleet, f"new{n}")[1:]) % 2 for n in range(400))
+    assert 40 < slow < 160
+
+
+def test_free_places_come_from_a_list_whose_weights_move_with_load() -> None:
+    fleet = Fleet([kind()], [line(n, zone=0) for n in range(4)], live=True, **POOL)
+    served(fleet, 40)
+    for _ in range(20):
+        fleet.balancer.peer_holds(fleet.now, "2", [mark(fleet, f"e{n}") for n in range(4) for _ in range(6)])
+        fleet.tell([line(n, zone=0, share=0.5) for n in range(4)])  # one held by each core
+        served(fleet, 2, first=int(fleet.now * 100))
+    assert fleet.balancer.grades[0].free == pytest.approx(6, rel=0.2)
+
+
+def test_a_restarted_sidecar_goes_by_what_the_others_learnt() -> None:
+    fleet = Fleet([kind()], [line(n, zone=0) for n in range(4)], **POOL)
+    for who, free in ("2", 3.0), ("3", 5.0), ("4", 40.0):
+        fleet.balancer.peer_learnt(fleet.now, who, Facts((), {0: (0.04, free)}))
+    fleet.arrive(1)
+    fleet.wait(1.2)
+    assert (fleet.balancer.grades[0].free, fleet.balancer.grades[0].time) == (5.0, 0.04)
+
+
+def test_the_least_of_worth_is_turned_away_first_and_what_is_over_a_share_counts_less() -> None:
+    types = [kind(value=1.0), kind(value=8.0)]
+    fleet = Fleet(types, [line(0, zone=0)], allowances=(5.0, 100.0), excess_value=0.2, **POOL)
+    for id in range(400):
+        fleet.arrive(id, id % 2, key=None, tenant=0 if id % 4 else 1)
+        fleet.wait(0.02)
+        fleet.end(id, 0, Outcome.SERVED) if fleet.held[id].sent else None
+    fleet.balancer.peer_learnt(fleet.now, "2", Facts((30.0, 10.0), {}))
+    fleet.wait(1.2)
+    assert fleet.balancer.over[0] > 0.8 and fleet.balancer.over[1] == 0.0
+    fleet.balancer.worths = {0.2: 100.0, 1.0: 100.0, 8.0: 100.0}
+    places = [fleet.balancer.place(worth) for worth in (0.2, 1.0, 8.0)]
+    assert places[0] < 0.34 < places[1] < 0.68 < places[2]
+
+
+def test_ranks_stay_while_a_list_changes_nothing_that_they_go_by() -> None:
+    fleet = Fleet([kind()], [line(n, zone=0) for n in range(4)], live=True, **POOL)
+    ranked = fleet.balancer.rank("k")
+    fleet.tell([line(n, zone=0, share=0.7) for n in range(4)], whole=True)
+    assert fleet.balancer.rank("k") is ranked  # sorted anew for each key, twice a second
+    fleet.tell([line(0, State.GONE)])
+    assert len(fleet.balancer.rank("k")) == 3
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(marks=st.lists(st.integers(0, 2**24 - 1), max_size=100),
+       rates=st.lists(st.integers(0, 9999), max_size=8),
+       kinds=st.dictionaries(st.integers(0, 9), st.tuples(st.floats(0.001, 9.0), st.floats(1.0, 40.0)),
+                             max_size=4))
+def test_messages_come_back_as_they_went_and_fit(marks, rates, kinds):  # type: ignore[no-untyped-def]
+    word = peers.encode_held(marks)
+    assert len(word) <= 256 and peers.decode(word) == marks[:64]
+    text = peers.encode_facts(Facts(tuple(map(float, rates)), kinds))
+    facts = peers.decode(text)
+    assert len(text) <= 256 and isinstance(facts, Facts) and facts.rates == tuple(map(float, rates))
+    assert all(facts.kinds[k] == pytest.approx(v, abs=0.06) for k, v in kinds.items())
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(text=st.one_of(st.text(max_size=300), st.text("=,;:.-0123456789naif", max_size=60).map("=".__add__)))
+def test_any_text_is_a_message_or_is_refused(text: str) -> None:
+    fleet = Fleet([kind()], [line(0)], **POOL)
+    try:
+        peers.hear(fleet.balancer, fleet.now, "2", text)
+    except ValueError:
+        return
+    fleet.wait(1.5)
+    assert fleet.arrive(1).sent
+
+
+def test_the_kind_of_a_machine_is_read_by_its_name() -> None:
+    decoder = ListDecoder(("north",), 0.0, ("fast", "small"))
+    entries = [{**entry(f"e{n}", 1), "machineType": name} for n, name in enumerate(("small", "odd", "fast"))]
+    change = decoder.decode({"generation": 1, "reset": True, "instances": entries})
+    assert [told.kind for told in change.lines] == [1, 2, 0]
+
+
+def pooled(**changes: Any) -> dict[str, Any]:
+    limits = {**SETTINGS["policy-limits"], "peers": True}
+    return {**SETTINGS, "discovery": "pushed", "weight-kind": "off", "policy-limits": limits, **changes}
+
+
+@pytest.mark.parametrize(("changes", "named"), [
+    ({"settings": pooled()}, "peers names no 'listen'"),
+    ({"peers": {"listen": "127.0.0.1:1", "others": []}}, "policy-limits.peers is not true"),
+    ({"settings": pooled(), "peers": {"listen": "127.0.0.1:1", "others": ["there:1"]}}, "not a numeric address"),
+    ({"settings": pooled(), "peers": {"listen": "127.0.0.1:1", "others": [], "otters": 1}}, "'otters'"),
+    ({"settings": {**SETTINGS, "weight-kind": "heavy"}}, "weight-kind is none of"),
+    ({"settings": {**SETTINGS, "discovery": "guessed"}}, "discovery is none of"),
+    ({"settings": {**SETTINGS, "tenants": [{"allowance-per-s": -1}]}}, "allowance-per-s"),
+    ({"settings": {**SETTINGS, "excess-value": "much"}}, "excess-value"),
+    ({"settings": {**SETTINGS, "prices": {"peer": -1}}}, "peer is no number"),
+])
+def test_a_bad_setting_is_named_in_one_line(tmp_path: Path, changes: dict[str, Any], named: str) -> None:
+    (tmp_path / "config.json").write_text(json.dumps(config(**changes)))
+    done = run("check", "--config", str(tmp_path / "config.json"))
+    assert done.returncode == 2 and named in done.stderr and done.stderr.count("\n") == 1
+
+
+def test_a_sidecar_tells_another_and_goes_by_its_word_on_sockets(tmp_path: Path) -> None:
+    """A stand-in for another sidecar: it hears the word, and its own turns a key away from its endpoint."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other, \
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
+        other.bind(("127.0.0.1", 0))
+        other.settimeout(0.02)
+        free.bind(("127.0.0.1", 0))
+        here = free.getsockname()
+        free.close()
+        service = Service(tmp_path, settings=pooled(), peers={
+            "listen": f"127.0.0.1:{here[1]}", "others": [f"127.0.0.1:{other.getsockname()[1]}"]})
+        assert "index=41" in service.watch().target  # pushed, yet on sockets it comes by a watch
+        client = service.asked(ask("x"))
+        got = service.got()
+        words: set[bytes] = set()
+
+        def heard() -> bool:
+            try:
+                words.add(other.recv(512))
+            except TimeoutError:
+                return False
+            return any(word and not word.startswith(b"=") for word in words)
+        service.until(heard)
+        got.answer(200)
+        assert service.answer(client)[0] == 200
+        told = next(word for word in words if word and not word.startswith(b"="))
+        end = time.monotonic() + 20
+
+        def refused() -> bool:
+            assert time.monotonic() < end
+            other.sendto(told * 60, here)
+            other.sendto(b"\xff nonsense", here)
+            again = service.asked(ask("y"))
+            service.endpoint.look()
+            while service.endpoint.unread:
+                service.endpoint.unread.pop().answer(200)
+            return service.answer(again)[0] == 503
+        service.until(refused)
+        service.close()
+
+
+def old_file(folder: Path) -> Path:
+    known = {"generation": 41, "reset": True, "instances": [{**entry("e0", 9), "weight": 2.5}]}
+    file = folder / "old.json"
+    file.write_text(json.dumps(config(known=known, colour="red", settings={**SETTINGS, "weight-kind": "nominal"})))
+    return file
+
+
+def move(folder: Path, *further: str) -> tuple[int, str, Path]:
+    out = folder / "new.json"
+    done = run("move", "--config", str(old_file(folder)), "--out", str(out), "--peer-listen", "127.0.0.1:7400",
+               "--peer", "127.0.0.1:7401", "--kinds", "fast, small", *further)
+    return done.returncode, done.stdout + done.stderr, out
+
+
+def test_the_move_writes_a_file_that_can_be_served_and_lists_what_it_left(tmp_path: Path) -> None:
+    status, said, out = move(tmp_path)
+    assert status == 0 and run("check", "--config", str(out)).returncode == 0
+    new = json.loads(out.read_text())
+    assert new["peers"] == {"listen": "127.0.0.1:7400", "others": ["127.0.0.1:7401"]}
+    assert new["settings"]["peers-total"] == 2 and new["settings"]["kinds"] == ["fast", "small"]
+    assert new["settings"]["discovery"] == "pushed" and new["listen"] == "127.0.0.1:0"
+    for left in ("colour", "weight-kind nominal", "overdue-value 0.4", "weights of 1 of 1", "tenants"):
+        assert f"not carried over: {left}" in said or left in said, left
+    before = out.read_bytes()
+    assert move(tmp_path)[0] == 2 and out.read_bytes() == before, "a file that is there stays"
+
+
+def test_the_move_s_dry_run_changes_nothing(tmp_path: Path) -> None:
+    file = old_file(tmp_path)
+    before = file.read_bytes()
+    status, said, out = move(tmp_path, "--dry-run")
+    assert status == 0 and "would be written" in said and not out.exists() and file.read_bytes() == before
+    file.write_text("{}")
+    done = run("move", "--config", str(file), "--out", str(out), "--peer-listen", "127.0.0.1:7400")
+    assert done.returncode == 2 and done.stderr.count("\n") == 1 and "lacks" in done.stderr
