--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -281,8 +281,8 @@
     MOST_TURNED = 0.95  # the highest chance of being turned away: some must pass, or no end of a jam is seen
     LEARN, UNLEARN = 0.2, 0.02  # parts by which the rate of warm endpoints rises and falls at a sweep
     LAST_TRIAL, BACK_WAIT = 15.0, 1.0  # seconds until a binding one may be a trial, or first at one put back
-    TELL, TELL_COST = 0.03, 0.003  # seconds between words at least; points that they may cost
-    POOLED, MOST_HELD = 0.25, 3  # in a pool: the part of both ends of a crowd; times the free places
+    TELL, TELL_COST = 0.03, 0.008  # seconds between words at least; points that they may cost
+    POOLED, MOST_HELD, FASTER = 0.25, 3, 3  # in a pool: the part of both ends of a crowd; times the free places; power
     BACK_RAMP = 5.0  # seconds over which an endpoint's keys come back after a good trial
 
     def __init__(self, host: Host, seed: int, now: float, *, peers: int, zone: int, types: list[TrafficType],
@@ -547,7 +547,7 @@
                 word = blake2b(f"{key}|{e.id}".encode(), digest_size=8).digest()
                 weight = e.line.share if self.use_shares and e.line.share > 0 else 1.0
                 if self.tells:  # a kind that is not known yet counts as the fastest, or would never be
-                    weight = 1 / (self.grade(e.line).time or fastest)
+                    weight = (self.grade(e.line).time or fastest) ** -self.FASTER
                 weight *= self.local_boost if e.line.zone == self.zone else 1.0
                 return -math.log((int.from_bytes(word, "big") + 1) / 2**64) / weight
             ranked = self.ranks[key] = sorted(self.ready, key=distance)
