--- a/rainspindle/host.py
+++ b/rainspindle/host.py
@@ -95,8 +95,9 @@
 
     def close_idle(self, endpoint: str) -> None: ...
 
-    def tell_held(self, marks: Sequence[int]) -> None:
-        """Tells the other sidecars the endpoint of each exchange out, by its mark of 24 bits; may be lost."""
+    def tell_held(self, began: Sequence[int], ended: Sequence[int], whole: bool) -> None:
+        """Tells the other sidecars the endpoint of each exchange out by its mark of 24 bits: the `whole`, or
+        what has changed. It may be lost."""
 
     def tell_facts(self, facts: Facts) -> None:
         """Tells the other sidecars what was learnt; it may be lost."""
--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -5,7 +5,7 @@
 
 import math
 import zlib
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field, replace
 from hashlib import blake2b
@@ -155,8 +155,8 @@
             slow = [n for n, (_, time) in enumerate(groups) if time > self.calm * (1 + self.SLOWER)]
             sound = groups[:slow[0]] if slow else groups
             self.found = max(1.0 if slow else self.found, 1 + sound[-1][0] if sound else 1.0)
-        if self.load > 1:
-            self.found = max(1.0, self.held / self.load)
+        if self.size:  # the list tells, a little later: until then no limit is known
+            self.found = max(1.0, self.held / self.load) if self.load > 1 else float(self.MOST)
         self.load, self.held = self.load * self.KEEP, self.held * self.KEEP
         self.sums, self.counts = [s * self.KEEP for s in self.sums], [c * self.KEEP for c in self.counts]
         known = [*told, (self.calm, self.found)] if self.calm else told
@@ -281,8 +281,9 @@
     MOST_TURNED = 0.95  # the highest chance of being turned away: some must pass, or no end of a jam is seen
     LEARN, UNLEARN = 0.2, 0.02  # parts by which the rate of warm endpoints rises and falls at a sweep
     LAST_TRIAL, BACK_WAIT = 15.0, 1.0  # seconds until a binding one may be a trial, or first at one put back
-    TELL, TELL_COST = 0.03, 0.008  # seconds between words at least; points that they may cost
-    POOLED, MOST_HELD, FASTER = 0.25, 3, 3  # in a pool: the part of both ends of a crowd; times the free places; power
+    TELL, TELL_COST = 0.015, 0.008  # seconds between words at least; points that they may cost
+    # In a pool: the part of both ends of a crowd; what is held at most, times free places; how speeds weigh.
+    POOLED, MOST_HELD, FASTER = 0.25, 3, 3
     BACK_RAMP = 5.0  # seconds over which an endpoint's keys come back after a good trial
 
     def __init__(self, host: Host, seed: int, now: float, *, peers: int, zone: int, types: list[TrafficType],
@@ -317,7 +318,8 @@
         if asks_list:
             host.watch_list()
         host.wake(self.TICK, "tick")
-        self.word, self.told_at, self.rate, self.came, self.peer_price = list[int](), now, 0.0, 0, peer_price
+        self.told, self.told_at, self.peer_price = Counter[int](), -math.inf, peer_price
+        self.rate, self.came = 0.0, 0  # exchanges a second; since the last sweep
         if tells:
             host.wake(self.TELL, "tell")
 
@@ -371,15 +373,16 @@
             self.host.log("list lost: asking again")
         self.host.wake(min(0.25 * 2**self.list_failures, self.ask_within / 4) * (0.5 + self.chance()), "list")
 
-    def peer_holds(self, now: float, who: str, marks: Collection[int]) -> None:
-        self.pool.told(now, who, marks)
+    def peer_holds(self, now: float, who: str, began: Collection[int], ended: Collection[int],
+                   whole: bool) -> None:
+        self.pool.told(now, who, began, ended, whole)
 
     def peer_learnt(self, now: float, who: str, facts: Facts) -> None:
         self.pool.facts[who] = now, facts
 
     def held(self, e: Endpoint) -> int:
         """What an endpoint holds: its own forwards here, and those of the other sidecars as last told."""
-        return len(e.out) + self.pool.held.get(e.mark, 0)
+        return len(e.out) + max(0, self.pool.held[e.mark])
 
     def grade(self, line: Listed) -> Grade:
         return self.grades.get(line.kind) or self.grades.setdefault(line.kind, Grade())
@@ -723,13 +726,15 @@
             self.sweep(now)
 
     def tell(self, now: float) -> None:
-        """As often as its price lets, where something has changed; now and then in any case."""
-        word = [e.mark for e in self.touched for _ in e.out]  # of four bytes each
-        cost = (self.peers - 1) * len(word) / 64 * self.peer_price / max(self.rate, 1.0)
+        """What has changed, as often as its price lets; now and then all, as a message may be lost."""
+        held = Counter(e.mark for e in self.touched for _ in e.out)
+        whole = now - self.told_at > Pool.LASTS / 2
+        began, ended = (held, Counter[int]()) if whole else (held - self.told, self.told - held)
+        cost = (self.peers - 1) * (began.total() + ended.total()) / 64 * self.peer_price / max(self.rate, 1.0)
         self.host.wake(max(self.TELL, cost / self.TELL_COST), "tell")
-        if word != self.word or now - self.told_at > self.pool.LASTS / 2:
-            self.word, self.told_at = word, now
-            self.host.tell_held(word)
+        if whole or began or ended:
+            self.told, self.told_at = held, now if whole else self.told_at
+            self.host.tell_held(tuple(began.elements()), tuple(ended.elements()), whole)
 
     def learn_pool(self, now: float) -> None:
         self.pool.sweep(now)
--- a/rainspindle/pool.py
+++ b/rainspindle/pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Collection
 
 from .host import Facts
@@ -15,23 +16,28 @@
     LASTS = 0.5  # seconds
 
     def __init__(self) -> None:
-        self.held: dict[int, int] = {}  # by endpoint's mark
-        self.total = 0
-        self.words: dict[str, tuple[float, Collection[int]]] = {}  # a mark for each exchange out, by sidecar
+        self.held, self.total = Counter[int](), 0  # by endpoint's mark
+        self.words: dict[str, tuple[float, Counter[int]]] = {}  # marks of exchanges out, by sidecar
         self.facts: dict[str, tuple[float, Facts]] = {}
 
-    def told(self, now: float, who: str, marks: Collection[int]) -> None:
-        self.add(self.words.get(who, (now, ()))[1], -1)
+    def told(self, now: float, who: str, began: Collection[int], ended: Collection[int], whole: bool) -> None:
+        """What has changed at another sidecar, or the whole of what it has out."""
+        marks = self.words.pop(who, (now, Counter[int]()))[1]
+        if whole:
+            self.held.subtract(marks)
+            self.total -= marks.total()
+            marks.clear()
+        for counts in (self.held, marks):
+            counts.update(began)
+            counts.subtract(ended)
+        self.total += len(began) - len(ended)
         self.words[who] = now, marks
-        self.add(marks, 1)
-
-    def add(self, marks: Collection[int], sign: int) -> None:
-        for mark in marks:
-            self.held[mark] = self.held.get(mark, 0) + sign
-        self.total += sign * len(marks)
 
     def sweep(self, now: float) -> None:
         for who in [who for who, (at, _) in self.words.items() if now - at > self.LASTS]:
-            self.add(self.words.pop(who)[1], -1)
+            self.told(now, who, (), (), whole=True)
+            del self.words[who]
         self.facts = {who: told for who, told in self.facts.items() if now - told[0] < 6 * self.LASTS}
-        self.held = {mark: count for mark, count in self.held.items() if count}
+        for counts in (self.held, *(marks for _, marks in self.words.values())):
+            for mark in [mark for mark, count in counts.items() if not count]:
+                del counts[mark]
--- a/rainspindle/protocol/peers.py
+++ b/rainspindle/protocol/peers.py
@@ -4,15 +4,31 @@
 
 from base64 import b64decode, b64encode
 from collections.abc import Collection, Sequence
+from dataclasses import dataclass
 from typing import Protocol
 
 from ..host import Facts
 
-MOST, MARK, FACTS = 256, 4, "="  # bytes; characters for a mark; what facts begin with
+MOST, MARK = 256, 4  # bytes; characters for a mark
+FACTS, CHANGES = "=", "-"  # what facts, and changes of what is out, begin with
 
 
-def encode_held(marks: Sequence[int]) -> str:
-    return "".join(b64encode(mark.to_bytes(3, "big")).decode() for mark in marks[:MOST // MARK])
+def encode_held(began: Sequence[int], ended: Sequence[int], whole: bool) -> str:
+    most = MOST // MARK - 1
+    if whole:
+        return marks_text(began[:most])
+    return CHANGES + marks_text(began[:most]) + CHANGES + marks_text(ended[:max(0, most - len(began))])
+
+
+def marks_text(marks: Sequence[int]) -> str:
+    return b64encode(b"".join(mark.to_bytes(3, "big") for mark in marks)).decode()
+
+
+def marks_of(text: str) -> list[int]:
+    raw = b64decode(text, validate=True)
+    if len(raw) % 3:
+        raise ValueError("a mark is cut")
+    return [int.from_bytes(raw[n:n + 3], "big") for n in range(0, len(raw), 3)]
 
 
 def encode_facts(facts: Facts) -> str:
@@ -24,15 +40,24 @@
     return ";".join(parts)[:MOST]
 
 
-def decode(payload: str) -> Facts | list[int]:
-    """Facts, or a mark for each exchange out. Raises ValueError where it is neither."""
-    if len(payload) > MOST or (payload and not payload.isascii()):
+@dataclass(frozen=True, slots=True)
+class Word:
+    """Endpoints' marks, one for each exchange: what has begun and ended, or the whole of what is out."""
+
+    began: list[int]
+    ended: list[int]
+    whole: bool
+
+
+def decode(payload: str) -> Facts | Word:
+    """Raises ValueError where it is neither."""
+    if len(payload) > MOST or not payload.isascii():
         raise ValueError("not a sidecar's message")
+    if payload.startswith(CHANGES):
+        began, _, ended = payload[1:].partition(CHANGES)
+        return Word(marks_of(began), marks_of(ended), whole=False)
     if not payload.startswith(FACTS):
-        raw = b64decode(payload, validate=True)
-        if len(raw) % 3:
-            raise ValueError("a mark is cut")
-        return [int.from_bytes(raw[n:n + 3], "big") for n in range(0, len(raw), 3)]
+        return Word(marks_of(payload), [], whole=True)
     rates, *kinds = payload[1:].split(";")
     known = {}
     for kind, time, free in (part.split(":") for part in kinds):
@@ -41,7 +66,8 @@
 
 
 class Hearer(Protocol):
-    def peer_holds(self, now: float, who: str, marks: Collection[int]) -> None: ...
+    def peer_holds(self, now: float, who: str, began: Collection[int], ended: Collection[int],
+                   whole: bool) -> None: ...
 
     def peer_learnt(self, now: float, who: str, facts: Facts) -> None: ...
 
@@ -52,7 +78,7 @@
     if isinstance(told, Facts):
         hearer.peer_learnt(now, who, told)
     else:
-        hearer.peer_holds(now, who, told)
+        hearer.peer_holds(now, who, told.began, told.ended, told.whole)
 
 
 def positive(text: str) -> float:
--- a/rainspindle/routing/facade.py
+++ b/rainspindle/routing/facade.py
@@ -219,8 +219,8 @@
     def close_idle(self, endpoint: str) -> None:
         self.did.close_idle.append(endpoint)
 
-    def tell_held(self, marks: Sequence[int]) -> None:
-        self.did.told.append(peers.encode_held(marks))
+    def tell_held(self, began: Sequence[int], ended: Sequence[int], whole: bool) -> None:
+        self.did.told.append(peers.encode_held(began, ended, whole))
 
     def tell_facts(self, facts: Facts) -> None:
         self.did.told.append(peers.encode_facts(facts))
--- a/rainspindle/simhost/adapter.py
+++ b/rainspindle/simhost/adapter.py
@@ -64,8 +64,8 @@
     def close_idle(self, endpoint: str) -> None:
         self.act("ShutIdle", endpoint=endpoint)
 
-    def tell_held(self, marks: Sequence[int]) -> None:
-        self.act("Share", target="all", payload=encode_held(marks))
+    def tell_held(self, began: Sequence[int], ended: Sequence[int], whole: bool) -> None:
+        self.act("Share", target="all", payload=encode_held(began, ended, whole))
 
     def tell_facts(self, facts: Facts) -> None:
         self.act("Share", target="all", payload=encode_facts(facts))
