--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -679,7 +679,7 @@
         if not failed or endpoint.breaker:
             return
         # Guards against taking out half a fleet whose endpoints all fail a part of what they get.
-        seen = [e for e in self.touched if not e.breaker]
+        seen = self.touched  # those that are out too, or each in service would seem alone with its failures
         usual = sum(sum(e.failures) for e in seen) / max(1, sum(sum(e.outcomes) for e in seen))
         if endpoint.trips(usual):
             endpoint.breaker = Breaker(now)
--- a/tests/test_cases.py
+++ b/tests/test_cases.py
@@ -208,6 +208,17 @@
     assert any(new.held[id].sent for id in range(60))
 
 
+def test_endpoints_that_are_out_count_in_what_fails_at_all() -> None:
+    fleet = Fleet([kind()], [line(n) for n in range(10)])  # left out, the few in service tripped one by one
+    ready, judge = fleet.balancer.ready, fleet.balancer.judge
+    fleet.balancer.touched.update(dict.fromkeys(ready))
+    for e, failing in [(e, 1) for e in ready[:4]] * 12 + [(e, 0) for e in ready[5:]] * 30:
+        judge(e, failing, fleet.now, "unconnected")
+    for n in range(20):
+        judge(ready[4], n % 3 == 0, fleet.now, "unconnected")
+    assert [e for e in ready if e.breaker] == ready[:4]
+
+
 def test_small_sidecars_spread_a_key_that_they_meet_twice_among_few() -> None:
     second = set()  # a thousand of them sent a hot key to one endpoint, for minutes
     for seed in range(12):
