--- a/rainspindle/program/config.py
+++ b/rainspindle/program/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import time
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -15,6 +16,8 @@
 from ..routing.facade import Facade
 from ..transport.address import Address, parse_address
 
+DEAF = "messages are allowed, but no peers are named: this sidecar goes by its own exchanges alone"
+
 
 class ConfigFault(Exception):
     """A configuration that cannot be served, named in one line."""
@@ -43,6 +46,7 @@
     raw_settings: dict[str, Any]
     console: Address | None = None  # the second address, for staff
     peers: Peers | None = None  # the other sidecars of a pool
+    deaf: bool = False  # the settings allow messages, but no peers are named
 
     @property
     def asks_list(self) -> bool:
@@ -72,6 +76,11 @@
     if not path:
         raise ConfigFault("no configuration: give --config or RELAY_CONFIG")
     raw = read(path)
+    return check(path, raw, environment)
+
+
+def check(path: str, raw: dict[str, Any], environment: Mapping[str, str] = os.environ) -> Config:
+    """Raises ConfigFault, one line that names the file."""
     try:
         return decode(raw, environment)
     except KeyError as fault:
@@ -84,8 +93,12 @@
     def told(name: str) -> str:
         return str(raw.get(name) or environment.get(f"RELAY_{name.upper()}") or missing(name))
 
-    settings = socket_settings(raw["settings"])
-    decoder = ListDecoder(settings.zones, time.monotonic() - time.time(), raw["settings"].get("kinds") or ())
+    whole, peers = raw["settings"], decode_peers(raw)
+    deaf = peers is None and flag(whole["policy-limits"], "peers")
+    if deaf:
+        whole = {**whole, "policy-limits": {**whole["policy-limits"], "peers": False}}
+    settings = socket_settings(whole)
+    decoder = ListDecoder(settings.zones, time.monotonic() - time.time(), settings.kinds)
     known = decoder.decode(raw["known"]) if raw.get("known") else ListChange(0, True, (), {})
     seed = raw.get("seed", 0)
     limits = raw.get("limits", {})
@@ -94,23 +107,28 @@
         told("name"), parse_address(told("listen")), parse_address(told("discovery")),
         seed if isinstance(seed, int) else int(seed, 16), float(limits.get("cores") or 1.0),
         int(limits.get("sockets", 1024)), float(limits.get("memory_mb", 192.0)),
-        known, decoder, settings, raw["settings"], console=parse_address(str(console)) if console else None,
-        peers=decode_peers(raw))
+        known, decoder, settings, whole, console=parse_address(str(console)) if console else None,
+        peers=peers, deaf=deaf)
     config.facade(0.0)  # the settings that only the module needs
     return config
 
 
 def decode_peers(raw: dict[str, Any]) -> Peers | None:
-    told, allowed = raw.get("peers"), flag(raw["settings"]["policy-limits"], "peers")
-    if told is None and not allowed:
+    told = raw.get("peers")
+    if told is None:
         return None
-    if not allowed:
+    if not flag(raw["settings"]["policy-limits"], "peers"):
         raise ValueError("peers are named, but settings.policy-limits.peers is not true")
     if not isinstance(told, dict) or not isinstance(told.get("others"), list) or not told.get("listen"):
-        raise ValueError("settings.policy-limits.peers is true, but peers names no 'listen' and 'others'")
+        raise ValueError("peers has no 'listen' and 'others'")
     if unknown := told.keys() - {"listen", "others"}:
         raise ValueError(f"peers has an unknown key {min(unknown)!r}; it has 'listen' and 'others'")
-    return Peers(parse_address(str(told["listen"])), tuple(parse_address(str(o)) for o in told["others"]))
+    listen, *others = (parse_address(str(at)) for at in (told["listen"], *told["others"]))
+    if listen in others:
+        raise ValueError("peers.others names its own address")
+    if any((":" in listen[0]) != (":" in host) for host, _ in others):
+        raise ValueError("peers mixes IPv4 and IPv6")
+    return Peers(listen, tuple(others))
 
 
 def missing(name: str) -> str:
--- a/rainspindle/program/main.py
+++ b/rainspindle/program/main.py
@@ -9,8 +9,8 @@
 from typing import Any
 
 from .. import __version__
-from . import logs, moving
-from .config import ConfigFault, load
+from . import logs
+from .config import DEAF, ConfigFault, load
 from .serve import Sidecar
 
 
@@ -32,7 +32,21 @@
     mysql.add_argument("--check", action="store_true", help="read it and say whether it can be served")
     for command in (serve, gateway, mysql):
         command.add_argument("--log-level", default="info", choices=("debug", "info", "warning", "error"))
-    moving.add_to(commands)
+    migrate = commands.add_parser(
+        "migrate", help="write a configuration's counterpart for a pool of sidecars",
+        epilog="Example: rainspindle migrate old.json --output new.json --peer-listen 10.0.0.4:7400 "
+               "--peer 10.0.0.5:7400 --kinds fast,small --dry-run")
+    migrate.add_argument("old", metavar="OLD", help="a file of the old shape; it is left as it is")
+    migrate.add_argument("--output", metavar="NEW", required=True, help="where its counterpart goes")
+    migrate.add_argument("--peer-listen", metavar="ADDRESS", help="where this sidecar hears the others, UDP")
+    migrate.add_argument("--peer", metavar="ADDRESS", action="append", default=[],
+                         help="where another sidecar hears; once for each")
+    migrate.add_argument("--kinds", default="", help="names of the kinds of machine as the list has them")
+    migrate.add_argument("--weights", default="off", choices=("off", "live"),
+                         help="what the new list's weights are")
+    migrate.add_argument("--dry-run", action="store_true", help="write nothing, print the same list")
+    migrate.add_argument("--force", action="store_true", help="write over a file that is there")
+    migrate.add_argument("--json", action="store_true", help="the list as one JSON object")
     commands.add_parser("version", help="print the version")
     if lab is None:
         commands.add_parser("lab", help="experiments on a model of the fleet, or on loopback sockets")
@@ -66,8 +80,9 @@
         print(f"rainspindle {__version__}")
         return 0
     try:
-        if options.command == "move":
-            return moving.main(options)
+        if options.command == "migrate":
+            from . import migrate
+            return migrate.main(options)
         if options.command == "gateway":
             return gateway(options)
         if options.command == "mysql":
@@ -75,7 +90,8 @@
         config = load(options.config, os.environ)
         if options.command == "check":
             print(f"{config.name}: {len(config.known.lines)} endpoints known, "
-                  f"traffic types {', '.join(config.settings.type_names)}")
+                  f"traffic types {', '.join(config.settings.type_names)}"
+                  + (f"\n{config.name}: {DEAF}" if config.deaf else ""))
             return 0
         logs.set_up(options.log_level)
         sidecar = Sidecar(config, lambda: load(options.config, os.environ))
--- a/rainspindle/program/serve.py
+++ b/rainspindle/program/serve.py
@@ -27,7 +27,7 @@
 from ..transport.datagrams import Datagrams
 from ..transport.loop import Coroutine, Loop
 from ..transport.pool import Pool
-from .config import Config, ConfigFault
+from .config import DEAF, Config, ConfigFault
 from .operation import Operation
 
 log = logging.getLogger("rainspindle.program")
@@ -125,8 +125,11 @@
         if not config.asks_list:
             self.follower.want()  # a pushed list is watched unasked: on sockets it comes by a watch
         self.peers: Datagrams | None = None
+        if config.deaf:
+            log.warning(DEAF)
         if config.peers is not None:
-            self.peers = Datagrams(self.loop, config.peers.listen, config.peers.others, self.heard_peer)
+            self.peers = Datagrams(self.loop, config.peers.listen, config.peers.others, self.heard_peer,
+                                   shared=config.console is not None)
             self.core.tell = self.peers.tell
         self.stages = Stages(min(max(config.settings.expiries), MOST_LEAVING))
         self.listener = Listener(self.loop, config.listen, self.front.accepted, self.front.make_room,
--- a/rainspindle/protocol/settings.py
+++ b/rainspindle/protocol/settings.py
@@ -78,6 +78,13 @@
     return tuple(number(tenant, "allowance-per-s", 0.0) or math.inf for tenant in tenants)
 
 
+def kinds(s: dict[str, Any]) -> tuple[str, ...]:
+    named = s.get("kinds") or []
+    if not isinstance(named, list) or not all(isinstance(name, str) for name in named):
+        raise ValueError(f"kinds is no list of names: {named!r}")
+    return tuple(named)
+
+
 def soft_removal(contract: dict[str, Any]) -> bool:
     return flag(contract, "soft-removal")
 
@@ -126,6 +133,7 @@
     idle_time: float  # an endpoint closes a connection that stood idle for this long
     ask_within: float
     drain_grace: float
+    kinds: tuple[str, ...]  # of machine, as the list names them
 
 
 def socket_settings(s: dict[str, Any]) -> SocketSettings:
@@ -139,6 +147,6 @@
             tuple(min(seconds(limits.get("connect-timeout")) or 1.0,
                       CONNECT_PART * seconds(t["promised-time"])) for t in s["traffic-types"]),
             tuple(s["failure-domains"]), seconds(limits.get("conn-idle")), seconds(contract["ask-within"]),
-            seconds(contract["stop-sending-within"]))
+            seconds(contract["stop-sending-within"]), kinds(s))
     except KeyError as e:
         raise ValueError(f"the settings lack {e}") from None
--- a/rainspindle/routing/core.py
+++ b/rainspindle/routing/core.py
@@ -45,8 +45,8 @@
     # goes with one forward; until then `expires_at` tells when it is given up.
     expiry: Callable[[], float] | None = None
     spent: Callable[[], None] = nothing  # the back calls it when a part that is not kept goes to an endpoint
-    tenant: int | None = None
     written: Callable[[], float] = never  # and this after the last byte; until when to wait for the answer
+    tenant: int | None = None  # its number in the settings
 
 
 @dataclass(slots=True)
--- a/rainspindle/transport/address.py
+++ b/rainspindle/transport/address.py
@@ -18,7 +18,6 @@
     if not port.isdecimal() or not 0 <= int(port) < 65536:
         raise ValueError(f"not an address: {text!r}")
     try:
-        ipaddress.ip_address(host)
+        return str(ipaddress.ip_address(host)), int(port)  # as a socket tells its peer's
     except ValueError:
         raise ValueError(f"not a numeric address: {text!r}") from None
-    return host, int(port)
--- a/rainspindle/transport/datagrams.py
+++ b/rainspindle/transport/datagrams.py
@@ -16,16 +16,17 @@
 
 class Datagrams:
     def __init__(self, loop: Loop, listen: Address, others: Sequence[Address],
-                 came: Callable[[str, str], None]) -> None:
-        """`came` is told the sender and the text of each message from one of the others. Raises OSError."""
+                 came: Callable[[str, str], None], shared: bool = False) -> None:
+        """`came` is told the sender and the text of each message from one of the others; `shared` lets a
+        successor listen beside this process. Raises OSError."""
         self.others, self.came, self.closed, self.strangers = dict.fromkeys(others), came, False, 0
         self.loop = loop
         family = socket.AF_INET6 if ":" in listen[0] else socket.AF_INET
         self.socket = socket.socket(family, socket.SOCK_DGRAM)
         self.socket.setblocking(False)
         try:
-            # A successor listens beside the process before it, as it does for clients.
-            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            if shared:
+                self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
             self.socket.bind(listen)
         except OSError:
             self.socket.close()
@@ -33,15 +34,11 @@
         self.reader = loop.spawn(loop.lasting(self.read))
         loop.watch(self.socket.fileno(), self)
 
-    @property
-    def address(self) -> Address:
-        host, port = self.socket.getsockname()[:2]
-        return host, port
-
     def tell(self, text: str) -> None:
+        message = text.encode()
         for other in self.others:
             with contextlib.suppress(OSError):  # full buffers, or nobody there: a message may be lost
-                self.socket.sendto(text.encode(), other)
+                self.socket.sendto(message, other)
 
     def on_events(self, events: int) -> None:
         self.reader.wake()
