Peers' word is bounded: changes count on a fresh whole alone, its first character tells the release

Cause, found on rereading: a sidecar that told changes alone, or whose whole was lost, made counts and memory grow without end (pool.told); rates and figures took signs, 1_0 and 1e99; a message of another release could be read as marks. Times of kinds are kept only where they are told, and the codec speaks with the pool itself.

--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -496,8 +496,7 @@
             ran, group = x.ran_where.line, x.type.group
             within = lambda e: group is Group.ALL or (  # noqa: E731
                 e.line.zone == ran.zone if group is Group.ZONE else e.line.cell == ran.cell)
-        picked = self.pick(x, now, within)
-        if picked is None:
+        if not (picked := self.pick(x, now, within)):
             return False
         endpoint, trial = picked
         if trial:
@@ -638,7 +637,8 @@
         late = latency * self.able(endpoint, now) > promised
         endpoint.latency.add(latency)
         self.latency.add(latency)
-        self.grade(endpoint.line).add(forward.held, latency)
+        if self.tells:
+            self.grade(endpoint.line).add(forward.held, latency)
         endpoint.answered(now, forward.sent, endpoint.calm or self.calm or promised, promised)
         if forward.trial and self.table.entries.get(x.key) is forward.trial:
             del self.table.entries[x.key]
--- a/rainspindle/pool.py
+++ b/rainspindle/pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Collection
 
@@ -17,21 +18,26 @@
 
     def __init__(self) -> None:
         self.held, self.total = Counter[int](), 0  # by endpoint's mark
-        self.words: dict[str, tuple[float, Counter[int]]] = {}  # marks of exchanges out, by sidecar
+        self.words: dict[str, tuple[float, Counter[int]]] = {}  # by sidecar: when it told all, its marks
         self.facts: dict[str, tuple[float, Facts]] = {}
 
     def told(self, now: float, who: str, began: Collection[int], ended: Collection[int], whole: bool) -> None:
-        """What has changed at another sidecar, or the whole of what it has out."""
-        marks = self.words.pop(who, (now, Counter[int]()))[1]
+        """What has changed at another sidecar, or the whole of what it has out.
+
+        Guards against memory and counts that grow: changes count only on top of a whole that is not old."""
+        at, marks = self.words.get(who, (-math.inf, Counter[int]()))
         if whole:
+            at = now
             self.held.subtract(marks)
             self.total -= marks.total()
             marks.clear()
+        elif now - at > self.LASTS:
+            return
         for counts in (self.held, marks):
             counts.update(began)
             counts.subtract(ended)
         self.total += len(began) - len(ended)
-        self.words[who] = now, marks
+        self.words[who] = at, marks
 
     def learnt(self, now: float, who: str, facts: Facts) -> None:
         self.facts[who] = now, facts
--- a/rainspindle/program/migrate.py
+++ b/rainspindle/program/migrate.py
@@ -73,7 +73,7 @@
     if kinds:
         made.change(settings, "kinds", list(kinds))
     elif not settings.get("kinds"):
-        made.wanted.append("settings.kinds: names of machines as the list has them; till then all are one kind")
+        made.wanted.append("settings.kinds: names of machines as the list has them; else all are one kind")
     if not settings.get("tenants"):
         made.wanted.append("settings.tenants: with allowance-per-s, where shares are to be kept")
     made.wanted.append("settings.contract, settings.traffic-types, settings.prices: the new figures")
--- a/rainspindle/protocol/peers.py
+++ b/rainspindle/protocol/peers.py
@@ -3,20 +3,21 @@
 from __future__ import annotations
 
 from base64 import b64decode, b64encode
-from collections.abc import Collection, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
-from typing import Protocol
 
 from ..host import Facts
+from ..pool import Pool
 
 MOST, MARK = 256, 4  # bytes; characters for a mark
-FACTS, CHANGES = "=", "-"  # what facts, and changes of what is out, begin with
+# The first character tells the form, and with it the release: one that changes a form takes other characters.
+FACTS, WHOLE, CHANGES = "=", ".", "-"
 
 
 def encode_held(began: Sequence[int], ended: Sequence[int], whole: bool) -> str:
     most = MOST // MARK - 1
     if whole:
-        return marks_text(began[:most])
+        return WHOLE + marks_text(began[:most])
     return CHANGES + marks_text(began[:most]) + CHANGES + marks_text(ended[:max(0, most - len(began))])
 
 
@@ -56,33 +57,34 @@
     if payload.startswith(CHANGES):
         began, _, ended = payload[1:].partition(CHANGES)
         return Word(marks_of(began), marks_of(ended), whole=False)
+    if payload.startswith(WHOLE):
+        return Word(marks_of(payload[1:]), [], whole=True)
     if not payload.startswith(FACTS):
-        return Word(marks_of(payload), [], whole=True)
+        raise ValueError("of another release")
     rates, *kinds = payload[1:].split(";")
     known = {}
     for kind, time, free in (part.split(":") for part in kinds):
         known[int(kind)] = positive(time), max(positive(free), 1.0)
-    return Facts(tuple(float(int(rate)) for rate in rates.split(",") if rate), known)
+    return Facts(tuple(figure(rate) for rate in rates.split(",") if rate), known)
 
 
-class Hearer(Protocol):
-    def told(self, now: float, who: str, began: Collection[int], ended: Collection[int], whole: bool
-             ) -> None: ...
-
-    def learnt(self, now: float, who: str, facts: Facts) -> None: ...
-
-
-def hear(hearer: Hearer, now: float, who: str, payload: str) -> None:
+def hear(pool: Pool, now: float, who: str, payload: str) -> None:
     """Hands on what a message tells. Raises ValueError where it is none of a sidecar's."""
     told = decode(payload)
     if isinstance(told, Facts):
-        hearer.learnt(now, who, told)
+        pool.learnt(now, who, told)
     else:
-        hearer.told(now, who, told.began, told.ended, told.whole)
+        pool.told(now, who, told.began, told.ended, told.whole)
+
+
+def figure(text: str) -> float:
+    """A plain figure: float() alone would take `nan`, `-1`, `1_0` and `1e99`."""
+    if not text.replace(".", "", 1).isdecimal() or len(text) > 9:
+        raise ValueError(f"not a figure: {text!r}")
+    return float(text)
 
 
 def positive(text: str) -> float:
-    value = float(text)
-    if not 0 < value < 1e6:
-        raise ValueError(f"not a figure over 0: {text!r}")
+    if not (value := figure(text)):
+        raise ValueError("a figure of 0")
     return value
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -14,6 +14,7 @@
 from hypothesis import strategies as st
 
 from rainspindle.host import Effect, Facts, Outcome, State
+from rainspindle.pool import Pool
 from rainspindle.program import migrate
 from rainspindle.protocol import peers
 from rainspindle.protocol.discovery import ListDecoder
@@ -72,6 +73,32 @@
     assert 1 <= len(words) <= 4 and any(whole for *_, whole in words), "little has changed since"
 
 
+def test_changes_count_only_on_top_of_a_whole_that_is_not_old() -> None:
+    pool = Pool()  # a sidecar that tells changes alone, or whose whole was lost, must not make counts grow
+    pool.told(0.0, "2", [7], [], False)
+    assert (pool.total, dict(pool.held)) == (0, {})
+    pool.told(1.0, "2", [7, 7, 8], [], True)
+    pool.told(1.1, "2", [9], [7], False)
+    assert (pool.total, +pool.held) == (3, Counter({7: 1, 8: 1, 9: 1}))
+    for n in range(100):
+        pool.told(1.2 + n / 100, "2", [100 + n], [], False)
+    pool.sweep(2.2)
+    assert pool.total == 0 and not pool.held and not pool.words
+
+
+def test_word_keeps_to_its_price() -> None:
+    def bytes_told(price: float) -> float:
+        fleet = Fleet([kind()], [line(n, zone=0) for n in range(8)], peers=20, peer_price=price, **POOL)
+        served(fleet, 400, took=0.02)
+        words = [told for told in fleet.told_peers if not isinstance(told, Facts)]
+        return 19 * sum(len(peers.encode_held(*word)) for word in words) / 256 / 400
+    free, dear = bytes_told(0.0), bytes_told(0.1)
+    assert dear < 0.7 * free
+    fleet = Fleet([kind()], [line(n, zone=0) for n in range(8)], peers=20, peer_price=99.0, **POOL)
+    served(fleet, 10, took=0.1)  # before a rate was known the price kept word back for seconds
+    assert sum(not isinstance(told, Facts) for told in fleet.told_peers) >= 4
+
+
 def test_a_slow_kind_gets_fewer_keys_once_its_times_are_known() -> None:
     fleet = Fleet([kind()], [line(n, zone=0, machine=n % 2) for n in range(8)], **POOL)
     for id in range(400):
@@ -112,11 +139,35 @@
     fleet.balancer.pool.learnt(fleet.now, "2", Facts((30.0, 10.0), {}))
     fleet.wait(1.2)
     assert fleet.balancer.over[0] > 0.8 and fleet.balancer.over[1] == 0.0
+    fleet.arrive(1000, 0, tenant=0)
+    assert 0.2 in fleet.balancer.worths
     fleet.balancer.worths = {0.2: 100.0, 1.0: 100.0, 8.0: 100.0}
     places = [fleet.balancer.place(worth) for worth in (0.2, 1.0, 8.0)]
     assert places[0] < 0.34 < places[1] < 0.68 < places[2]
 
 
+def test_what_is_held_turns_the_least_of_worth_away_and_no_forward_is_given_up_early() -> None:
+    fleet = Fleet([kind(value=1.0), kind(value=8.0)], [line(n, zone=0) for n in range(4)], **POOL)
+    for id in range(100):  # in turn, so that the sidecar knows what is asked
+        fleet.arrive(id, id % 2, f"key{id}")
+        fleet.wait(0.02)
+        fleet.end(id, 0, Outcome.SERVED)
+    sent = [0, 0]
+    for id in range(1000, 1200):
+        for who in "23":
+            fleet.balancer.pool.learnt(fleet.now, who, Facts((), {0: (0.1, 1.3)}))
+        fleet.balancer.pool.told(fleet.now, "2", [e.mark for e in fleet.balancer.ready], [], True)
+        held = fleet.arrive(id, id % 2, f"key{id}")
+        assert all(s.patience == pytest.approx(2.0) for s in held.sent)  # promised is 0.6 s
+        sent[id % 2] += bool(held.sent)
+        fleet.wait(0.02)
+        fleet.end(id, 0, Outcome.SERVED) if held.sent else None
+    assert sent[0] < 0.3 * sent[1] and sent[1] > 70
+    for id in range(2000, 2200):
+        fleet.balancer.pool.told(fleet.now, "2", [e.mark for e in fleet.balancer.ready] * 4, [], True)
+        assert not fleet.arrive(id, 1, f"key{id}").sent, "three times what is free is held"
+
+
 def test_ranks_stay_while_a_list_changes_nothing_that_they_go_by() -> None:
     fleet = Fleet([kind()], [line(n, zone=0) for n in range(4)], live=True, **POOL)
     ranked = fleet.balancer.rank("k")
@@ -145,7 +196,7 @@
 
 
 @settings(max_examples=300, deadline=None, derandomize=True)
-@given(text=st.one_of(st.text(max_size=300), st.text("=,;:.-0123456789naif", max_size=60).map("=".__add__)))
+@given(text=st.one_of(st.text(max_size=300), st.text("=,;:.-_0123456789naief", max_size=60).map("=".__add__)))
 def test_any_text_is_a_message_or_is_refused(text: str) -> None:
     fleet = Fleet([kind()], [line(0)], **POOL)
     try:
@@ -209,16 +260,16 @@
                 words.add(other.recv(512))
             except TimeoutError:
                 return False
-            return any(word[:1].isalnum() for word in words)
+            return any(word.startswith(b".") and len(word) > 1 for word in words)
         service.until(heard)
         got.answer(200)
         assert service.answer(client)[0] == 200
-        told = next(word for word in words if word[:1].isalnum())[:4]
+        told = next(word for word in words if word.startswith(b".") and len(word) > 1)[1:5]
         end = time.monotonic() + 20
 
         def refused() -> bool:
             assert time.monotonic() < end
-            other.sendto(told * 60, here)
+            other.sendto(b"." + told * 60, here)
             other.sendto(b"\xff nonsense", here)
             again = service.asked(ask("y"))
             service.endpoint.look()
@@ -251,8 +302,8 @@
     assert target.stat().st_mode & 0o777 == 0o640 and len(list(tmp_path.iterdir())) == 2
     for told in ("not carried over: colour", "not carried over: settings.weight-kind nominal",
                  "not carried over: settings.traffic-types[2].overdue-value 0.4",
-                 "to fill in: settings.tenants", "not carried over: known.instances[].weight", "carried: settings.contract\n",
-                 'changed: settings.discovery: "on_request" -> "pushed"'):
+                 "to fill in: settings.tenants", "not carried over: known.instances[].weight",
+                 "carried: settings.contract\n", 'changed: settings.discovery: "on_request" -> "pushed"'):
         assert told in said
     for file in ("new.json", "old.json"):
         place = tmp_path / f"run-{file}"
