--- /dev/null
+++ b/rainspindle/decisions/canary/__init__.py
@@ -0,0 +1,1 @@
+"""Canary workflows on shared error budgets."""
--- /dev/null
+++ b/rainspindle/decisions/members/__init__.py
@@ -0,0 +1,1 @@
+"""Who is there: the members of a fleet of sidecars."""
--- /dev/null
+++ b/rainspindle/decisions/wallet/__init__.py
@@ -0,0 +1,1 @@
+"""Prepaid wallets: what tenants may still have done."""
--- /dev/null
+++ b/rainspindle/program/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What the operator's own fleet file switches on: members, wallets, canaries."""
