--- /dev/null
+++ b/rainspindle/lab/fleet/player.py
@@ -0,0 +1,115 @@
+"""Plays a schedule of faults on real processes and the network between them."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+
+from .processes import LOOK, Fleet, Sidecar
+from .schedule import Cut, Fault, Kill, NetworkFault, Restart, Schedule, Split, Stall, Weather
+
+
+@dataclass(slots=True)
+class Away:
+    """A span in which a member's process stood still or was not there."""
+
+    name: str
+    since: float
+    until: float = float("inf")
+    stalled: bool = False
+
+
+class Player:
+    """Lets what is due befall a fleet. Times are its caller's."""
+
+    def __init__(self, fleet: Fleet, schedule: Schedule) -> None:
+        self.fleet = fleet
+        self.acts: list[tuple[float, int, Callable[[float], None]]] = []
+        self.away: list[Away] = []
+        self.leaving: set[str] = set()  # to be started anew once they are gone
+        for fault in schedule:
+            self.plan(fault)
+        self.acts.sort(key=lambda act: act[:2])
+
+    def at(self, when: float, do: Callable[[float], None]) -> None:
+        self.acts.append((when, len(self.acts), do))
+
+    def plan(self, fault: Fault) -> None:
+        if isinstance(fault, Weather | Cut | Split):
+            self.at(fault.at, partial(self.weather, fault, begins=True))
+            if fault.length is not None:
+                self.at(fault.at + fault.length, partial(self.weather, fault, begins=False))
+            return
+        for sidecar in map(self.fleet.__getitem__, fault.names):
+            if isinstance(fault, Stall):
+                self.at(fault.at, partial(self.stall, sidecar))
+                self.at(fault.at + fault.length, partial(self.go_on, sidecar))
+            elif isinstance(fault, Kill):
+                self.at(fault.at, partial(self.kill, sidecar))
+                if fault.back is not None:
+                    self.at(fault.at + fault.back, partial(self.start, sidecar, clock=fault.clock))
+            else:
+                self.at(fault.at, partial(self.leave, sidecar, back=isinstance(fault, Restart)))
+
+    def weather(self, fault: NetworkFault, now: float, begins: bool) -> None:
+        if begins:
+            self.fleet.network.begin(fault)
+        else:
+            self.fleet.network.end(fault)
+
+    def stall(self, sidecar: Sidecar, now: float) -> None:
+        if sidecar.runs:
+            sidecar.stall()
+            self.away.append(Away(sidecar.name, now, stalled=True))
+
+    def go_on(self, sidecar: Sidecar, now: float) -> None:
+        sidecar.go_on()
+        for away in self.away:
+            if away.name == sidecar.name and away.stalled and away.until == float("inf"):
+                away.until = now
+
+    def kill(self, sidecar: Sidecar, now: float) -> None:
+        if sidecar.runs:
+            sidecar.kill()
+            self.away.append(Away(sidecar.name, now))
+
+    def leave(self, sidecar: Sidecar, now: float, back: bool) -> None:
+        if sidecar.runs:
+            sidecar.leave()
+            self.away.append(Away(sidecar.name, now))
+            if back:
+                self.leaving.add(sidecar.name)
+
+    def start(self, sidecar: Sidecar, now: float, clock: float = 0.0) -> None:
+        if not sidecar.runs:
+            sidecar.start(clock)
+            for away in self.away:
+                if away.name == sidecar.name and not away.stalled and away.until == float("inf"):
+                    away.until = now
+
+    def due(self, now: float) -> None:
+        while self.acts and self.acts[0][0] <= now:
+            self.acts.pop(0)[2](now)
+        for name in sorted(self.leaving):
+            sidecar = self.fleet[name]
+            if not sidecar.runs:
+                self.leaving.discard(name)
+                sidecar.gone()
+                self.start(sidecar, now)
+
+    @property
+    def over(self) -> bool:
+        return not self.acts and not self.leaving
+
+
+def play(fleet: Fleet, schedule: Schedule, beside: Callable[[float], None] = lambda now: None,
+         until: float = 0.0) -> Player:
+    """Plays it from now on, to its end and `until` at least; `beside` is called all the while."""
+    player, start = Player(fleet, schedule), time.monotonic()
+    while (now := time.monotonic() - start) < until or not player.over:
+        player.due(now)
+        beside(now)
+        time.sleep(LOOK)
+    return player
