--- a/rainspindle/lab/experiment.py
+++ b/rainspindle/lab/experiment.py
@@ -105,6 +105,7 @@
     memory_span: Seconds = 0.0
     value: Positive = 1.0
     late_value: Part = 0.0
+    tenant: Annotated[int, Field(ge=0)] | None = None  # whose all of this type is: its number in the settings
 
 
 class Link(Table):
--- /dev/null
+++ b/rainspindle/lab/fleet/day.py
@@ -0,0 +1,269 @@
+"""The full day: several processes that share what they know, under load, and all that can go wrong at once.
+
+    python -m rainspindle.lab.fleet.day --seed 3
+    python -m rainspindle.lab.fleet.day --seed 3 --schedule failed.json
+
+The faults are drawn from the seed, and printed with the verdict so that a failure is played again. Exit
+status 0 if all held, 3 if not.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import random
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from .. import experiment
+from ..audit import Audit, Break, audit
+from ..figures import figures
+from ..ledger import Asked, Ledger
+from ..sockets.run import ROOT, SocketsFault, SocketsRun
+from ..world import World
+from .player import Away, Player
+from .processes import Fleet, NotInTime
+from .schedule import Kill, Restart, Schedule, Split, Stall, from_values, to_values
+from .watch import Watch
+
+FILE = ROOT / "experiments" / "full-day.toml"
+SETTLED = 10.0  # seconds after the last fault within which all views must agree
+OPENS = 0.3  # seconds by which a process's going or coming may be noticed late
+REPEAT = 0.5  # seconds after which a call that was not answered is made again
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A console call that staff make during the day, at the first of `members` that answers."""
+
+    at: float
+    method: str
+    path: str
+    members: tuple[str, ...]
+
+
+@dataclass(slots=True)
+class Called:
+    call: Call
+    member: str
+    at: float  # when the answer was there
+    status: int
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What a day is made of beside its traffic."""
+
+    schedule: Schedule
+    calls: tuple[Call, ...] = ()
+    tables: Callable[[str], dict[str, Any]] = lambda name: {}
+    fleet: bool = True  # whether the sidecars are given fleet files
+
+
+@dataclass(slots=True)
+class Day:
+    """What came of it."""
+
+    ledger: Ledger
+    found: Audit
+    figures: dict[str, float]
+    away: list[Away]
+    called: list[Called]
+    broken: list[str] = field(default_factory=list)  # all that did not hold
+
+
+def names(count: int) -> list[str]:
+    return [f"s{n}" for n in range(count)]
+
+
+def draw(seed: int, members: Sequence[str], length: float) -> Schedule:
+    """A split, a stall within it, two killed and one restarted. None of them is another's."""
+    chance = random.Random(f"{seed} day")
+    shuffled = chance.sample(list(members), len(members))
+    stalled, first, second, restarted = shuffled[:4]
+    half = chance.randint(2, len(shuffled) // 2)
+    sides = chance.sample(shuffled, len(shuffled))
+    split_at = chance.uniform(0.15, 0.2) * length
+    split_for = chance.uniform(0.2, 0.3) * length
+    stall_at = split_at + chance.uniform(0.0, 0.5) * split_for
+    kill_at = split_at + chance.uniform(0.1, 0.8) * split_for
+    return (Split(split_at, (tuple(sorted(sides[:half])), tuple(sorted(sides[half:]))), split_for),
+            Stall(stall_at, (stalled,), chance.uniform(0.1, 0.2) * length),
+            Kill(kill_at, (first, second), chance.uniform(0.15, 0.25) * length),
+            Restart(chance.uniform(0.6, 0.65) * length, (restarted,)))
+
+
+class DayRun(SocketsRun):
+    """A run on sockets whose sidecars are a fleet, with a schedule of faults and calls of its own."""
+
+    def __init__(self, world: World, folder: Path, plan: Plan) -> None:
+        super().__init__(world, folder)
+        self.plan = plan
+        self.fleet = Fleet(folder, names(world.x.sidecars.count), world.seed, {}, plan.tables, plan.fleet)
+        self.ports = [sidecar.listen for sidecar in self.fleet.sidecars.values()]
+        self.player = Player(self.fleet, plan.schedule)
+        self.calls = sorted(plan.calls, key=lambda call: call.at)
+        self.called: list[Called] = []
+        self.callers: list[threading.Thread] = []
+        self.watch = Watch(self.fleet)
+        self.beside: list[str] = []
+
+    def keep(self, number: int) -> None:
+        self.fleet.keep(number)
+
+    def write_config(self, n: int, discovery: str, endpoints: dict[str, str]) -> None:
+        super().write_config(n, discovery, endpoints)
+        name = f"s{n}"
+        self.fleet[name].write(orjson.loads((self.folder / f"s{n}.config.json").read_bytes()),
+                               self.fleet.file(name) if self.plan.fleet else None)
+
+    def start_sidecar(self, n: int) -> None:
+        self.fleet[f"s{n}"].start()
+        self.take_over(n)
+
+    def take_over(self, n: int) -> None:
+        process = self.fleet[f"s{n}"].process
+        assert process is not None
+        self.sidecars[n] = process
+
+    def await_ready(self, n: int, until: float) -> None:
+        try:
+            self.fleet.await_ready(f"s{n}")
+        except NotInTime as fault:
+            raise SocketsFault(str(fault)) from None
+
+    def keep_time(self, on_second: Callable[[float], None]) -> None:
+        while (now := time.monotonic() - self.start) < self.world.end:
+            self.player.due(now)
+            for n, sidecar in enumerate(self.fleet.sidecars.values()):
+                self.take_over(n)
+                if not sidecar.runs and not self.player.is_away(sidecar.name):
+                    raise SocketsFault(f"{sidecar.name} ended: {sidecar.log_end}")
+            while self.calls and self.calls[0].at <= now:
+                caller = threading.Thread(target=self.make, args=(self.calls.pop(0),), daemon=True)
+                self.callers.append(caller)
+                caller.start()
+            on_second(now)
+            time.sleep(0.02)
+        self.killed = {int(away.name[1:]) for away in self.player.away}
+        self.settle()
+
+    def make(self, call: Call) -> None:
+        """Makes a call until a member answers it or the day is over."""
+        while time.monotonic() - self.start < self.world.end:
+            for member in call.members:
+                try:
+                    reply = self.fleet[member].call(call.method, call.path)
+                except OSError:
+                    continue
+                now = time.monotonic() - self.start
+                self.called.append(Called(call, member, now, reply.status, reply.text))
+                return
+            time.sleep(REPEAT)
+
+    def settle(self) -> None:
+        """All faults are over: the views agree within the stated time."""
+        for caller in self.callers:
+            caller.join()
+        if self.plan.fleet:
+            try:
+                self.figures["agreed_s"] = round(self.fleet.all_alive(SETTLED), 3)
+            except NotInTime as fault:
+                self.beside.append(str(fault))
+
+    def play_day(self) -> Ledger:
+        with self.fleet:
+            if not self.plan.fleet:
+                return self.play()
+            with self.watch:
+                return self.play()
+
+
+def play(world: World, plan: Plan, folder: Path) -> Day:
+    """Raises SocketsFault where the lab itself failed."""
+    run = DayRun(world, folder, plan)
+    ledger = run.play_day()
+    excuse(ledger, run.player.away)
+    found = audit(ledger, world, world.x.rules.tolerance)
+    day = Day(ledger, found, {**figures(ledger, world, found)[0], **run.figures}, run.player.away, run.called)
+    day.broken += [f"rule {b.rule} at {b.at:.3f} s, {b.id}: {b.what}" for b in found.breaks]
+    day.broken += [f"{b.id} at {b.at:.3f} s: {b.what}" for b in late(ledger, run.player.away, world)]
+    day.broken += [f"the lab's own fault: {fault}" for fault in (*found.faults, *run.fleet.network.faults)]
+    day.broken += run.beside
+    for sidecar in run.fleet.sidecars.values():
+        if "event=fault" in sidecar.logged() or "Traceback" in sidecar.logged():
+            day.broken.append(f"{sidecar.name} logged a fault: {sidecar.log_end}")
+    return day
+
+
+# What is owed by a process that stands still or is not there.
+
+
+def excuse(ledger: Ledger, away: Sequence[Away]) -> None:
+    """A try that met its sidecar while that was away is owed no answer; every other one is."""
+    for asked in ledger.asked:
+        met = [a for a in away if met_away(asked, a)]
+        asked.broken = bool(met) and (asked.broken or not asked.answers or any(a.stalled for a in met))
+
+
+def met_away(asked: Asked, away: Away) -> bool:
+    return (away.name == f"s{asked.sidecar}" and asked.sent <= away.until + OPENS
+            and asked.sent + min(asked.wait, asked.expiry) >= away.since - OPENS)
+
+
+def late(ledger: Ledger, away: Sequence[Away], world: World) -> Iterator[Break]:
+    """What a process that stood still sent, once it went on, for tries that were over."""
+    ends = {a.id: a.sent + min(a.wait, a.expiry) for a in ledger.asked if a.broken}
+    stalled = {a.name for a in away if a.stalled}
+    for run in ledger.runs:
+        end = ends.get(run.id)
+        if end is not None and f"s{run.sidecar}" in stalled and run.first > end + world.x.rules.tolerance:
+            yield Break(1, f"sent {run.first - end:.3f} s after its end", run.first, run.id)
+
+
+# The wallet and the canary, by the ledgers.
+
+
+def spent(ledger: Ledger, world: World, prices: dict[str, int]) -> int:
+    """What the executed exchanges of these traffic types cost: each once, however often it was sent."""
+    types = [kind.name for kind in world.x.traffic]
+    executed = {run.id: types[run.type] for run in ledger.runs if run.began < float("inf")}
+    return sum(prices.get(name, 0) for name in executed.values())
+
+
+def past_abort(ledger: Ledger, new: Sequence[int], since: Callable[[int], float]) -> Iterator[Break]:
+    """What a sidecar sent to a canary's endpoints after the time `since` which it is to be in force there."""
+    for run in ledger.runs:
+        if run.endpoint in new and run.first > since(run.sidecar):
+            yield Break(0, f"sent to e{run.endpoint} of the canary {run.first - since(run.sidecar):.3f} s "
+                           "after it was to be out of use", run.first, run.id)
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    parser = argparse.ArgumentParser("python -m rainspindle.lab.fleet.day", description="Play the full day.")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--schedule", type=Path, help="faults as JSON, in place of those drawn")
+    parser.add_argument("--plain", action="store_true", help="sidecars without fleet files: the lab alone")
+    options = parser.parse_args(arguments)
+    x = experiment.load(FILE)
+    schedule = (from_values(json.loads(options.schedule.read_text())) if options.schedule
+                else draw(options.seed, names(x.sidecars.count), x.length))
+    with tempfile.TemporaryDirectory(prefix="rainspindle-day-") as folder:
+        plan = Plan(schedule, fleet=not options.plain)
+        day = play(World(x, x.variants[0], options.seed), plan, Path(folder))
+    print(json.dumps({"seed": options.seed, "schedule": to_values(schedule), "broken": day.broken[:20],
+                      "figures": day.figures}))
+    return 3 if day.broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/rainspindle/lab/fleet/player.py
+++ b/rainspindle/lab/fleet/player.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -13,11 +14,11 @@
 
 @dataclass(slots=True)
 class Away:
-    """A span in which a member's process stood still or was not there."""
+    """A span in which a member's process stood still or could not serve."""
 
     name: str
     since: float
-    until: float = float("inf")
+    until: float = math.inf  # when it went on, or the next process was ready
     stalled: bool = False
 
 
@@ -28,7 +29,8 @@
         self.fleet = fleet
         self.acts: list[tuple[float, int, Callable[[float], None]]] = []
         self.away: list[Away] = []
-        self.leaving: set[str] = set()  # to be started anew once they are gone
+        self.leaving: dict[str, bool] = {}  # and whether they are to be started anew once they are gone
+        self.starting: set[str] = set()
         for fault in schedule:
             self.plan(fault)
         self.acts.sort(key=lambda act: act[:2])
@@ -66,9 +68,7 @@
 
     def go_on(self, sidecar: Sidecar, now: float) -> None:
         sidecar.go_on()
-        for away in self.away:
-            if away.name == sidecar.name and away.stalled and away.until == float("inf"):
-                away.until = now
+        self.back(sidecar.name, now, stalled=True)
 
     def kill(self, sidecar: Sidecar, now: float) -> None:
         if sidecar.runs:
@@ -78,30 +78,41 @@
     def leave(self, sidecar: Sidecar, now: float, back: bool) -> None:
         if sidecar.runs:
             sidecar.leave()
-            self.away.append(Away(sidecar.name, now))
-            if back:
-                self.leaving.add(sidecar.name)
+            self.leaving[sidecar.name] = back
 
     def start(self, sidecar: Sidecar, now: float, clock: float = 0.0) -> None:
         if not sidecar.runs:
             sidecar.start(clock)
-            for away in self.away:
-                if away.name == sidecar.name and not away.stalled and away.until == float("inf"):
-                    away.until = now
+            self.starting.add(sidecar.name)
+
+    def back(self, name: str, now: float, stalled: bool = False) -> None:
+        for away in self.away:
+            if away.name == name and away.stalled == stalled and away.until == math.inf:
+                away.until = now
 
     def due(self, now: float) -> None:
+        """Does what is due at this time. Raises NotInTime if one that was started anew has ended."""
         while self.acts and self.acts[0][0] <= now:
             self.acts.pop(0)[2](now)
-        for name in sorted(self.leaving):
+        for name, back in list(self.leaving.items()):
             sidecar = self.fleet[name]
             if not sidecar.runs:
-                self.leaving.discard(name)
+                del self.leaving[name]
                 sidecar.gone()
-                self.start(sidecar, now)
+                self.away.append(Away(name, now))
+                if back:
+                    self.start(sidecar, now)
+        for name in sorted(self.starting):
+            if self.fleet[name].ready():
+                self.starting.discard(name)
+                self.back(name, now)
+
+    def is_away(self, name: str) -> bool:
+        return name in self.leaving or any(a.name == name and a.until == math.inf for a in self.away)
 
     @property
     def over(self) -> bool:
-        return not self.acts and not self.leaving
+        return not (self.acts or self.leaving or self.starting)
 
 
 def play(fleet: Fleet, schedule: Schedule, beside: Callable[[float], None] = lambda now: None,
--- a/rainspindle/lab/fleet/processes.py
+++ b/rainspindle/lab/fleet/processes.py
@@ -241,7 +241,7 @@
         self.advertise = {name: self.network.add(name, ("127.0.0.1", s.members_at))
                           for name, s in self.sidecars.items()}
         self.fleet, self.seeds, self.tables = fleet, list(self.sidecars)[:seeds], tables
-        config = config or quiet_config()
+        config = quiet_config() if config is None else config
         for number, sidecar in enumerate(self.sidecars.values()):
             sidecar.write({**config, "seed": seed * 100_003 + number},
                           self.file(sidecar.name) if fleet else None)
--- a/rainspindle/lab/sockets/load.py
+++ b/rainspindle/lab/sockets/load.py
@@ -85,6 +85,9 @@
             (b"Idempotency-Key", op.id.encode())]
         if op.key:
             headers.append((b"Cookie", f"user={op.key}".encode()))
+        tenant = self.world.x.traffic[op.type].tenant
+        if tenant is not None:
+            headers.append((b"X-Attrs", b"billing=%d" % tenant))
         if tries > 1:
             headers.append((b"X-Retried", b"1"))
         body = b"answer" if binding else b""
