--- a/rainspindle/lab/fleet/network.py
+++ b/rainspindle/lab/fleet/network.py
@@ -26,6 +26,7 @@
 T = TypeVar("T")
 MOST = 65_535  # bytes of a datagram
 MOST_HELD = 100_000  # datagrams under way; beyond, they are lost
+MOST_TAPPED = 2_000  # of those that came last are remembered
 ROUND = 256  # datagrams read before others have their turn
 BUFFER = 1 << 21  # bytes that wait in a socket: the stand-in itself must lose none
 PATIENCE = 10.0
@@ -105,6 +106,7 @@
         self.gates: dict[str, Gate] = {}
         self.senders: dict[Address, Gate] = {}  # by the member's own address
         self.under_way: list[tuple[float, int, Gate, Gate, bytes]] = []
+        self.tapped: deque[tuple[str, str, bytes]] = deque(maxlen=MOST_TAPPED)  # sender, receiver, datagram
         self.number = 0
         self.strangers = self.crowded = 0  # datagrams of nobody known; lost by the stand-in's own limits
         self.faults: list[str] = []  # of the stand-in itself: a run with any says nothing
@@ -181,6 +183,15 @@
         return self.ask(lambda: {
             link: Count(c.sent, c.bytes, c.lost, c.doubled) for link, c in self.links.counts.items()})
 
+    def replay(self, source: str, target: str) -> int:
+        """Sends the receiver once more what it was last sent by this member; how many datagrams."""
+        def replay() -> int:
+            found = [data for s, t, data in self.tapped if (s, t) == (source, target)]
+            for data in found:
+                self.send(self.gates[source], self.gates[target], data)
+            return len(found)
+        return self.ask(replay)
+
     # In its own thread.
 
     def fault(self, fault: BaseException) -> None:
@@ -192,6 +203,7 @@
         if source is None:
             self.strangers += 1
             return
+        self.tapped.append((source.name, at.name, data))
         for late in self.links.pass_on(source.name, at.name, len(data)):
             if late <= 0.0:
                 self.send(source, at, data)
--- a/rainspindle/lab/fleet/processes.py
+++ b/rainspindle/lab/fleet/processes.py
@@ -97,9 +97,9 @@
 def quiet_config() -> dict[str, Any]:
     """Of a sidecar with nobody to ask: no list service is there, and the one endpoint it knows is not."""
     x = Experiment.model_validate({
-        "name": "fleet", "length": 1.0, "settle": 2.0, "fleet": {"kinds": [{"count": 1}]},
+        "name": "fleet", "length": 1.0, "settle": 1.0, "fleet": {"kinds": [{"count": 1}]},
         "clients": {"rate": 1.0},
-        "traffic": [{"name": "look", "work": 0.001, "promised": 0.5, "expiry": 1.0}]})
+        "traffic": [{"name": "look", "work": 0.001, "promised": 0.2, "expiry": 0.3}]})
     world, nobody = World(x, x.variants[0], 1), f"127.0.0.1:{reserve_port()}"
     known = [entry(line, nobody, x.fleet.zones, 0.0) for line in world.lines]
     return {"discovery": nobody, "settings": world.settings(0), "limits": {"cores": 1.0, "memory_mb": 192},
