--- a/rainspindle/decisions/shared/cells.py
+++ b/rainspindle/decisions/shared/cells.py
@@ -6,11 +6,17 @@
 
 from __future__ import annotations
 
+import functools
+import hashlib
+import math
+import operator
+import zlib
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 MOST_VALUE = 900  # bytes, so that a cell fits in one datagram with what goes around it
 MOST_NAME = 100  # characters
+PARTS = 64  # in which the cells of one owner are held against another member's
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,10 +33,17 @@
     def order(self) -> tuple[int, int]:
         return self.life, self.sequence
 
+    @property
+    def mark(self) -> int:
+        """64 bits that tell this state of the cell from any other of it."""
+        what = f"{self.name}\0{self.life}\0{self.sequence}".encode()
+        return int.from_bytes(hashlib.blake2b(what, digest_size=8).digest(), "big")
+
 
 @dataclass(frozen=True, slots=True)
 class Seen:
-    """A cell, and when it was last heard of here: told anew or confirmed as still the newest."""
+    """A cell, and the last moment at which its owner is known to have held it, on this process's clock: told
+    by the owner, or by others who say how old their word is. So it ages while its owner cannot be heard."""
 
     cell: Cell
     heard: float
@@ -43,9 +56,13 @@
         """`most` bounds the cells of others that are kept."""
         self.own, self.life, self.most = own, life, most
         self.by_name: dict[str, dict[str, Seen]] = {}  # name, owner
+        self.by_owner: dict[str, dict[str, Seen]] = {}  # owner, name: those written last come last
+        self.marks: dict[str, list[int]] = {}  # by owner: its cells' marks, by exclusive or, in PARTS
+        self.confirmed_at: dict[str, float] = {}  # by owner: when it is known to have had just these cells
         self.users: list[tuple[str, Callable[[float, Cell], None]]] = []
         self.fresh: dict[tuple[str, str], tuple[str, ...]] = {}  # changed since spread: (owner, name), toward
-        self.count = 0
+        self.wake: Callable[[], None] = lambda: None  # told of each own write, so that it goes out at once
+        self.count = 0  # of others
         self.refused = 0  # news of a cell beyond `most`, or over a limit
 
     def on_change(self, prefix: str, user: Callable[[float, Cell], None]) -> None:
@@ -59,6 +76,7 @@
         before = self.read(self.own, name)
         cell = Cell(self.own, name, self.life, before.cell.sequence + 1 if before else 1, value)
         self.put(now, cell, tuple(toward))
+        self.wake()
         return cell
 
     def take_away(self, now: float, name: str) -> None:
@@ -66,53 +84,98 @@
             self.write(now, name, b"")
 
     def read(self, owner: str, name: str) -> Seen | None:
-        return self.by_name.get(name, {}).get(owner)
+        seen = self.by_name.get(name, {}).get(owner)
+        return None if seen is None else self.aged(seen)
 
     def named(self, name: str) -> dict[str, Seen]:
         """By owner, the own one among them; those taken away have an empty value."""
-        return self.by_name.get(name, {})
+        return {owner: self.aged(seen) for owner, seen in self.by_name.get(name, {}).items()}
 
     def all(self) -> Iterator[Seen]:
         for owners in self.by_name.values():
-            yield from owners.values()
+            for seen in owners.values():
+                yield self.aged(seen)
+
+    def aged(self, seen: Seen) -> Seen:
+        confirmed = self.confirmed_at.get(seen.cell.owner, -math.inf)
+        return Seen(seen.cell, confirmed) if confirmed > seen.heard else seen
 
-    def heard(self, now: float, cell: Cell) -> bool:
-        """What another tells; whether it was news. The own cells of this life are believed from nobody."""
+    def heard(self, now: float, cell: Cell, age: float = 0.0) -> bool:
+        """What another tells; whether it was news. The own cells of this life are believed from nobody.
+
+        `age`: seconds since the owner is known to have held it."""
         if len(cell.value) > MOST_VALUE or len(cell.name) > MOST_NAME:
             self.refused += 1
             return False
-        known = self.read(cell.owner, cell.name)
+        known = self.by_name.get(cell.name, {}).get(cell.owner)
         if cell.owner == self.own and cell.life >= self.life:
             return False
         if known is not None and cell.order <= known.cell.order:
-            if cell.order == known.cell.order:
-                self.confirmed(now, cell.owner, cell.name)
+            if cell.order == known.cell.order and now - age > known.heard:
+                owners, of_owner = self.by_name[cell.name], self.by_owner[cell.owner]
+                owners[cell.owner] = of_owner[cell.name] = Seen(known.cell, now - age)
             return False
         if known is None and self.count >= self.most:
             self.refused += 1
             return False
-        self.put(now, cell)
+        self.put(now - age, cell)
         for prefix, user in self.users:
             if cell.name.startswith(prefix):
                 user(now, cell)
         return True
 
-    def confirmed(self, now: float, owner: str, name: str) -> None:
-        """Another knows no newer one: what is known here is as good as just told."""
-        owners = self.by_name.get(name, {})
-        if owner in owners:
-            owners[owner] = Seen(owners[owner].cell, now)
+    def confirmed(self, now: float, owner: str, age: float = 0.0) -> None:
+        """The owner is known to have had just these cells `age` seconds ago."""
+        self.confirmed_at[owner] = max(now - age, self.confirmed_at.get(owner, -math.inf))
+
+    def sum_of(self, owner: str) -> int:
+        return functools.reduce(operator.xor, self.marks.get(owner, ()), 0)
 
-    def put(self, now: float, cell: Cell, toward: tuple[str, ...] = ()) -> None:
-        owners = self.by_name.setdefault(cell.name, {})
-        self.count += cell.owner not in owners
-        owners[cell.owner] = Seen(cell, now)
+    def flip(self, cell: Cell) -> None:
+        self.marks.setdefault(cell.owner, [0] * PARTS)[part(cell.name)] ^= cell.mark
+
+    def put(self, heard: float, cell: Cell, toward: tuple[str, ...] = ()) -> None:
+        known = self.by_name.get(cell.name, {}).get(cell.owner)
+        self.count += known is None and cell.owner != self.own
+        if known is not None:
+            self.flip(known.cell)
+        self.flip(cell)
+        self.place(Seen(cell, heard))
         self.fresh[cell.owner, cell.name] = toward
 
+    def place(self, seen: Seen) -> None:
+        cell = seen.cell
+        self.by_name.setdefault(cell.name, {})[cell.owner] = seen
+        of_owner = self.by_owner.setdefault(cell.owner, {})
+        of_owner.pop(cell.name, None)
+        of_owner[cell.name] = seen
+
+    def reborn(self, now: float, life: int) -> None:
+        """The own member has taken a higher life: all that it wrote in its last one stands in the new."""
+        before, self.life = self.life, life
+        for seen in list(self.by_owner.get(self.own, {}).values()):
+            if seen.cell.life == before:
+                self.put(now, replace(seen.cell, life=life))
+        self.wake()
+
     def forget(self, owner: str, name: str) -> None:
         owners = self.by_name.get(name, {})
-        if owners.pop(owner, None) is not None:
-            self.count -= 1
+        seen = owners.pop(owner, None)
+        if seen is not None:
+            self.count -= owner != self.own
+            self.flip(seen.cell)
+            self.by_owner[owner].pop(name, None)
             self.fresh.pop((owner, name), None)
         if not owners:
             self.by_name.pop(name, None)
+
+    def forget_owner(self, owner: str) -> None:
+        for name in list(self.by_owner.get(owner, {})):
+            self.forget(owner, name)
+        for kept in (self.by_owner, self.marks, self.confirmed_at):
+            kept.pop(owner, None)
+
+
+def part(name: str) -> int:
+    """Which of the parts of an owner's cells one is in; the same in each release."""
+    return zlib.crc32(name.encode()) % PARTS
