--- a/rainspindle/decisions/members/health.py
+++ b/rainspindle/decisions/members/health.py
@@ -18,8 +18,8 @@
     direct: float = 0.2  # that a probed member has to answer before others are asked
     indirect: float = 0.35  # that those others have
     helpers: int = 4  # asked at once
-    least: float = 1.2  # of suspicion, where `opinions` members have it independently
-    longest: float = 4.0  # of suspicion, where nobody else has it
+    least: float = 1.8  # of suspicion, where `opinions` members have it independently
+    longest: float = 5.0  # of suspicion, where nobody else has it
     opinions: int = 3
     doubts: int = 8  # the most that a member doubts itself
     lifeguard: bool = True  # False: SWIM as first published, to compare with
@@ -63,6 +63,7 @@
     by: set[str] = field(default_factory=set)  # who has it, of those heard of
     own: bool = False  # a probe of this member has failed too: it decides, others wait for its word
     words: int = 0  # last pings sent before it is buried
+    verdict: bool = False  # others have buried it
 
     def lasts(self, tuning: Tuning, factor: float, others: int) -> float:
         """Seconds. Shorter with each member that suspects it independently."""
@@ -72,6 +73,6 @@
         if opinions <= 0:
             length = (tuning.least + tuning.longest) / 2  # nobody else is there to ask
         else:
-            told = min(math.log(max(len(self.by), 1)) / math.log(opinions + 1), 1.0)
+            told = min(math.log(max(len(self.by), 1)) / math.log(opinions + 1), 1.0) if not self.verdict else 1.0
             length = tuning.longest - (tuning.longest - tuning.least) * told
         return length * factor if self.own else 2.5 * length * factor + 1.0
--- a/rainspindle/decisions/members/swim.py
+++ b/rainspindle/decisions/members/swim.py
@@ -659,8 +659,13 @@
                 self.suspect(now, record, news.incarnation, news.by or teller)
         elif record.standing != wire.DEAD or not same:
             if self.tuning.lifeguard and record.living and (whole or record.direct > now - FRESH):
-                # Guards against word of a death that is old, or that own ears speak against.
+                # Guards against word of a death that is old, or that own ears speak against. May hurt where it
+                # is dead: so it is probed at once, and the verdict counts as the opinion of several.
                 self.suspect(now, record, news.incarnation, teller)
+                if record.suspicion is not None and not record.suspicion.verdict:
+                    record.suspicion.verdict = True
+                    if self.will.look(now) > 5.0:
+                        self.probe(now, record)
             else:
                 self.stand(now, record, wire.DEAD, news.incarnation, age)
 
