--- a/rainspindle/decisions/members/swim.py
+++ b/rainspindle/decisions/members/swim.py
@@ -252,6 +252,9 @@
                 record.told = now  # it may be a process whose clock was set back: it takes a higher life then
                 known = [self.raw(now, record)]
                 self.post(message.address, self.compose(now, wire.NEWS, news=known, fill=False))
+            if message.kind == wire.PING and message.target == self.own.name and self.greetings.take(now):
+                # It believes that news only from one that it knows, and asks first who this one is.
+                self.post(message.address, self.compose(now, wire.ACK, echo=message.number, fill=False))
             return None
         if not record.is_new(message.number):
             self.counts.replayed += 1
