--- a/rainspindle/lab/fleet/processes.py
+++ b/rainspindle/lab/fleet/processes.py
@@ -139,21 +139,23 @@
         if self.tables is not None:
             (self.folder / "fleet.toml").write_text(toml(self.tables))
 
-    def line(self, clock: float) -> list[str]:
+    def line(self, clock: float, later: bool) -> list[str]:
         """The line by which it is started."""
-        module = ["rainspindle"] if not clock else ["rainspindle.lab.fleet.clock", str(clock)]
+        module = ["rainspindle"] if not clock and not later else [
+            "rainspindle.lab.fleet.odd", str(clock), str(int(later))]
         fleet = [] if self.tables is None else ["--fleet", str(self.folder / "fleet.toml")]
         return [sys.executable, "-O", "-m", *module, "serve", "--config", str(self.folder / "config.json"),
                 *fleet]
 
-    def start(self, clock: float = 0.0) -> None:
-        """`clock`: seconds by which its wall clock is ahead."""
+    def start(self, clock: float = 0.0, later: bool = False) -> None:
+        """`clock`: seconds by which its wall clock is ahead; `later`: as a release after this one."""
         assert self.process is None or self.process.poll() is not None, f"{self.name} runs already"
         self.starts += 1
         with (self.folder / "log").open("ab") as log:
             self.process = subprocess.Popen(
-                self.line(clock), cwd=ROOT, stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL, stderr=log,
-                start_new_session=True, env={**os.environ, "TMPDIR": str(self.folder / "tmp")})
+                self.line(clock, later), cwd=ROOT, stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL,
+                stderr=log, start_new_session=True,
+                env={**os.environ, "TMPDIR": str(self.folder / "tmp")})
         self.keep(self.process.pid)
 
     @property
@@ -293,11 +295,11 @@
         if kind is None and self.network.faults:
             raise AssertionError(f"the lab's own fault: {self.network.faults}")
 
-    def start(self, *names: str, clock: float = 0.0) -> None:
+    def start(self, *names: str, clock: float = 0.0, later: bool = False) -> None:
         """Starts them, or all, and waits until each can serve."""
         chosen = [self[name] for name in names or self.sidecars]
         for sidecar in chosen:
-            sidecar.start(clock)
+            sidecar.start(clock, later)
         self.await_ready(*names)
 
     def await_ready(self, *names: str) -> None:
@@ -312,6 +314,21 @@
             self[name].gone()
         self.start(*names)
 
+    def upgrade(self, name: str) -> int:
+        """A successor beside its predecessor, as for a new version: the same files and addresses but for the
+        console's, and only once it can serve is the old one told to leave. The status of the old one."""
+        sidecar = self[name]
+        old, sidecar.process, sidecar.console = sidecar.process, None, reserve_port()
+        assert old is not None
+        sidecar.write(sidecar.config, sidecar.tables)
+        try:
+            self.start(name)
+        finally:
+            old.terminate()
+            status = old.wait(PATIENCE)
+            self.keep(-old.pid)
+        return status
+
     # What the members say.
 
     def views(self, *names: str) -> dict[str, dict[str, dict[str, Any]]]:
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -6,13 +6,14 @@
 import socket
 from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
+from functools import partial
 from pathlib import Path
 
 import pytest
 
 from rainspindle.lab.fleet.player import play
 from rainspindle.lab.fleet.processes import Fleet, wait_until
-from rainspindle.lab.fleet.schedule import Cut, Kill, Leave, Split, Stall, Weather
+from rainspindle.lab.fleet.schedule import Cut, Kill, Leave, Split, Stall, Weather, draw, to_values
 from rainspindle.lab.fleet.watch import Watch
 
 KNOWN = 8.0  # seconds within which all know of a crash, also on a loaded machine
@@ -193,7 +194,6 @@
 
 def test_members_live_on_while_a_burst_of_faults_goes_over_them(tmp_path: Path) -> None:
     """A schedule drawn from a seed; what fails is played again from it."""
-    from rainspindle.lab.fleet.schedule import draw, to_values
     schedule = draw(11, names(6), 12.0, 6, stall=(1.0, 4.0))
     with started(tmp_path, 6, seed=11) as fleet:
         play(fleet, schedule)
@@ -206,11 +206,37 @@
 
 
 def test_a_second_process_of_one_name_is_a_named_fault(tmp_path: Path) -> None:
+    def named(one: str) -> bool:
+        return ("another process has this name" in fleet[one].logged()
+                and "has this name" in fleet[one].call("GET", "/-/members").text)
+
     with Fleet(tmp_path, [*names(4), "other"]) as fleet:
         fleet["other"].write(fleet["other"].config, fleet.file("other", name="m3"))
         fleet.start(*names(4))
         fleet.await_agreed(dict.fromkeys(names(4), "alive"), KNOWN, *names(4))
         fleet.start("other")
         for one in ("m3", "other"):
-            wait_until(lambda one=one: "same name" in fleet[one].logged(), KNOWN,  # type: ignore[misc]
-                       f"{one} tells of the other")
+            wait_until(partial(named, one), KNOWN, f"{one} tells of the other")
+        fleet["other"].kill()
+        fleet.await_agreed(dict.fromkeys(names(4), "alive"), MENDED, *names(4))
+
+
+def test_a_successor_beside_its_predecessor_is_no_fault_and_one_member(tmp_path: Path) -> None:
+    with started(tmp_path, 5) as fleet, Watch(fleet) as watch:
+        before = lives(fleet, "m1")
+        assert fleet.upgrade("m1") == 0
+        fleet.all_alive(KNOWN)
+        assert min(lives(fleet, "m1")) > max(before) and not buried(watch)
+        assert "another process has this name" not in fleet["m1"].logged()
+
+
+def test_two_releases_side_by_side_are_one_fleet(tmp_path: Path) -> None:
+    with Fleet(tmp_path, names(6)) as fleet:
+        rest = apart(names(6), "m2")
+        fleet.start(*names(6)[:3])
+        fleet.start(*names(6)[3:], later=True)
+        fleet.all_alive()
+        fleet["m2"].kill()
+        fleet.await_agreed({"m2": "dead", **dict.fromkeys(rest, "alive")}, KNOWN, *rest)
+        fleet.start("m2", later=True)
+        fleet.all_alive()
