--- a/rainspindle/lab/fleet/day.py
+++ b/rainspindle/lab/fleet/day.py
@@ -16,19 +16,31 @@
 import tempfile
 import threading
 import time
-from collections.abc import Callable, Iterator, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Callable, Collection, Sequence
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
 import orjson
 
 from .. import experiment
-from ..audit import Audit, Break, audit
+from ..audit import Audit, audit
 from ..figures import figures
-from ..ledger import Asked, Ledger
+from ..ledger import Ledger
 from ..sockets.run import ROOT, SocketsFault, SocketsRun
 from ..world import World
+from .judge import (
+    NEW,
+    PRICES,
+    TOP_UPS,
+    Call,
+    Called,
+    excuse,
+    judge_canary,
+    judge_wallet,
+    sent_late,
+    spent_part,
+)
 from .player import Away, Player
 from .processes import Fleet, NotInTime
 from .schedule import Kill, Restart, Schedule, Split, Stall, from_values, to_values
@@ -36,29 +48,9 @@
 
 FILE = ROOT / "experiments" / "full-day.toml"
 SETTLED = 10.0  # seconds after the last fault within which all views must agree
-OPENS = 0.3  # seconds by which a process's going or coming may be noticed late
 REPEAT = 0.5  # seconds after which a call that was not answered is made again
 
 
-@dataclass(frozen=True, slots=True)
-class Call:
-    """A console call that staff make during the day, at the first of `members` that answers."""
-
-    at: float
-    method: str
-    path: str
-    members: tuple[str, ...]
-
-
-@dataclass(slots=True)
-class Called:
-    call: Call
-    member: str
-    at: float  # when the answer was there
-    status: int
-    text: str
-
-
 @dataclass(frozen=True, slots=True)
 class Plan:
     """What a day is made of beside its traffic."""
@@ -199,55 +191,41 @@
     day.figures["sent_after_stall"] = float(sum(1 for _ in sent_late(ledger, run.player.away, world)))
     day.broken += [f"the lab's own fault: {fault}" for fault in (*found.faults, *run.fleet.network.faults)]
     day.broken += run.beside
+    if any("/top-up?" in call.path for call in plan.calls):
+        day.broken += judge_wallet(ledger, world, run.called)
+        day.figures["spent_part"] = round(spent_part(ledger, world), 4)
+    if any("/-/canaries/" in call.path for call in plan.calls):
+        day.broken += judge_canary(ledger, run.called, run.player.away, plan.schedule)
     for sidecar in run.fleet.sidecars.values():
         if "event=fault" in sidecar.logged() or "Traceback" in sidecar.logged():
             day.broken.append(f"{sidecar.name} logged a fault: {sidecar.log_end}")
     return day
 
 
-# What is owed by a process that stands still or is not there.
-
-
-def excuse(ledger: Ledger, away: Sequence[Away]) -> None:
-    """A try that met its sidecar while that was away is owed no answer; every other one is."""
-    for asked in ledger.asked:
-        met = [a for a in away if met_away(asked, a)]
-        asked.broken = bool(met) and (asked.broken or not asked.answers or any(a.stalled for a in met))
-
-
-def met_away(asked: Asked, away: Away) -> bool:
-    return (away.name == f"s{asked.sidecar}" and asked.sent <= away.until + OPENS
-            and asked.sent + min(asked.wait, asked.expiry) >= away.since - OPENS)
-
-
-def sent_late(ledger: Ledger, away: Sequence[Away], world: World) -> Iterator[Break]:
-    """What a process that stood still sent, once it went on, for tries whose clients had given up.
-
-    Counted and told, but no break of a rule: it read them only then, and cannot know how long they waited."""
-    ends = {a.id: a.sent + min(a.wait, a.expiry) for a in ledger.asked if a.broken}
-    stalled = {a.name for a in away if a.stalled}
-    for run in ledger.runs:
-        end = ends.get(run.id)
-        if end is not None and f"s{run.sidecar}" in stalled and run.first > end + world.x.rules.tolerance:
-            yield Break(1, f"sent {run.first - end:.3f} s after its end", run.first, run.id)
-
-
-# The wallet and the canary, by the ledgers.
-
-
-def spent(ledger: Ledger, world: World, prices: dict[str, int]) -> int:
-    """What the executed exchanges of these traffic types cost: each once, however often it was sent."""
-    types = [kind.name for kind in world.x.traffic]
-    executed = {run.id: types[run.type] for run in ledger.runs if run.began < float("inf")}
-    return sum(prices.get(name, 0) for name in executed.values())
-
-
-def past_abort(ledger: Ledger, new: Sequence[int], since: Callable[[int], float]) -> Iterator[Break]:
-    """What a sidecar sent to a canary's endpoints after the time `since` which it is to be in force there."""
-    for run in ledger.runs:
-        if run.endpoint in new and run.first > since(run.sidecar):
-            yield Break(0, f"sent to e{run.endpoint} of the canary {run.first - since(run.sidecar):.3f} s "
-                           "after it was to be out of use", run.first, run.id)
+def plan(seed: int, x: experiment.Experiment, parts: Collection[str], schedule: Schedule | None = None
+         ) -> Plan:
+    """A day with these parts of `wallet` and `canary`: topped up early and in the split, started early and
+    aborted in the split or after it."""
+    members = names(x.sidecars.count)
+    schedule = draw(seed, members, x.length) if schedule is None else schedule
+    chance = random.Random(f"{seed} calls")
+    home = chance.choice([n for n in members if not any(n in getattr(f, "names", ()) for f in schedule)])
+    calls: list[Call] = []
+    tables: dict[str, Any] = {}
+    if "wallet" in parts:
+        tables["wallet"] = [{"name": "north", "home": home, "tenant": 0, "match": list(PRICES),
+                             "prices": PRICES, "reserve": 30}]
+        calls += [Call(at, "POST", f"/-/wallets/north/top-up?id={id}&amount={TOP_UPS[id]}", (home,))
+                  for at, id in ((0.2, "first"), (0.3 * x.length, "first"), (0.35 * x.length, "second"),
+                                 (0.7 * x.length, "second"))]
+    if "canary" in parts:
+        tables["canary"] = [{
+            "name": "answers", "endpoints": [f"e{n}" for n in NEW], "budget": 0.2, "long": 10.0, "short": 2.0,
+            "stages": [{"part": 0.1, "time": 1.0, "exchanges": 10},
+                       {"part": 0.4, "time": 60.0, "exchanges": 50}]}]
+        calls += [Call(0.5, "POST", "/-/canaries/answers/start", tuple(members)),
+                  Call(chance.uniform(0.3, 0.6) * x.length, "POST", "/-/canaries/answers/abort", (home,))]
+    return Plan(schedule, tuple(calls), lambda name: tables)
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
@@ -255,14 +233,15 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--schedule", type=Path, help="faults as JSON, in place of those drawn")
     parser.add_argument("--plain", action="store_true", help="sidecars without fleet files: the lab alone")
+    parser.add_argument("--with", dest="parts", default="wallet,canary", help="what is on beside the members")
     options = parser.parse_args(arguments)
     x = experiment.load(FILE)
-    schedule = (from_values(json.loads(options.schedule.read_text())) if options.schedule
-                else draw(options.seed, names(x.sidecars.count), x.length))
+    schedule = from_values(json.loads(options.schedule.read_text())) if options.schedule else None
+    parts = {part for part in options.parts.split(",") if part and not options.plain}
+    whole = replace(plan(options.seed, x, parts, schedule), fleet=not options.plain)
     with tempfile.TemporaryDirectory(prefix="rainspindle-day-") as folder:
-        plan = Plan(schedule, fleet=not options.plain)
-        day = play(World(x, x.variants[0], options.seed), plan, Path(folder))
-    print(json.dumps({"seed": options.seed, "schedule": to_values(schedule), "broken": day.broken[:20],
+        day = play(World(x, x.variants[0], options.seed), whole, Path(folder))
+    print(json.dumps({"seed": options.seed, "schedule": to_values(whole.schedule), "broken": day.broken[:20],
                       "figures": day.figures}))
     return 3 if day.broken else 0
 
