--- a/rainspindle/lab/fleet/day.py
+++ b/rainspindle/lab/fleet/day.py
@@ -40,6 +40,7 @@
     judge_wallet,
     sent_late,
     spent_part,
+    times_to_know,
 )
 from .player import Away, Player
 from .processes import Fleet, NotInTime
@@ -191,6 +192,11 @@
     day.figures["sent_after_stall"] = float(sum(1 for _ in sent_late(ledger, run.player.away, world)))
     day.broken += [f"the lab's own fault: {fault}" for fault in (*found.faults, *run.fleet.network.faults)]
     day.broken += run.beside
+    struck = {name for fault in plan.schedule if isinstance(fault, Kill) for name in fault.names}
+    known = sorted(times_to_know([replace(s, at=s.at - run.start) for s in run.watch.seen],
+                                 [away for away in run.player.away if away.name in struck]))
+    if known:
+        day.figures.update(known_s=round(known[len(known) // 2], 3), known_most_s=round(known[-1], 3))
     if any("/top-up?" in call.path for call in plan.calls):
         day.broken += judge_wallet(ledger, world, run.called)
         day.figures["spent_part"] = round(spent_part(ledger, world), 4)
--- a/rainspindle/lab/fleet/judge.py
+++ b/rainspindle/lab/fleet/judge.py
@@ -12,6 +12,7 @@
 from .links import crosses
 from .player import Away
 from .schedule import Schedule, Split, end
+from .watch import Sighting
 
 OPENS = 0.3  # seconds by which a process's going or coming may be noticed late
 PRICES = {"lesson": 1, "paid-exam": 3}  # units, by traffic type of the tenant
@@ -67,6 +68,18 @@
             yield Break(1, f"sent {run.first - end:.3f} s after its end", run.first, run.id)
 
 
+def times_to_know(seen: Sequence[Sighting], killed: Sequence[Away]) -> Iterator[float]:
+    """Seconds from a process's end until a console said so that had held it for alive; `seen` on the clock of
+    `killed`."""
+    for span in killed:
+        for viewer in {s.viewer for s in seen} - {span.name}:
+            said = [s for s in seen if (s.viewer, s.name) == (viewer, span.name)]
+            before = [s.state for s in said if s.at < span.since]
+            after = [s.at for s in said if span.since <= s.at < span.until and s.state == "dead"]
+            if before and before[-1] in ("alive", "suspect") and after:
+                yield after[0] - span.since
+
+
 # The wallet and the canary.
 
 
--- a/tests/test_full_day.py
+++ b/tests/test_full_day.py
@@ -17,7 +17,7 @@
 
 X = experiment.load(day.FILE)
 WORLD = World(X, X.variants[0], 1)
-LESSON, PAID = (next(n for n, t in enumerate(X.traffic) if t.name == name) for name in ("lesson", "paid-exam"))
+LESSON, PAID = ([kind.name for kind in X.traffic].index(name) for name in ("lesson", "paid-exam"))
 
 
 @pytest.mark.timeout(150)
@@ -70,8 +70,8 @@
     (5.0, 1, [], (), 0), (0.9, 1, [], (), 1), (10.9, 1, [], (), 0), (11.3, 1, [], (), 1),
     (11.3, 2, [], SPLIT, 0), (11.3, 1, [], SPLIT, 1), (23.0, 2, [], SPLIT, 1),
     (15.0, 1, [Away("s1", 9.0, 14.0, True)], (), 0), (15.0, 1, [Away("s1", 2.0, 3.0, True)], (), 1)])
-def test_a_key_in_a_canary_that_is_over_is_found(at: float, sidecar: int, away: list[Away], schedule: Schedule,
-                                                 found: int) -> None:
+def test_a_key_in_a_canary_that_is_over_is_found(at: float, sidecar: int, away: list[Away],
+                                                 schedule: Schedule, found: int) -> None:
     runs = [run("seen", LESSON, 5.0, NEW[0]), run("x", LESSON, at, NEW[0], sidecar)]
     assert len(list(judge_canary(Ledger(runs=runs), CANARY, away, schedule))) == found
 
