--- a/rainspindle/lab/fleet/processes.py
+++ b/rainspindle/lab/fleet/processes.py
@@ -199,6 +199,10 @@
     def log_end(self) -> str:
         return self.logged()[-600:]
 
+    def faults(self) -> list[str]:
+        """The log's lines that no fault from outside excuses."""
+        return [line for line in self.logged().splitlines() if "event=fault" in line or "Traceback" in line]
+
     # The console.
 
     def call(self, method: str, path: str, patience: float = CALL_TIME) -> Reply:
