--- a/rainspindle/decisions/members/health.py
+++ b/rainspindle/decisions/members/health.py
@@ -17,7 +17,7 @@
     period: float = 0.5  # between own probes
     direct: float = 0.2  # that a probed member has to answer before others are asked
     indirect: float = 0.35  # that those others have
-    helpers: int = 4  # asked at once
+    helpers: int = 3  # asked at once
     least: float = 1.8  # of suspicion, where `opinions` members have it independently
     longest: float = 5.0  # of suspicion, where nobody else has it
     opinions: int = 3
@@ -73,6 +73,7 @@
         if opinions <= 0:
             length = (tuning.least + tuning.longest) / 2  # nobody else is there to ask
         else:
-            told = min(math.log(max(len(self.by), 1)) / math.log(opinions + 1), 1.0) if not self.verdict else 1.0
+            told = min(math.log(max(len(self.by), 1)) / math.log(opinions + 1), 1.0)
+            told = 1.0 if self.verdict else told
             length = tuning.longest - (tuning.longest - tuning.least) * told
         return length * factor if self.own else 2.5 * length * factor + 1.0
--- a/rainspindle/decisions/members/swim.py
+++ b/rainspindle/decisions/members/swim.py
@@ -74,6 +74,7 @@
     helpers: int = 0
     nacks: int = 0
     asked: bool = False
+    again: bool = False
 
 
 @dataclass(slots=True)
@@ -248,10 +249,12 @@
             return None
         if message.life < record.life:
             self.counts.older_life += 1
-            if now - record.told > 1.0 and self.greetings.take(now):
+            if now - record.told > 0.2 and self.greetings.take(now):
                 record.told = now  # it may be a process whose clock was set back: it takes a higher life then
-                known = [self.raw(now, record)]
-                self.post(message.address, self.compose(now, wire.NEWS, news=known, fill=False))
+                asks = message.kind == wire.PING and message.target == self.own.name
+                self.post(message.address, self.compose(
+                    now, wire.ACK if asks else wire.NEWS, echo=message.number if asks else 0,
+                    news=[self.raw(now, record)], fill=False))
             return None
         if not record.is_new(message.number):
             self.counts.replayed += 1
@@ -416,7 +419,8 @@
             self.clean(now)
         due = min(now + LOOK, self.next_probe, self.gossip_at)
         for probe in self.probes.values():
-            due = min(due, probe.until if probe.asked else probe.direct_until)
+            middle = (probe.direct_until + probe.until) / 2
+            due = min(due, probe.until if probe.again else middle if probe.asked else probe.direct_until)
         for relay in self.relays.values():
             due = min(due, relay.nack_at)
         return max(due, now + 0.005)
@@ -426,7 +430,10 @@
             if not probe.asked and now >= probe.direct_until:
                 probe.asked = True
                 self.ask_others(now, probe)
-            elif probe.asked and now >= probe.until:
+            elif probe.asked and not probe.again and now >= (probe.direct_until + probe.until) / 2:
+                probe.again = True
+                self.ping_again(now, probe)
+            if probe.asked and now >= probe.until:
                 self.failed(now, probe)
         for number, relay in list(self.relays.items()):
             if now >= relay.nack_at:
@@ -469,8 +476,13 @@
             # The answer comes with the number of the message that asked; each is known as this probe's.
             self.probes[self.number] = probe
             probe.helpers += 1
-        if self.tuning.lifeguard:
-            # Once more directly: under loss it is the surest way of all.
+        self.ping_again(now, probe)
+
+    def ping_again(self, now: float, probe: Probe) -> None:
+        """Guards against loss: what is pinged thrice is suspected a hundredth as often for nothing."""
+        record = self.table.records.get(probe.target)
+        if record is not None and record.life == probe.life and self.tuning.lifeguard:
+            self.will.take(now)
             data = self.compose(now, wire.PING, target=record.name, news=self.of(now, record), fill=False)
             self.probes[self.number] = probe
             self.post(record.packed, data)
@@ -645,7 +657,7 @@
             return
         same = news.incarnation == record.incarnation
         if news.standing == record.standing and same:
-            self.news.told(news.name, times(len(self.table.records)))  # others tell it too
+            self.news.heard(news.name, times(len(self.table.records)))
         if news.standing == wire.LEFT:
             self.stand(now, record, wire.LEFT, max(news.incarnation, record.incarnation), age)
         elif news.incarnation < record.incarnation:
@@ -659,8 +671,8 @@
                 self.suspect(now, record, news.incarnation, news.by or teller)
         elif record.standing != wire.DEAD or not same:
             if self.tuning.lifeguard and record.living and (whole or record.direct > now - FRESH):
-                # Guards against word of a death that is old, or that own ears speak against. May hurt where it
-                # is dead: so it is probed at once, and the verdict counts as the opinion of several.
+                # Guards against word of a death that is old, or that own ears speak against. May hurt where
+                # it is dead: so it is probed at once, and the verdict counts as the opinion of several.
                 self.suspect(now, record, news.incarnation, teller)
                 if record.suspicion is not None and not record.suspicion.verdict:
                     record.suspicion.verdict = True
--- a/rainspindle/decisions/shared/repeats.py
+++ b/rainspindle/decisions/shared/repeats.py
@@ -8,6 +8,7 @@
 
 Key = TypeVar("Key", bound=Hashable)
 
+SURE = 6  # times
 PER_DECADE = 4.0  # times that each news is told for each tenfold of members
 
 
@@ -45,8 +46,14 @@
         if level is not None:
             del self.levels[level][key]
 
+    def heard(self, key: Key, limit: int) -> None:
+        """Others tell it too. Guards against traffic for what all know; may hurt where it is the same few
+        that tell it to one another, so a few times it is told in any case."""
+        if self.at.get(key, 0) >= SURE:
+            self.told(key, limit)
+
     def told(self, key: Key, limit: int) -> None:
-        """It was told once more, here or by another."""
+        """It was told once more."""
         level = self.at.get(key)
         if level is None:
             return
--- a/rainspindle/decisions/shared/spread.py
+++ b/rainspindle/decisions/shared/spread.py
@@ -71,7 +71,7 @@
             return
         known = self.cells.by_name.get(news.name, {}).get(news.owner)
         if known is not None and (news.life, news.sequence) == known.cell.order:
-            self.queue.told((news.owner, news.name), times(members))  # others tell it too
+            self.queue.heard((news.owner, news.name), times(members))
         self.cells.heard(now, Cell(news.owner, news.name, news.life, news.sequence, news.value), age)
 
     # Sums of all that one owner has.
--- a/rainspindle/lab/fleet/virtual.py
+++ b/rainspindle/lab/fleet/virtual.py
@@ -1,7 +1,8 @@
 """Members in virtual time: the very classes that run, on a network that loses, delays, doubles and cuts.
 
 One heap of events drives thousands of members. What other parts decide can be hosted beside each member as
-its `apps`, with its cells, its view of the members and a folder that outlasts it. All chance is from one seed.
+its `apps`, with its cells, its view of the members and a folder that outlasts it. All chance is from one
+seed.
 """
 
 from __future__ import annotations
