A silent call to discovery is begun anew at once, before what it misses counts as told

Change: an answer is missed 0.8 s after its wait, the first silence is followed by a new call at once, the second in a row is a failure as before. After a failed call 0.2 s pass at least; where lists are pushed that is all, from the start on, as what the agent holds counts as told. New tests fail without it.

--- a/rainspindle/program/serve.py
+++ b/rainspindle/program/serve.py
@@ -113,7 +113,7 @@
         clients, connections = caps(config)
         self.pool = Pool(self.loop, connections, config.settings.idle_time)
         self.follower = Follower(self.loop, config.discovery, config.decoder,
-                                 config.settings.ask_within, config.known)
+                                 config.settings.ask_within, config.known, pushed=not config.asks_list)
         directory = Directory()
         self.core = Core(self.loop, config.facade(self.loop.now()), config.settings, directory,
                          self.make_back(directory), self.follower.want, self.each_tick)
@@ -122,8 +122,6 @@
         if known.lines:
             self.core.list_changed(known.lines, known.addresses, whole=True, stale=True)
         self.follower.core = self.core
-        if not config.asks_list:
-            self.follower.want()  # a pushed list is watched unasked: on sockets it comes by a watch
         self.peers: Datagrams | None = None
         if config.deaf:
             log.warning(DEAF)
--- a/rainspindle/routing/follow.py
+++ b/rainspindle/routing/follow.py
@@ -16,19 +16,26 @@
 class Follower:
     MOST_WATCH = 20.0
     CONNECT = 1.0
+    AGAIN = 0.2  # seconds after a failed call at least; where lists are pushed, always
     REST = 0.1  # a watch goes on only if the next call comes within 0.2 s
-    LATE, LATE_WHOLE = 2.0, 4.0  # an answer later than this, after the wait if there is one, is a failure
-    WATCH_PART, LATE_PART = 0.7, 0.2  # of the asking period: after a silent watch too the next is asked in it
+    # An answer later than this has fallen silent. What a silent watch misses counts as told 2 s after its
+    # wait, what another call misses 6 s after it: the next has to be asked and answered before that.
+    LATE, LATE_WHOLE = 0.8, 4.0
+    WATCH_PART, LATE_PART = 0.7, 0.08  # of the asking period: after a silence too the next is asked in it
 
     def __init__(self, loop: Loop, address: Address, decoder: ListDecoder, ask_within: float,
-                 known: ListChange) -> None:
-        """Watches go on from the `known` list, where there is one: what it lacks is told first."""
-        self.loop, self.address, self.decoder = loop, address, decoder
+                 known: ListChange, pushed: bool = False) -> None:
+        """Watches go on from the `known` list, where there is one: what it lacks is told first.
+
+        Where the list is `pushed`, what the agent holds counts as told whether it is watched or not: then no
+        pause is drawn between calls, from the start on."""
+        self.loop, self.address, self.decoder, self.pushed = loop, address, decoder, pushed
         self.wait = min(self.WATCH_PART * ask_within or self.MOST_WATCH, self.MOST_WATCH)
         self.late = min(self.LATE_PART * ask_within or self.LATE, self.LATE)
         self.version = known.version if known.lines else None
-        self.wanted = self.moved = False
+        self.wanted, self.moved = pushed, False
         self.connection: Connection | None = None
+        self.asked = False  # whether the last call was written whole
         self.task = loop.spawn(loop.lasting(self.idle))
         self.core: Core | None = None
         self.heard: Callable[[ListChange], None] = lambda change: None  # what else is told of each change
@@ -52,20 +59,33 @@
             while not self.wanted or self.core is None:
                 yield math.inf
             yield from self.follow(self.core)
+            # Guards against calling a dead service in a loop and, where lists are pushed, against news
+            # that waits for a pause: that spares a service of many callers, and an agent has one.
+            again = self.loop.now() + self.AGAIN
+            while self.loop.now() < again and not self.moved:
+                yield again
+            self.wanted = self.wanted or self.pushed
 
     def follow(self, core: Core) -> Coroutine[None]:
         """Watches until a call fails."""
+        silent = False
         while True:
             asked_at = self.loop.now()
             try:
                 change = yield from self.ask()
             except Unwanted:
                 continue
-            except (Broken, Late, OutOfSockets, Unreadable):
+            except (Broken, Late, OutOfSockets, Unreadable) as fault:
                 self.close()
+                # Guards against a pause on top of a silence: what it missed is asked for at once. May hurt
+                # where the service is only slow: so the second silence in a row is a failure as any other.
+                if isinstance(fault, Late) and self.asked and not silent:
+                    silent = True
+                    continue
                 self.wanted = False
                 core.list_failed()
                 return
+            silent = False
             self.heard(change)
             core.list_changed(change.lines, change.addresses, change.whole, stale=False)
             self.version = change.version
@@ -79,6 +99,7 @@
             self.close()
             self.moved = False
         whole, unless = self.version is None, self.has_moved
+        self.asked = False
         until = self.loop.now() + (self.LATE_WHOLE if whole else self.wait + self.late)
         if self.connection is None or not self.connection.sound():
             self.close()
@@ -87,6 +108,7 @@
         call, host = DiscoverySide(self.decoder), address_text(self.address).encode()
         out = call.whole(host) if self.version is None else call.watch(host, self.version, self.wait)
         yield from self.connection.send(out, until, unless)
+        self.asked = True
         told = None
         while told is None:
             data = yield from self.connection.await_bytes(until, unless)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -602,21 +602,40 @@
     assert len(rig.front.clients) < len(idle) + 1, "no room was made"
 
 
-def test_silent_discovery_is_asked_again_and_a_change_is_followed_at_once(rig: Rig) -> None:
+@pytest.mark.parametrize("wait", [7.0, 20.0, 0.0])
+def test_a_call_that_falls_silent_is_begun_anew_before_what_it_misses_counts_as_told(rig: Rig, wait: float
+                                                                                     ) -> None:
+    """What a silent watch misses counts as told 2 s after its wait; what another misses, 6 s after it."""
+    discovery = Stand()
+    rig.stands.append(discovery)
+    lines = [entry("e0", rig.stands[0].port)] if wait else []
+    follower = Follower(rig.loop, ("127.0.0.1", discovery.port), rig.decoder, 10.0 if wait < 20 else 0.0,
+                        rig.decoder.decode({"generation": 41, "reset": True, "instances": lines}))
+    follower.core = rig.core
+    follower.want()
+    silent, asked_at = only(rig.got()), rig.loop.now()
+    assert f"wait={wait * 1000:.0f}" in silent.target if wait else silent.target == "/v1/endpoints"
+    while not (again := rig.got()):
+        rig.wait(0.1)
+        assert rig.watches == 1, "a pause was drawn first"
+    only(again).tell(42, not wait, entry("e0", rig.stands[0].port, "DRAINING"))  # the list had moved on
+    rig.got()
+    assert rig.balancer.endpoints["e0"].line.state is State.DRAINING
+    assert rig.loop.now() - asked_at < (wait + 2.0 if wait else 6.0) - 0.5, "it counts as told before that"
+
+
+def test_what_is_silent_twice_is_a_failure_and_a_change_is_followed_at_once(rig: Rig) -> None:
     discovery = Stand()
     rig.stands.append(discovery)
     known = rig.decoder.decode({"generation": 41, "reset": True, "instances": [entry("e0", 9)]})
     follower = Follower(rig.loop, ("127.0.0.1", discovery.port), rig.decoder, 10.0, known)
     follower.core = rig.core
     follower.want()
-    silent = only(rig.got())
-    asked_at = rig.loop.now()
-    while not silent.gone():
-        rig.wait(0.5)
-    assert rig.watches == 1  # the module's own, at its start
-    while rig.watches == 1:
+    calls = rig.got()
+    while rig.watches == 1:  # the module's own, at its start
         rig.wait(0.1)
-    assert rig.loop.now() - asked_at < 10.0, "neither watched nor asked for as long as the settings allow"
+        calls += rig.got()
+    assert len(calls) == 2 and all(call.gone() for call in calls)
     follower.want()
     second = only(rig.got())
     before = rig.loop.now()
@@ -625,6 +644,28 @@
     assert rig.balancer.endpoints["e0"].line.state is State.DRAINING
 
 
+def test_a_pushed_list_is_had_at_once_after_an_outage_with_no_pause_drawn(rig: Rig) -> None:
+    """What the agent holds counts as told whether or not a watch is open; the grace of a drain is 0.5 s."""
+    discovery = Stand()
+    rig.stands.append(discovery)
+    known = rig.decoder.decode({"generation": 41, "reset": True, "instances": [entry("e0", 9)]})
+    follower = Follower(rig.loop, ("127.0.0.1", discovery.port), rig.decoder, 0.0, known, pushed=True)
+    follower.core = rig.core
+    for n in range(20):  # an outage: each call fails; nobody has to want the next
+        before = rig.loop.now()
+        while not (calls := rig.got()):
+            rig.wait(0.02)
+            assert rig.loop.now() - before < 0.4, "after the grace"
+        assert rig.loop.now() - before > 0.1 or not n, "in a loop"
+        only(calls).reset()
+        rig.got()
+    while not (calls := rig.got()):
+        rig.wait(0.02)
+    only(calls).tell(42, False, entry("e0", 9, "DRAINING"))
+    rig.got()
+    assert rig.balancer.endpoints["e0"].line.state is State.DRAINING
+
+
 def test_discovery_that_answers_at_once_with_nothing_is_not_flooded(rig: Rig) -> None:
     discovery = Stand()
     rig.stands.append(discovery)
@@ -656,12 +697,14 @@
         only(rig.got()).tell(40, whole, entry("e0", rig.stands[0].port))  # it would bring back what drains
         assert rig.got() == [] and rig.balancer.endpoints["e0"].line.state is State.DRAINING
         follower.want()
+        rig.wait(Follower.AGAIN)
         again = only(rig.got())
         assert again.target == "/v1/endpoints"
         again.tell(41, True, entry("e0", rig.stands[0].port, "DRAINING"))
     only(rig.got()).tell(3, True)
     assert rig.got() == []
     follower.want()
+    rig.wait(Follower.AGAIN)
     only(rig.got()).tell(3, True, entry("e7", rig.stands[0].port))  # it counts anew
     assert "index=3" in only(rig.got()).target and "e7" in rig.balancer.endpoints
 
