--- /dev/null
+++ b/rainspindle/decisions/wallet/wallet.py
@@ -0,0 +1,571 @@
+"""One wallet at one member: when to write ahead, whom to ask, what to grant, when to pause. No I/O, no clock.
+
+What may be spent, and that it is spent once, is the account's alone (`account.py`); nothing in here can break
+it. Here is the policy by which rights follow the traffic:
+
+- A member keeps what its clients ask for in `alone` seconds, or its fair part of the balance where that is
+  less (a part by its rate of spending). It asks for more when half of that is used up, before it runs out.
+- An ask names one member, and only that one answers: the home first, then whoever is known to hold most. The
+  asked gives what it has over its own fair part, so rights only go from those above theirs to those below:
+  two halves don't ask in circles, and twenty don't answer one ask.
+- Who can't pay for one exchange with what is left hands it to the member that holds more (where equal, by
+  name).
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from ...protocol.wallet import (
+    MOST_ENTRIES,
+    VERSION,
+    Pair,
+    Word,
+    encode,
+    pair_cell,
+    word_cell,
+)
+from .account import Account, Row, Who
+
+RATE_TIME = 0.5  # seconds over which the rate of spending is smoothed
+LOOK = 0.1  # seconds between looks at a wallet that is in use
+AHEAD, AHEAD_LOW = 0.5, 0.25  # seconds of spending that are written ahead, and at which more is
+IDLE = 3.0  # seconds without an exchange after which what is written ahead is put back
+PATIENCE = 0.4  # seconds that an ask has for its answer, before another member is asked
+AGAIN = 1.0  # seconds after a round of asks in vain
+SOON = 1.0  # seconds of spending left at which others than the home are asked too
+CALM = 5.0  # seconds between asks of one that has enough for now
+WORD, WORD_CLOSE = 1.0, 0.2  # seconds between words of what is held, and where it is little
+TINY = 1e-3  # units a second that are none
+EAGER_PART = 16  # a member without traffic gets at most so small a part of the giver's rights
+
+
+class Trust(Enum):
+    """What is known of a row that was found on disk."""
+
+    SURE = "sure"  # it is the newest of its account for certain
+    UNSURE = "unsure"  # it may be older than what was done: others are asked first
+    OLD = "old"  # it is not: nothing of its account is spent any more
+
+
+@dataclass(frozen=True, slots=True)
+class Rules:
+    """Of the operator's file."""
+
+    home: str
+    piece: int = 20  # units written ahead at once at least
+    reserve: int = 0  # units that binding exchanges alone may use
+    alone: float = 60.0  # seconds of its traffic for which a member keeps rights
+    come_back: float = 5.0  # seconds, told to those that are rejected while nobody is known to have anything
+    least: int = 1  # the lowest price
+    top: int = 1  # the highest
+    eager: bool = True  # a member without traffic holds a piece too
+    books: str = "1"  # ids of top-ups are told apart within it
+    rejoin: str = "heard"  # or "new": an unsure row is taken for an old one
+
+
+class WalletHost(Protocol):
+    def save(self, wallet: Wallet) -> None:
+        """There is something to write: `account.stage()` is to be called when the disk is free."""
+
+    def tell(self, now: float, cell: str, value: bytes, toward: tuple[str, ...]) -> None: ...
+
+    def urge(self, wallet: Wallet) -> None:
+        """`tick` is to be called soon."""
+
+    def alive(self) -> Iterable[str]:
+        """The other members that live, as far as is known."""
+
+    def log(self, event: str, **fields: object) -> None: ...
+
+
+class Wallet:
+    def __init__(self, name: str, own: str, life: int, rules: Rules, host: WalletHost, now: float) -> None:
+        """Spends nothing before `load`."""
+        self.name, self.own, self.life, self.rules, self.host = name, own, life, rules, host
+        self.account = Account(Row(life))
+        self.loaded = self.unsure = self.leaving = self.out = self.sealing = self.all_reserved = False
+        self.old: list[Row] = []  # of accounts that are over, for what they gave
+        self.words: dict[str, Word] = {}
+        self.heard_at: dict[str, float] = {}
+        self.highest: dict[Who, int] = {}  # rows heard of
+        self.told_pairs: dict[str, tuple[object, ...]] = {}
+        self.answered: dict[str, int] = {}  # asks of others, by number
+        self.pairs_due: set[str] = set()
+        self.rate = self.binding_rate = 0.0
+        self.demand = self.binding_demand = 0
+        self.ticked = self.spent_at = now
+        self.floor = 0  # of `held`, under which only binding exchanges are taken
+        self.low = 0  # of `free`, under which more is to be written ahead
+        self.refused = 0  # exchanges, ever
+        self.refused_before = 0
+        self.paused_since: float | None = None
+        self.ask, self.of, self.want = 0, "", 0
+        self.asked_at = self.calm_until = self.again_at = -math.inf
+        self.tried: set[str] = set()
+        self.begun_at, self.told_at, self.told_held = now, -math.inf, 0
+        self.word_due = False
+        self.lost = 0  # rights of accounts that are over
+        self.planned, self.planned_at, self.looked_at = 0, math.inf, -math.inf  # the host's
+
+    # The start.
+
+    def load(self, now: float, row: Row | None, ids: dict[str, int], old: list[Row], trust: Trust) -> None:
+        """What was found on disk; `row` None where there was nothing of this wallet."""
+        self.old = old[-MOST_ENTRIES:]
+        self.loaded, self.begun_at = True, now
+        if row is None:
+            self.account = Account(Row(self.life), ids)
+        elif trust is Trust.OLD or (trust is Trust.UNSURE and self.rules.rejoin == "new"):
+            self.account = Account(row, ids)
+            self.begin_anew("its row on disk may not be the last")
+        else:
+            self.account = Account(row, ids)
+            self.unsure = trust is Trust.UNSURE and bool(row.given or row.got or self.own != self.rules.home)
+            if row.number:
+                self.word_due = True
+        self.host.urge(self)
+
+    def begin_anew(self, why: str) -> None:
+        """Nothing of the account is spent any more; what it gave is still told."""
+        row, self.lost = self.account.row, self.lost + max(self.account.held, 0)
+        self.host.log("wallet: begins with nothing", wallet=self.name, why=why, left=self.account.held,
+                      account=row.account)
+        self.old = [*self.old, self.account.kept.copy()][-MOST_ENTRIES:]
+        self.account = Account(Row(max(self.life, row.account + 1), off=dict(row.off), barred=row.barred),
+                               self.account.ids)
+        self.account.dirty = True
+        self.unsure = self.sealing = False
+        self.word_due = True
+        if self.own == self.rules.home:
+            self.bar()
+        self.host.save(self)
+        self.host.urge(self)
+
+    # Exchanges. Nothing here takes longer where there are more wallets or members.
+
+    def debit(self, now: float, price: int, binding: bool) -> bool:
+        account = self.account
+        self.demand += price
+        if binding:
+            self.binding_demand += price
+        if account.free < price or not (binding or account.rights + account.free - price >= self.floor):
+            self.refused += 1
+            self.host.urge(self)
+            return False
+        account.free -= price
+        self.spent_at = now
+        if account.free < self.low:
+            self.host.urge(self)
+        return True
+
+    def credit(self, price: int) -> None:
+        self.account.credit(price)
+
+    def hold_off(self) -> float:
+        """Seconds, for one that is refused."""
+        hope = not self.loaded or self.unsure or self.account.held >= self.rules.top or any(
+            word.held > 0 for word in self.known())
+        return min(AHEAD, self.rules.come_back) if hope else self.rules.come_back
+
+    # What others say.
+
+    def on_word(self, now: float, member: str, word: Word) -> None:
+        before = self.words.get(member)
+        self.words[member], self.heard_at[member] = word, now
+        if before is not None and before.life != word.life:
+            self.answered.pop(member, None)
+            self.told_pairs.pop(member, None)
+        who = member, word.account
+        self.highest[who] = max(self.highest.get(who, 0), word.row)
+        if not self.loaded or self.out:
+            return
+        home = self.rules.home
+        if (word.unsure and (self.own == home or member == home or self.highest[who] > word.row)) or (
+                member not in self.told_pairs and (
+                    self.account.kept.off.get(member, 0) >= word.account
+                    or any(peer == member for row in self.gave() for peer, _ in row.given))):
+            self.tell_pair(now, member, self.answered.get(member, 0))
+        if word.of == self.own and word.ask != self.answered.get(member, 0):
+            self.grant(now, member, word)
+        elif before is None or before.held != word.held:
+            self.host.urge(self)
+
+    def on_pair(self, now: float, member: str, pair: Pair) -> None:
+        """What `member` says to this one."""
+        if not self.loaded or self.out:
+            return
+        if self.unsure and pair.seen[0] == self.life and pair.seen[1] == self.account.row.account:
+            if pair.seen[2] > self.account.kept.number:
+                self.begin_anew(f"{member} has heard of a later row")
+            elif member == self.rules.home or self.own == self.rules.home:
+                self.unsure, self.word_due = False, True
+                self.account.dirty = True  # so that the next life knows it too
+                self.host.save(self)
+                self.host.urge(self)
+                self.host.log("wallet: its row is the last that is known", wallet=self.name, by=member)
+        if pair.off >= self.account.row.account and member == self.rules.home:
+            self.seal(now)
+        gained = sum(self.account.hear((member, account), total)
+                     for account, to, total in pair.entries if to == self.account.row.account)
+        if gained:
+            self.floor_from_here()
+            self.host.save(self)
+            self.host.urge(self)
+        if self.of == member and pair.ask == self.ask:
+            self.of = ""
+            if gained:
+                self.tried.clear()
+                self.calm_until = now + CALM
+            else:
+                self.tried.add(member)
+            self.host.urge(self)
+
+    def seal(self, now: float) -> None:
+        """The home has written this account off: all that is left goes there, and then a new one begins."""
+        account, home = self.account, self.words.get(self.rules.home)
+        account.put_back(account.free)
+        if home is not None and account.rights > 0:
+            account.give((self.rules.home, home.account), account.rights)
+            self.pairs_due.add(self.rules.home)
+        if not self.sealing:
+            self.sealing, self.unsure = True, False
+            self.host.log("wallet: written off while away; what was left goes to the home", wallet=self.name,
+                          account=account.row.account, left=account.row.given.get(
+                              (self.rules.home, home.account), 0) if home is not None else 0)
+        if account.dirty or account.writing is not None:
+            self.host.save(self)
+        else:
+            self.sealed()
+
+    def sealed(self) -> None:
+        """The last row of the account is on disk."""
+        row = self.account.kept
+        self.old = [*self.old, row.copy()][-MOST_ENTRIES:]
+        self.account = Account(Row(max(self.life, row.account + 1), off=dict(row.off), barred=row.barred),
+                               self.account.ids)
+        self.sealing, self.word_due = False, True
+        self.host.urge(self)
+
+    def on_own(self, now: float, word: Word) -> None:
+        """A word of an earlier life of this member, as others have kept it."""
+        if not self.loaded or self.out:
+            return
+        row, last = self.account.row, self.account.kept.number
+        if word.account > row.account or (word.account == row.account and word.row > last):
+            self.begin_anew("others have a later row of it")
+        elif word.topped > row.topped and self.own == self.rules.home and word.account < row.account \
+                and not self.old and row.barred != self.rules.books:
+            self.bar()
+
+    def bar(self) -> None:
+        row = self.account.row
+        row.barred, self.account.dirty = self.rules.books, True
+        self.host.log("wallet: top-ups are refused, ids of earlier ones may be forgotten", wallet=self.name,
+                      books=self.rules.books)
+        self.host.save(self)
+
+    # Rights go to others.
+
+    def usable_rate(self) -> float:
+        """Units a second that clients here ask for and may get."""
+        if self.rules.reserve and self.balance() <= self.rules.reserve:
+            return self.binding_rate
+        return self.rate
+
+    def known(self) -> list[Word]:
+        """Of the others that live and whose account stands."""
+        words, off = self.words, self.account.row.off
+        return [words[m] for m in self.host.alive()
+                if m in words and off.get(m, 0) < words[m].account]
+
+    def balance(self) -> int:
+        """As far as is known here, of those that live."""
+        return max(self.account.held, 0) + sum(word.held for word in self.known())
+
+    def fair(self) -> tuple[float, float]:
+        """Seconds of spending that each may hold, and the own rate."""
+        rate = self.usable_rate()
+        words = self.known()
+        total = rate + sum(word.rate for word in words)
+        held = max(self.account.held, 0) + sum(word.held for word in words)
+        return (min(self.rules.alone, held / total) if total > TINY else self.rules.alone), rate
+
+    def grant(self, now: float, member: str, word: Word) -> int:
+        """Answers an ask, with nothing where there is nothing to spare."""
+        account, amount = self.account, 0
+        may = not (self.unsure or self.leaving or self.sealing)
+        if may and account.row.off.get(member, 0) < word.account:
+            seconds, rate = self.fair()
+            if rate < TINY and account.rights < word.want:
+                account.put_back(account.free)
+            spare = account.held - math.ceil(rate * seconds)
+            fair_part = math.ceil(word.rate * seconds)
+            if word.rate < TINY:
+                fair_part, spare = word.want + word.held, min(spare, account.rights // EAGER_PART)
+            amount = min(word.want, fair_part - word.held, spare, account.rights)
+            if amount <= 0 and account.held < self.rules.least \
+                    and (word.held, member) > (account.held, self.own):
+                account.put_back(account.free)
+                amount = account.rights
+        if amount > 0:
+            account.give((member, word.account), amount)
+            self.pairs_due.add(member)
+            self.host.save(self)
+        self.answered[member] = word.ask
+        if amount <= 0:
+            self.tell_pair(now, member, word.ask)
+        return max(amount, 0)
+
+    def grant_waiting(self, now: float) -> None:
+        """Something has come in: those that wait get their part unasked."""
+        alive = set(self.host.alive())
+        for member, word in list(self.words.items()):
+            if member in alive and word.want > 0 and word.held < max(word.rate, self.rules.top):
+                self.grant(now, member, word)
+
+    def gave(self) -> list[Row]:
+        """Rows of which what was given may be told: those that are on disk."""
+        return [*self.old, self.account.kept]
+
+    def tell_pair(self, now: float, member: str, ask: int) -> None:
+        entries = [(row.account, account, total) for row in self.gave()
+                   for (peer, account), total in row.given.items() if peer == member]
+        word = self.words.get(member)
+        who = (member, word.account) if word is not None else (member, 0)
+        pair = Pair(VERSION, entries[-MOST_ENTRIES:], ask, self.account.kept.off.get(member, 0),
+                    (word.life, who[1], self.highest.get(who, 0)) if word is not None else (0, 0, 0))
+        self.told_pairs[member] = (entries, ask)
+        self.host.tell(now, pair_cell(self.name, member), encode(pair), (member,))
+
+    # The disk.
+
+    def written(self, now: float) -> None:
+        """What was staged is on disk: its words may go out."""
+        self.account.written()
+        due, self.pairs_due = self.pairs_due, set()
+        for member in due:
+            if self.more_for(member):
+                self.pairs_due.add(member)
+            else:
+                self.tell_pair(now, member, self.answered.get(member, 0))
+        if self.sealing:
+            self.seal(now)
+        if self.account.dirty:
+            self.host.save(self)
+        self.host.urge(self)
+
+    def more_for(self, member: str) -> bool:
+        """Whether the row that is to be written says more for this member than the one on disk."""
+        row, kept = self.account.row, self.account.kept
+        return row.off.get(member, 0) != kept.off.get(member, 0) or any(
+            total != kept.given.get(who, 0) for who, total in row.given.items() if who[0] == member)
+
+    # Time.
+
+    def floor_from_here(self) -> None:
+        """The own part of the reserve, fixed where rights come in, so that it holds in a cut too."""
+        reserve = self.rules.reserve
+        if reserve:
+            balance = self.balance()
+            part = 1.0 if balance <= reserve else reserve / balance
+            self.floor = math.ceil(self.account.held * part)
+
+    def tick(self, now: float) -> float:
+        """Does what is due; when to be called next at the latest."""
+        self.rates(now)
+        if not self.loaded:
+            return math.inf
+        if self.out:
+            return math.inf
+        if self.unsure:
+            return self.look_for_sure(now)
+        if self.sealing:
+            return now + AGAIN
+        account, rules = self.account, self.rules
+        if self.leaving:
+            self.hand_back(now)
+        elif now - self.spent_at > IDLE and account.free > rules.piece and self.rate < TINY:
+            account.put_back(account.free - rules.piece)
+        rate = self.usable_rate()
+        coming = account.coming
+        wanted = self.refused != self.refused_before
+        if not self.leaving:
+            low = rate * AHEAD_LOW + rules.top
+            piece = max(rules.piece, math.ceil(rate * AHEAD), rules.top)
+            # Near the end pieces are small, so that what is left is not bound up here and there.
+            seconds = account.held / rate if rate > TINY else math.inf
+            if seconds < 2 * AHEAD:
+                piece = max(rules.top, math.ceil(account.held / 2))
+            if account.free + coming < low and account.rights > 0:
+                account.ahead(piece)
+            self.low = math.ceil(low)
+            if rules.reserve and self.balance() <= rules.reserve:
+                self.floor, self.all_reserved = max(account.held, 1), True
+            elif self.all_reserved:
+                self.all_reserved = False
+                self.floor_from_here()
+            self.pauses(now, wanted)
+            self.seek(now, rate)
+        self.refused_before = self.refused
+        if account.dirty:
+            self.host.save(self)
+        self.say(now)
+        busy = (self.rate > TINY or self.of or self.pairs_due or wanted or self.paused_since is not None
+                or self.leaving)
+        if busy:
+            return now + LOOK
+        return now + IDLE if account.free > rules.piece or self.want else math.inf
+
+    def rates(self, now: float) -> None:
+        dt = now - self.ticked
+        if dt < LOOK / 2:
+            return
+        part = 1 - math.exp(-dt / RATE_TIME)
+        self.rate += (self.demand / dt - self.rate) * part
+        self.binding_rate += (self.binding_demand / dt - self.binding_rate) * part
+        if self.rate < TINY:
+            self.rate = self.binding_rate = 0.0
+        self.demand = self.binding_demand = 0
+        self.ticked = now
+
+    def look_for_sure(self, now: float) -> float:
+        if not list(self.host.alive()) and not self.words and now - self.begun_at > 3.0 \
+                and self.own == self.rules.home and not self.account.row.given and not self.account.row.got:
+            self.unsure = False
+        elif now - self.told_at > AGAIN:
+            self.word_due = True
+            self.say(now)
+        return now + LOOK if not self.unsure else now + AGAIN / 2
+
+    def pauses(self, now: float, wanted: bool) -> None:
+        """Told where it lasts; a look in which nothing was refused, though asked for, ends it."""
+        account = self.account
+        can = account.held >= self.rules.least and (account.held > self.floor or self.binding_rate > TINY)
+        if self.paused_since is None:
+            if wanted and not can:
+                self.paused_since = now
+                self.word_due = True
+                self.host.log("wallet: paused", wallet=self.name, held=account.held, known=self.balance())
+        elif can and account.free >= self.rules.least:
+            self.host.log("wallet: goes on", wallet=self.name, held=account.held,
+                          after=f"{now - self.paused_since:.2f}")
+            self.paused_since, self.word_due = None, True
+
+    def seek(self, now: float, rate: float) -> None:
+        """Asks for more where it is time to."""
+        rules, held = self.rules, self.account.held
+        enough = rate * rules.alone
+        least = rules.piece if rules.eager else 0
+        if rate <= TINY and held >= min(least, rules.top) and self.paused_since is None:
+            self.drop_ask(now)
+            return
+        soon = held < max(rate * SOON, rules.top)
+        if held >= enough / 2 and not soon:
+            self.drop_ask(now)
+            return
+        if self.of:
+            if now - self.asked_at < PATIENCE:
+                return
+            self.tried.add(self.of)
+            self.of = ""
+        if not soon and now < self.calm_until:
+            return
+        if now < self.again_at:
+            return
+        alive = [m for m in self.host.alive() if m not in self.tried]
+        home = rules.home
+        to = ""
+        if home in alive and (home not in self.words or self.words[home].held > 0):
+            to = home
+        elif soon:
+            rich = [(self.words[m].held, m) for m in alive if m in self.words and self.words[m].held > 0]
+            to = max(rich)[1] if rich else ""
+        want = max(math.ceil(enough - held), least - held, rules.top - held, 1)
+        if not to:
+            self.tried.clear()
+            self.again_at = now + (AGAIN if soon and rate > TINY else CALM)
+            if self.want != want and (self.want == 0 or want > 2 * self.want):
+                self.want, self.word_due = want, True  # the home sees it when something comes in
+            return
+        self.ask, self.of, self.want, self.asked_at = self.ask + 1, to, want, now
+        if not soon:
+            self.calm_until = now + CALM
+        self.say(now, to)
+
+    def drop_ask(self, now: float) -> None:
+        if self.want:
+            self.want, self.of, self.word_due = 0, "", True
+            self.tried.clear()
+
+    def hand_back(self, now: float) -> None:
+        """What is not needed for what still comes in goes to the home, or to the one that holds most."""
+        account = self.account
+        quiet = now - self.spent_at > LOOK
+        keep = 0 if quiet else math.ceil(self.rate * AHEAD)
+        account.put_back(account.free - keep)
+        if account.rights <= 0:
+            return
+        alive = [m for m in self.host.alive() if m in self.words]
+        to = self.rules.home if self.rules.home in alive else max(
+            alive, key=lambda m: (self.words[m].held, m), default="")
+        if to:
+            account.give((to, self.words[to].account), account.rights)
+            self.pairs_due.add(to)
+
+    def say(self, now: float, toward: str = "") -> None:
+        """The own word, where there is one to say."""
+        held = self.account.held
+        close = held < self.rate * SOON or self.paused_since is not None or held < self.rules.top
+        changed = abs(held - self.told_held) > 0.05 * max(self.told_held, 1)
+        due = now - self.told_at >= (WORD_CLOSE if close else WORD) and changed
+        if not (toward or self.word_due or due):
+            return
+        kept = self.account.kept
+        paused = now - self.paused_since if self.paused_since is not None else 0.0
+        word = Word(VERSION, self.account.row.account, kept.number, max(held, 0),
+                    round(self.usable_rate(), 3), kept.topped, self.ask, self.want, self.of, paused,
+                    self.unsure, self.life)
+        self.word_due, self.told_at, self.told_held = False, now, held
+        self.host.tell(now, word_cell(self.name), encode(word), (toward,) if toward else ())
+
+    # The home.
+
+    def top_up(self, now: float, id: str, amount: int) -> bool:
+        """Whether it is new. It counts when it is on disk: `entered` tells."""
+        new = self.account.top_up(id, amount)
+        if new:
+            self.word_due = True
+            self.floor_from_here()
+            self.grant_waiting(now)
+            self.host.save(self)
+            self.host.urge(self)
+        return new
+
+    def entered(self, id: str) -> bool:
+        account = self.account
+        return id in account.ids and id not in account.fresh and id not in account.ids_writing
+
+    def write_off(self, now: float, member: str, account: int) -> None:
+        if self.account.write_off(member, account):
+            self.pairs_due.add(member)
+            self.host.save(self)
+
+    def put_away(self, now: float) -> None:
+        """It is not used here any more, until `out` is false again; its rights stay."""
+        if not self.out:
+            self.out = True
+            self.want, self.of = 0, ""
+            self.say(now, self.rules.home if self.loaded and self.account.row.number else "")
+            self.account.put_back(self.account.free)
+            if self.account.dirty:
+                self.host.save(self)
+
+    def leave(self, now: float) -> None:
+        self.leaving = True
+        self.want, self.of, self.word_due = 0, "", True
+        self.host.urge(self)
--- /dev/null
+++ b/rainspindle/protocol/wallet.py
@@ -0,0 +1,110 @@
+"""What members tell each other of wallets, in shared cells, and rows as they are kept. No I/O.
+
+MessagePack arrays by msgspec: a version first, fields are only ever added at the end, unknown ones ignored.
+"""
+
+from __future__ import annotations
+
+import hashlib
+
+import msgspec
+
+from ..errors import Trouble
+
+VERSION = 1
+MOST_NAME = 40  # characters of a wallet's name, and of a member's in the name of a cell
+MOST_ENTRIES = 8  # accounts of one pair of members that a cell tells of, the latest
+
+
+class UnreadableWord(Trouble):
+    """What another member tells is none that this release reads."""
+
+    remedy = "see that all members run a release that is beside this one"
+
+
+class Word(msgspec.Struct, array_like=True, frozen=True):
+    """`wallet/NAME`: what a member says of itself."""
+
+    version: int
+    account: int  # the life in which its account began
+    row: int  # the number of its last row that is on disk
+    held: int  # what it may still spend, written ahead or not
+    rate: float  # units a second that its clients ask for
+    topped: int = 0  # at the home: all that ever came in
+    ask: int = 0  # the number of its last ask; 0 for none
+    want: int = 0  # units
+    of: str = ""  # the member that is to answer
+    paused: float = 0.0  # seconds, 0 where it is not
+    unsure: bool = False  # it asks whether anybody knows a later row of its account
+    life: int = 0
+
+
+class Pair(msgspec.Struct, array_like=True, frozen=True):
+    """`wallet/NAME/t/MEMBER`: what a member says to one other."""
+
+    version: int
+    entries: list[tuple[int, int, int]]  # own account, its account, all ever given from one to the other
+    ask: int = 0  # the number of its last ask that was answered
+    off: int = 0  # the home's word: accounts of it up to this one are written off
+    seen: tuple[int, int, int] = (0, 0, 0)  # its life that asked, its account, the highest row heard of it
+
+
+class Kept(msgspec.Struct, array_like=True):
+    """A row as it is kept."""
+
+    version: int
+    account: int
+    row: int
+    spent: int
+    back: int
+    topped: int
+    given: list[tuple[str, int, int]]
+    got: list[tuple[str, int, int]]
+    off: list[tuple[str, int]] = []
+    barred: str = ""
+    boot: int = 0  # tells the start of the machine, and the volume, in which it was known to be the last
+
+
+word_of, pair_of = msgspec.msgpack.Decoder(Word), msgspec.msgpack.Decoder(Pair)
+kept_of = msgspec.msgpack.Decoder(Kept)
+encode = msgspec.msgpack.Encoder().encode
+
+
+def decode_word(value: bytes) -> Word:
+    """Raises UnreadableWord."""
+    try:
+        return word_of.decode(value)
+    except msgspec.MsgspecError as fault:
+        raise UnreadableWord(f"a member's word of a wallet: {fault}") from None
+
+
+def decode_pair(value: bytes) -> Pair:
+    """Raises UnreadableWord."""
+    try:
+        return pair_of.decode(value)
+    except msgspec.MsgspecError as fault:
+        raise UnreadableWord(f"a member's word to another of a wallet: {fault}") from None
+
+
+def decode_kept(value: bytes) -> Kept:
+    """Raises UnreadableWord."""
+    try:
+        return kept_of.decode(value)
+    except msgspec.MsgspecError as fault:
+        raise UnreadableWord(f"a row of a wallet: {fault}", "run the release that wrote it, or a later one"
+                             ) from None
+
+
+def short(member: str) -> str:
+    """A member's name within the name of a cell."""
+    if len(member) <= MOST_NAME:
+        return member
+    return member[:20] + "~" + hashlib.blake2b(member.encode(), digest_size=8).hexdigest()
+
+
+def word_cell(wallet: str) -> str:
+    return f"wallet/{wallet}"
+
+
+def pair_cell(wallet: str, member: str) -> str:
+    return f"wallet/{wallet}/t/{short(member)}"
