--- a/rainspindle/decisions/wallet/wallet.py
+++ b/rainspindle/decisions/wallet/wallet.py
@@ -36,7 +36,7 @@
 AHEAD, AHEAD_LOW = 0.5, 0.25  # seconds of spending that are written ahead, and at which more is
 IDLE = 3.0  # seconds without an exchange after which what is written ahead is put back
 PATIENCE = 0.4  # seconds that an ask has for its answer, before another member is asked
-AGAIN = 1.0  # seconds after a round of asks in vain
+AGAIN, AGAIN_SOON = 1.0, 0.3  # seconds after a round of asks in vain; where somebody is known to have some
 SOON = 1.0  # seconds of spending left at which others than the home are asked too
 CALM = 5.0  # seconds between asks of one that has enough for now
 WORD, WORD_CLOSE = 1.0, 0.2  # seconds between words of what is held, and where it is little
@@ -105,7 +105,7 @@
         self.refused_before = 0
         self.paused_since: float | None = None
         self.ask, self.of, self.want = 0, "", 0
-        self.asked_at = self.calm_until = self.again_at = -math.inf
+        self.asked_at = self.calm_until = self.vain_at = -math.inf
         self.tried: set[str] = set()
         self.begun_at, self.told_at, self.told_held = now, -math.inf, 0
         self.word_due = False
@@ -475,7 +475,7 @@
             self.of = ""
         if not soon and now < self.calm_until:
             return
-        if now < self.again_at:
+        if now - self.vain_at < self.wait_again(soon, rate):
             return
         alive = [m for m in self.host.alive() if m not in self.tried]
         home = rules.home
@@ -488,7 +488,7 @@
         want = max(math.ceil(enough - held), least - held, rules.top - held, 1)
         if not to:
             self.tried.clear()
-            self.again_at = now + (AGAIN if soon and rate > TINY else CALM)
+            self.vain_at = now
             if self.want != want and (self.want == 0 or want > 2 * self.want):
                 self.want, self.word_due = want, True  # the home sees it when something comes in
             return
@@ -497,6 +497,11 @@
             self.calm_until = now + CALM
         self.say(now, to)
 
+    def wait_again(self, soon: bool, rate: float) -> float:
+        if not soon or (rate < TINY and self.paused_since is None):
+            return CALM
+        return AGAIN_SOON if any(word.held > 0 for word in self.known()) else AGAIN
+
     def drop_ask(self, now: float) -> None:
         if self.want:
             self.want, self.of, self.word_due = 0, "", True
--- a/rainspindle/program/fleet/wallet.py
+++ b/rainspindle/program/fleet/wallet.py
@@ -216,8 +216,8 @@
         for name, part in new.items():
             before = self.parts.get(name)
             if before is not None and before.home != part.home and before.books == part.books:
-                later.append(f"wallet {name}: another home needs other books too, as it does not know the ids "
-                             "of earlier top-ups")
+                later.append(f"wallet {name}: another home needs other books too, as it does not know "
+                             "the ids of earlier top-ups")
                 part = msgspec.structs.replace(part, home=before.home)
             self.parts[name] = part
             rules = rules_of(part, types, eager)
@@ -336,8 +336,8 @@
             log.info("wallets are open", extra={"fields": {"folder": self.ground.folder}})
         if not found.newest and not found.fresh:
             log.error("wallets: the folder is not the one that was written last, what it holds is not spent",
-                      extra={"fields": {"why": found.why, "remedy": "stop the process and put back the newest "
-                                        "folder by moving it, or write the old life off at the home"}})
+                      extra={"fields": {"why": found.why, "remedy": "stop the process and move the newest "
+                                        "folder back, or write the old life off at the home"}})
         for key, value in found.rows.items():
             self.unclaimed.setdefault(key.lstrip("-#").partition("/")[0], {})[key] = value
         for wallet in self.wallets.values():
--- a/rainspindle/store/kept.py
+++ b/rainspindle/store/kept.py
@@ -1,7 +1,8 @@
 """Rows under keys that are on disk for certain before anybody is told so; written by a thread of its own.
 
 sqlite3 of the standard library, synchronous FULL, with a rollback journal: each batch is one transaction.
-Beside the database stand two small files by which a folder that was copied, or put back from a copy, is noticed:
+Beside the database stand two small files by which a folder that was copied, or put back from a copy, is
+noticed:
 
 - `.mark` is made once and never touched again. The database knows its inode and its time of change, which no
   copying tool can set.
