--- a/rainspindle/decisions/wallet/account.py
+++ b/rainspindle/decisions/wallet/account.py
@@ -17,6 +17,9 @@
 
 from __future__ import annotations
 
+from enum import Enum
+
+MOST_OLD = 8  # accounts that are over and of which gifts are still told, the latest
 Who = tuple[str, int]  # a member, and the life in which its account began
 
 
@@ -163,3 +166,65 @@
         if self.writing is not None:
             self.writing, self.dirty = None, True
             self.fresh, self.ids_writing = self.ids_writing + self.fresh, []
+
+
+class Trust(Enum):
+    """What is known of a row that was found on disk."""
+
+    SURE = "sure"  # it is the newest of its account for certain
+    UNSURE = "unsure"  # it may be older than what was done: others are asked first
+    OLD = "old"  # it is not: nothing of its account is spent any more
+
+
+class Holding:
+    """A member's accounts in one wallet: the one that is spent from, and those that are over."""
+
+    def __init__(self, life: int) -> None:
+        """`life` of the member."""
+        self.life = life
+        self.account = Account(Row(life))
+        self.old: list[Row] = []  # as they are on disk, for what they gave
+        self.unsure = False  # nothing is spent or given before somebody was heard
+        self.sealing = False  # nothing is spent any more, the last row is on its way to disk
+        self.lost = 0  # rights left in accounts that are over
+
+    def take(self, row: Row | None, ids: dict[str, int], old: list[Row], trust: Trust) -> None:
+        """What was found on disk. A row that is not the last of its account ends the account."""
+        self.old = old[-MOST_OLD:]
+        self.account = Account(row if row is not None else Row(self.life), ids)
+        self.unsure = row is not None and trust is Trust.UNSURE
+        if row is not None and trust is Trust.OLD:
+            self.begin_anew()
+
+    def begin_anew(self) -> None:
+        row = self.account.kept
+        self.lost += max(self.account.held, 0)
+        self.old = [*self.old, row][-MOST_OLD:]
+        self.account = Account(Row(max(self.life, row.account + 1), off=dict(self.account.row.off),
+                                   barred=self.account.row.barred), self.account.ids)
+        self.account.dirty = True
+        self.unsure = self.sealing = False
+
+    def seal(self, home: Who | None) -> bool:
+        """All that is left goes to the home, where it is known; whether that is on disk, and a new account
+        has begun."""
+        account = self.account
+        self.sealing, self.unsure = True, False
+        account.put_back(account.free)
+        if home is None:
+            return False
+        account.give(home, account.rights)
+        if account.dirty or account.writing is not None:
+            return False
+        self.begin_anew()
+        return True
+
+    def gifts(self, member: str) -> list[tuple[int, int, int]]:
+        """Own account, its account, total: what may be told, as it is on disk."""
+        return [(row.account, account, total) for row in (*self.old, self.account.kept)
+                for (peer, account), total in row.given.items() if peer == member][-MOST_OLD:]
+
+    def take_gifts(self, member: str, entries: list[tuple[int, int, int]]) -> int:
+        """A member's word of what it gave to this one; how much of that is new."""
+        return sum(self.account.hear((member, account), total)
+                   for account, to, total in entries if to == self.account.row.account)
--- a/rainspindle/decisions/wallet/wallet.py
+++ b/rainspindle/decisions/wallet/wallet.py
@@ -17,11 +17,9 @@
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass
-from enum import Enum
 from typing import Protocol
 
 from ...protocol.wallet import (
-    MOST_ENTRIES,
     VERSION,
     Pair,
     Word,
@@ -29,7 +27,7 @@
     pair_cell,
     word_cell,
 )
-from .account import Account, Row, Who
+from .account import Holding, Row, Trust, Who
 
 RATE_TIME = 0.5  # seconds over which the rate of spending is smoothed
 LOOK = 0.1  # seconds between looks at a wallet that is in use
@@ -44,14 +42,6 @@
 EAGER_PART = 16  # a member without traffic gets at most so small a part of the giver's rights
 
 
-class Trust(Enum):
-    """What is known of a row that was found on disk."""
-
-    SURE = "sure"  # it is the newest of its account for certain
-    UNSURE = "unsure"  # it may be older than what was done: others are asked first
-    OLD = "old"  # it is not: nothing of its account is spent any more
-
-
 @dataclass(frozen=True, slots=True)
 class Rules:
     """Of the operator's file."""
@@ -83,13 +73,12 @@
     def log(self, event: str, **fields: object) -> None: ...
 
 
-class Wallet:
+class Wallet(Holding):
     def __init__(self, name: str, own: str, life: int, rules: Rules, host: WalletHost, now: float) -> None:
         """Spends nothing before `load`."""
-        self.name, self.own, self.life, self.rules, self.host = name, own, life, rules, host
-        self.account = Account(Row(life))
-        self.loaded = self.unsure = self.leaving = self.out = self.sealing = self.all_reserved = False
-        self.old: list[Row] = []  # of accounts that are over, for what they gave
+        self.name, self.own, self.rules, self.host = name, own, rules, host
+        super().__init__(life)
+        self.loaded = self.leaving = self.out = self.all_reserved = False
         self.words: dict[str, Word] = {}
         self.heard_at: dict[str, float] = {}
         self.highest: dict[Who, int] = {}  # rows heard of
@@ -109,37 +98,32 @@
         self.tried: set[str] = set()
         self.begun_at, self.told_at, self.told_held = now, -math.inf, 0
         self.word_due = False
-        self.lost = 0  # rights of accounts that are over
         self.planned, self.planned_at, self.looked_at = 0, math.inf, -math.inf  # the host's
 
     # The start.
 
     def load(self, now: float, row: Row | None, ids: dict[str, int], old: list[Row], trust: Trust) -> None:
         """What was found on disk; `row` None where there was nothing of this wallet."""
-        self.old = old[-MOST_ENTRIES:]
+        if trust is Trust.UNSURE and row is not None:
+            if self.rules.rejoin == "new":
+                trust = Trust.OLD
+            elif self.own == self.rules.home and not row.given and not row.got:
+                trust = Trust.SURE  # there is nobody to ask
+        self.take(row, ids, old, trust)
         self.loaded, self.begun_at = True, now
-        if row is None:
-            self.account = Account(Row(self.life), ids)
-        elif trust is Trust.OLD or (trust is Trust.UNSURE and self.rules.rejoin == "new"):
-            self.account = Account(row, ids)
-            self.begin_anew("its row on disk may not be the last")
-        else:
-            self.account = Account(row, ids)
-            self.unsure = trust is Trust.UNSURE and bool(row.given or row.got or self.own != self.rules.home)
-            if row.number:
-                self.word_due = True
+        self.word_due = row is not None
+        if row is not None and trust is Trust.OLD:
+            self.has_begun_anew("its row on disk may not be the last", row.account)
         self.host.urge(self)
 
-    def begin_anew(self, why: str) -> None:
+    def anew(self, why: str) -> None:
         """Nothing of the account is spent any more; what it gave is still told."""
-        row, self.lost = self.account.row, self.lost + max(self.account.held, 0)
-        self.host.log("wallet: begins with nothing", wallet=self.name, why=why, left=self.account.held,
-                      account=row.account)
-        self.old = [*self.old, self.account.kept.copy()][-MOST_ENTRIES:]
-        self.account = Account(Row(max(self.life, row.account + 1), off=dict(row.off), barred=row.barred),
-                               self.account.ids)
-        self.account.dirty = True
-        self.unsure = self.sealing = False
+        over = self.account.row.account
+        self.begin_anew()
+        self.has_begun_anew(why, over)
+
+    def has_begun_anew(self, why: str, over: int) -> None:
+        self.host.log("wallet: begins with nothing", wallet=self.name, why=why, left=self.lost, account=over)
         self.word_due = True
         if self.own == self.rules.home:
             self.bar()
@@ -188,8 +172,10 @@
         if (word.unsure and (self.own == home or member == home or self.highest[who] > word.row)) or (
                 member not in self.told_pairs and (
                     self.account.kept.off.get(member, 0) >= word.account
-                    or any(peer == member for row in self.gave() for peer, _ in row.given))):
+                    or self.gifts(member))):
             self.tell_pair(now, member, self.answered.get(member, 0))
+        if self.sealing and member == home:
+            self.written_off(now)
         if word.of == self.own and word.ask != self.answered.get(member, 0):
             self.grant(now, member, word)
         elif before is None or before.held != word.held:
@@ -201,7 +187,7 @@
             return
         if self.unsure and pair.seen[0] == self.life and pair.seen[1] == self.account.row.account:
             if pair.seen[2] > self.account.kept.number:
-                self.begin_anew(f"{member} has heard of a later row")
+                self.anew(f"{member} has heard of a later row")
             elif member == self.rules.home or self.own == self.rules.home:
                 self.unsure, self.word_due = False, True
                 self.account.dirty = True  # so that the next life knows it too
@@ -209,9 +195,8 @@
                 self.host.urge(self)
                 self.host.log("wallet: its row is the last that is known", wallet=self.name, by=member)
         if pair.off >= self.account.row.account and member == self.rules.home:
-            self.seal(now)
-        gained = sum(self.account.hear((member, account), total)
-                     for account, to, total in pair.entries if to == self.account.row.account)
+            self.written_off(now)
+        gained = self.take_gifts(member, pair.entries)
         if gained:
             self.floor_from_here()
             self.host.save(self)
@@ -225,30 +210,15 @@
                 self.tried.add(member)
             self.host.urge(self)
 
-    def seal(self, now: float) -> None:
+    def written_off(self, now: float) -> None:
         """The home has written this account off: all that is left goes there, and then a new one begins."""
-        account, home = self.account, self.words.get(self.rules.home)
-        account.put_back(account.free)
-        if home is not None and account.rights > 0:
-            account.give((self.rules.home, home.account), account.rights)
-            self.pairs_due.add(self.rules.home)
         if not self.sealing:
-            self.sealing, self.unsure = True, False
             self.host.log("wallet: written off while away; what was left goes to the home", wallet=self.name,
-                          account=account.row.account, left=account.row.given.get(
-                              (self.rules.home, home.account), 0) if home is not None else 0)
-        if account.dirty or account.writing is not None:
-            self.host.save(self)
-        else:
-            self.sealed()
-
-    def sealed(self) -> None:
-        """The last row of the account is on disk."""
-        row = self.account.kept
-        self.old = [*self.old, row.copy()][-MOST_ENTRIES:]
-        self.account = Account(Row(max(self.life, row.account + 1), off=dict(row.off), barred=row.barred),
-                               self.account.ids)
-        self.sealing, self.word_due = False, True
+                          account=self.account.row.account, left=self.account.held)
+        home = self.words.get(self.rules.home)
+        self.word_due = self.seal((self.rules.home, home.account) if home is not None else None)
+        self.pairs_due.add(self.rules.home)
+        self.host.save(self)
         self.host.urge(self)
 
     def on_own(self, now: float, word: Word) -> None:
@@ -257,7 +227,7 @@
             return
         row, last = self.account.row, self.account.kept.number
         if word.account > row.account or (word.account == row.account and word.row > last):
-            self.begin_anew("others have a later row of it")
+            self.anew("others have a later row of it")
         elif word.topped > row.topped and self.own == self.rules.home and word.account < row.account \
                 and not self.old and row.barred != self.rules.books:
             self.bar()
@@ -328,16 +298,11 @@
             if member in alive and word.want > 0 and word.held < max(word.rate, self.rules.top):
                 self.grant(now, member, word)
 
-    def gave(self) -> list[Row]:
-        """Rows of which what was given may be told: those that are on disk."""
-        return [*self.old, self.account.kept]
-
     def tell_pair(self, now: float, member: str, ask: int) -> None:
-        entries = [(row.account, account, total) for row in self.gave()
-                   for (peer, account), total in row.given.items() if peer == member]
+        entries = self.gifts(member)
         word = self.words.get(member)
         who = (member, word.account) if word is not None else (member, 0)
-        pair = Pair(VERSION, entries[-MOST_ENTRIES:], ask, self.account.kept.off.get(member, 0),
+        pair = Pair(VERSION, entries, ask, self.account.kept.off.get(member, 0),
                     (word.life, who[1], self.highest.get(who, 0)) if word is not None else (0, 0, 0))
         self.told_pairs[member] = (entries, ask)
         self.host.tell(now, pair_cell(self.name, member), encode(pair), (member,))
@@ -354,7 +319,7 @@
             else:
                 self.tell_pair(now, member, self.answered.get(member, 0))
         if self.sealing:
-            self.seal(now)
+            self.written_off(now)
         if self.account.dirty:
             self.host.save(self)
         self.host.urge(self)
--- a/rainspindle/lab/claimcheck.py
+++ b/rainspindle/lab/claimcheck.py
@@ -8,13 +8,14 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from typing import Any
 
 from ..protocol.link.claims import Claim, Epoch, Ledger, Standing, Step
 from ..protocol.link.frames import State
+from .explore import Found, explore
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,15 +63,6 @@
 Next = tuple[str, World]
 
 
-@dataclass(slots=True)
-class Found:
-    states: int = 0
-    steps: int = 0
-    ends: int = 0  # states in which every exchange has its final answer
-    violation: str = ""
-    trace: list[str] = field(default_factory=list)
-
-
 def freeze(ledger: Ledger) -> tuple[Any, ...]:
     return (tuple(sorted((epoch, tuple((id, s.value) for id, s in e.names.items()), e.floor)
                          for epoch, e in ledger.epochs.items())), ledger.epoch_floor)
@@ -228,29 +220,8 @@
     # The search.
 
     def run(self, most: int = 10_000_000) -> Found:
-        """Breadth first, so that a violation comes with a shortest way to it."""
-        found = Found()
-        first = World(tuple(Exchange() for _ in range(self.size.exchanges)))
-        before: dict[World, tuple[World, str] | None] = {first: None}
-        queue = deque([first])
-        while queue and len(before) < most:
-            w = queue.popleft()
-            found.ends += all(x.final for x in w.exchanges)
-            for name, after in self.steps(w):
-                found.steps += 1
-                if after in before:
-                    continue
-                before[after] = (w, name)
-                if wrong := violation(after):
-                    found.violation, found.states = wrong, len(before)
-                    at: World | None = after
-                    while at is not None and (way := before[at]) is not None:
-                        at, step = way
-                        found.trace.insert(0, step)
-                    return found
-                queue.append(after)
-        found.states = len(before)
-        return found
+        return explore(World(tuple(Exchange() for _ in range(self.size.exchanges))), self.steps, violation,
+                       lambda w: all(x.final for x in w.exchanges), most)
 
 
 def made_names(names: tuple[tuple[int, str], ...]) -> Any:
--- a/rainspindle/lab/walletday.py
+++ b/rainspindle/lab/walletday.py
@@ -1,7 +1,7 @@
-"""Members with one wallet in virtual time: the very classes that run, with a model of the network and the disks.
+"""Members with one wallet in virtual time: the very classes that run, with a model of network and disks.
 
-The model of how cells spread is a coarse one: members named in a write hear of it after a hop, the others after
-some rounds of gossip; what is lost comes with a whole digest later. The classes, and what they decide, are real.
+The model of how cells spread is a coarse one: members named in a write hear of it after a hop, the others
+after some rounds of gossip; what is lost comes with a whole digest later. The classes are real.
 """
 
 from __future__ import annotations
@@ -13,8 +13,8 @@
 from dataclasses import dataclass, field
 
 from ..decisions.shared.cells import Cell, Cells
-from ..decisions.wallet.account import Row
-from ..decisions.wallet.wallet import Rules, Trust, Wallet
+from ..decisions.wallet.account import Row, Trust
+from ..decisions.wallet.wallet import Rules, Wallet
 from ..protocol import wallet as words
 
 HOP, GOSSIP, DIGEST = 0.002, (0.05, 0.6), 2.0  # seconds
@@ -123,7 +123,7 @@
 
     def heard(self, now: float, cell: Cell) -> None:
         _, _, to = cell.name.partition("/t/")
-        if to and to != self.name or not cell.value:
+        if (to and to != self.name) or not cell.value:
             return
         if to:
             self.wallet.on_pair(now, cell.owner, words.decode_pair(cell.value))
--- a/rainspindle/program/fleet/wallet.py
+++ b/rainspindle/program/fleet/wallet.py
@@ -16,8 +16,8 @@
 
 from ...decisions.members.members import Member, Standing
 from ...decisions.shared.cells import MOST_NAME, Cell
-from ...decisions.wallet.account import Row
-from ...decisions.wallet.wallet import Rules, Trust, Wallet
+from ...decisions.wallet.account import Row, Trust
+from ...decisions.wallet.wallet import Rules, Wallet
 from ...errors import Trouble
 from ...protocol import wallet as words
 from ...protocol.wallet import Kept as KeptRow
