--- a/rainspindle/decisions/wallet/account.py
+++ b/rainspindle/decisions/wallet/account.py
@@ -11,16 +11,18 @@
 is spent is written *ahead*, in pieces, and used up from `free` without the disk. What comes in counts at once
 in the row that is to be written; what is done with it goes to disk with it, in one row.
 
-An account belongs to a member and begins in one of its lives. A life that can't prove that its folder is the
-newest begins a new one with nothing in it: the old one's rights stay where nobody can spend them.
+An account belongs to a member and begins in one of its lives; no two of a member have one number. A life that
+can't prove that its folder is the newest begins a new one with nothing in it: the old one's rights stay where
+nobody can spend them.
 """
 
 from __future__ import annotations
 
 from enum import Enum
 
+SHIFT = 10  # bits of an account's number below the life in which it began
 MOST_OLD = 8  # accounts that are over and of which gifts are still told, the latest
-Who = tuple[str, int]  # a member, and the life in which its account began
+Who = tuple[str, int]  # a member, and the number of its account
 
 
 class Row:
@@ -179,10 +181,11 @@
 class Holding:
     """A member's accounts in one wallet: the one that is spent from, and those that are over."""
 
-    def __init__(self, life: int) -> None:
-        """`life` of the member."""
-        self.life = life
-        self.account = Account(Row(life))
+    def __init__(self, life: int, chance: int = 0) -> None:
+        """`life` of the member; `chance`, under 512, guards against two lives of one number: a folder put
+        back and a clock that is behind may make them."""
+        self.life, self.chance = life, chance
+        self.account = Account(Row(self.number()))
         self.old: list[Row] = []  # as they are on disk, for what they gave
         self.unsure = False  # nothing is spent or given before somebody was heard
         self.sealing = False  # nothing is spent any more, the last row is on its way to disk
@@ -191,16 +194,19 @@
     def take(self, row: Row | None, ids: dict[str, int], old: list[Row], trust: Trust) -> None:
         """What was found on disk. A row that is not the last of its account ends the account."""
         self.old = old[-MOST_OLD:]
-        self.account = Account(row if row is not None else Row(self.life), ids)
+        self.account = Account(row if row is not None else Row(self.number()), ids)
         self.unsure = row is not None and trust is Trust.UNSURE
         if row is not None and trust is Trust.OLD:
             self.begin_anew()
 
+    def number(self, after: int = 0) -> int:
+        return max(self.life << SHIFT | self.chance, after + 1)
+
     def begin_anew(self) -> None:
         row = self.account.kept
         self.lost += max(self.account.held, 0)
         self.old = [*self.old, row][-MOST_OLD:]
-        self.account = Account(Row(max(self.life, row.account + 1), off=dict(self.account.row.off),
+        self.account = Account(Row(self.number(row.account), off=dict(self.account.row.off),
                                    barred=self.account.row.barred), self.account.ids)
         self.account.dirty = True
         self.unsure = self.sealing = False
--- a/rainspindle/decisions/wallet/wallet.py
+++ b/rainspindle/decisions/wallet/wallet.py
@@ -74,10 +74,11 @@
 
 
 class Wallet(Holding):
-    def __init__(self, name: str, own: str, life: int, rules: Rules, host: WalletHost, now: float) -> None:
+    def __init__(self, name: str, own: str, life: int, rules: Rules, host: WalletHost, now: float,
+                 chance: int = 0) -> None:
         """Spends nothing before `load`."""
         self.name, self.own, self.rules, self.host = name, own, rules, host
-        super().__init__(life)
+        super().__init__(life, chance)
         self.loaded = self.leaving = self.out = self.all_reserved = False
         self.words: dict[str, Word] = {}
         self.heard_at: dict[str, float] = {}
--- a/rainspindle/lab/walletcheck.py
+++ b/rainspindle/lab/walletcheck.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from ..decisions.wallet.account import Account, Holding, Row, Trust
+from ..decisions.wallet.account import SHIFT, Account, Holding, Row, Trust
 from .explore import Found, explore
 
 Frozen = tuple[Any, ...]  # a row: account, spent, back, topped, given, got, off, barred
@@ -252,7 +252,7 @@
     def accounts(self, member: Member) -> set[int]:
         """That may have been heard of."""
         known = {row[0] for row, _ in member.disk.rows}
-        return known | ({member.live.row[0]} if member.live is not None else known or {member.life})
+        return known | ({member.live.row[0]} if member.live is not None else known or {member.life << SHIFT})
 
     def hears(self, w: World, m: int, member: Member) -> Iterator[Next]:
         for word in sorted(w.words, key=str):
--- a/rainspindle/program/fleet/wallet.py
+++ b/rainspindle/program/fleet/wallet.py
@@ -7,6 +7,7 @@
 import logging
 import math
 import re
+import secrets
 import socket
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from pathlib import Path
@@ -16,7 +17,7 @@
 
 from ...decisions.members.members import Member, Standing
 from ...decisions.shared.cells import MOST_NAME, Cell
-from ...decisions.wallet.account import Row, Trust
+from ...decisions.wallet.account import SHIFT, Row, Trust
 from ...decisions.wallet.wallet import Rules, Wallet
 from ...errors import Trouble
 from ...protocol import wallet as words
@@ -222,7 +223,7 @@
             self.parts[name] = part
             rules = rules_of(part, types, eager)
             wallet = self.wallets.get(name) or self.shelf.pop(name, None) or Wallet(
-                name, self.own, self.ground.members.own_life, rules, self, now)
+                name, self.own, self.ground.members.own_life, rules, self, now, secrets.randbits(9))
             fresh = name not in self.wallets
             wallet.rules, self.wallets[name] = rules, wallet
             if fresh and wallet.loaded:
@@ -517,19 +518,20 @@
             return bad(400, "expected member=NAME&life=NUMBER", "both are in GET /-/wallets, under others")
         if member == self.own:
             raise WalletTrouble("the home's own rights can't be written off", "name another home, and books")
-        about, word, account = self.ground.members.member(member), wallet.words.get(member), int(life)
+        about, word, last = self.ground.members.member(member), wallet.words.get(member), int(life)
         if about is None and word is None:
             return bad(404, f"nothing is known of a member {member!r:.60}", "see GET /-/wallets")
         lives = about is not None and about.standing in (Standing.ALIVE, Standing.SUSPECT)
-        if lives and about is not None and (about.life <= account or (
-                word is not None and word.account <= account)):
+        account = last + 1 << SHIFT  # under this are all that began in lives up to that one
+        if lives and about is not None and (about.life <= last or (
+                word is not None and word.account < account)):
             raise WalletTrouble(f"{member} lives, and spends by this account",
                                 "stop it for good first, and call again when GET /-/members says dead")
-        known = word.held if word is not None and word.account <= account else 0
-        wallet.write_off(now, member, account)
-        entered = wallet.account.kept.off.get(member, 0) >= account
+        known = word.held if word is not None and word.account < account else 0
+        wallet.write_off(now, member, account - 1)
+        entered = wallet.account.kept.off.get(member, 0) >= account - 1
         return Answer(200 if entered else 202, {
-            "wallet": wallet.name, "member": member, "life": account, "entered": entered,
+            "wallet": wallet.name, "member": member, "life": last, "entered": entered,
             "held_when_last_heard": known,
             **({} if entered else {"remedy": "it counts when it is on disk: repeat the call"})})
 
@@ -547,15 +549,15 @@
         off = account.row.off
         return {
             "name": wallet.name, "home": wallet.rules.home, "known": wallet.balance(),
-            "own": max(account.held, 0), "written_ahead": account.free, "life": account.row.account,
+            "own": max(account.held, 0), "written_ahead": account.free, "life": account.row.account >> SHIFT,
             "rate": round(wallet.usable_rate(), 2), "asked": wallet.want, "asked_of": wallet.of,
             "paused_since": None if wallet.paused_since is None else round(now - wallet.paused_since, 2),
             "state": "closed" if not wallet.loaded or self.handed_on else
                      "unsure" if wallet.unsure else "leaving" if wallet.leaving else
                      "paused" if wallet.paused_since is not None else "open",
             "refused": wallet.refused, "not_spent": wallet.lost, "topped_up": account.kept.topped,
-            "written_off": off,
-            "others": [{"name": member, "life": word.account, "held": word.held,
+            "written_off": {member: account >> SHIFT for member, account in off.items()},
+            "others": [{"name": member, "life": word.account >> SHIFT, "held": word.held,
                         "alive": member in self.others, "written_off": off.get(member, 0) >= word.account,
                         "heard": round(now - self.heard_ago(wallet, member), 2)}
                        for member, word in sorted(wallet.words.items())]}
--- a/rainspindle/protocol/wallet.py
+++ b/rainspindle/protocol/wallet.py
@@ -26,7 +26,7 @@
     """`wallet/NAME`: what a member says of itself."""
 
     version: int
-    account: int  # the life in which its account began
+    account: int  # the number of its account
     row: int  # the number of its last row that is on disk
     held: int  # what it may still spend, written ahead or not
     rate: float  # units a second that its clients ask for
