--- a/rainspindle/decisions/canary/canary.py
+++ b/rainspindle/decisions/canary/canary.py
@@ -112,7 +112,7 @@
         self.burns: list[Burn] = []
         self.seen = Seen()
         self.waits: list[str] = []
-        self.in_touch_before, self.differs = True, False
+        self.in_touch_before = self.differs = False
         self.harmed = 0
         self.begin_counts(now)
         if kept is not None:
@@ -231,7 +231,8 @@
             return
         self.changed_at, self.first_seen = now, {}
         if (s.run, s.digest, s.epoch) != (before.run, before.digest, before.epoch):
-            self.harmed *= (s.run, s.digest) == (before.run, before.digest)
+            if (s.run, s.digest) != (before.run, before.digest):
+                self.harmed, self.in_touch_before = 0, False
             self.burns = []
             self.begin_counts(now)  # what came before a resume is not held against what comes after it
         if s.stamp != before.stamp:
@@ -320,7 +321,7 @@
             self.confirmed_at = now
         in_touch = self.in_touch(now)
         if in_touch != self.in_touch_before and self.active:
-            self.host.log("canary in touch again" if in_touch else "canary out of touch",
+            self.host.log("canary in touch" if in_touch else "canary out of touch",
                           canary=self.terms.name, heard=self.seen.heard, members=self.seen.members,
                           why="the stage holds" if in_touch else "all keys take the old side here")
             self.tell(now)
--- a/rainspindle/program/fleet/canary.py
+++ b/rainspindle/program/fleet/canary.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import replace
 from functools import partial
+from typing import Any
 
 import msgspec
 
@@ -158,18 +159,23 @@
                make_back: Callable[[Directory], Back], on_watch: Callable[[], None],
                on_tick: Callable[[], None]) -> SplitCore:
     """What a sidecar has in place of its `Core` where the file names canaries."""
-    def facade(seed: int) -> SideFacade:
+    settings = config.raw_settings
+    limits = settings["policy-limits"]
+    # Guards against an exchange that has used up its forwards on a new side that is dead: one is kept back.
+    fewer = {**settings, "policy-limits": {**limits, "max-forwards": max(1, limits["max-forwards"] - 1)}}
+
+    def facade(seed: int, of: dict[str, Any]) -> SideFacade:
         now = loop.now()
-        return SideFacade(now, lambda host: make_balancer(host, seed, now, config.raw_settings))
+        return SideFacade(now, lambda host: make_balancer(host, seed, now, of))
     sides = []
     for n, table in enumerate(tables):
         if table.setting is None:
             directory = Directory()
-            sides.append(Side(table.name, taker_of_lines(table, config), facade(config.seed + 1 + n),
+            sides.append(Side(table.name, taker_of_lines(table, config), facade(config.seed + 1 + n, fewer),
                               directory, make_back(directory)))
     directory = Directory()
-    return SplitCore(loop, facade(config.seed), config.settings, directory, make_back(directory), on_watch,
-                     on_tick, sides)
+    return SplitCore(loop, facade(config.seed, settings), config.settings, directory, make_back(directory),
+                     on_watch, on_tick, sides)
 
 
 def taker_of_lines(table: CanaryPart, config: Config) -> Callable[[Listed], bool]:
--- a/rainspindle/routing/canary.py
+++ b/rainspindle/routing/canary.py
@@ -277,6 +277,8 @@
                  ready: Iterable[Ready]) -> None:
         self.loop, self.core, self.types, self.ready = loop, core, types, list(ready)
         self.crossed = 0
+        # Where both sides have the same endpoints, turning away is what a setting does.
+        self.apart = {r.canary.terms.name: bool(r.side) for r in self.ready}
         self.sent: dict[str, int] = {r.canary.terms.name: 0 for r in self.ready}
 
     def run(self, given: Given, gone: Callable[[], bool]) -> Coroutine[Final]:
@@ -304,7 +306,7 @@
         now = self.loop.now()
         # The times of a body that came meanwhile are not known here: it can fail, but is never late.
         late = given.expiry is None and now - begun > kind.promised_time
-        if isinstance(final, Rejected) and not tried.forwards:
+        if isinstance(final, Rejected) and not tried.forwards and self.apart[canary.terms.name]:
             canary.turned(now, new)  # the side had no room: no word on what runs there
         elif isinstance(final, Finished):
             canary.ended(now, new, kind.effect, late)
--- /dev/null
+++ b/tests/test_canary.py
@@ -0,0 +1,589 @@
+"""Canaries: the decision over a lossy, cut, restarting net; two cores beside each other; the table."""
+
+from __future__ import annotations
+
+import contextlib
+import math
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rainspindle.decisions.canary import counts
+from rainspindle.decisions.canary.canary import Canary, NoRun, RunAborted, RunUnderWay
+from rainspindle.decisions.canary.state import State, decode
+from rainspindle.decisions.canary.terms import Step, Terms, point
+from rainspindle.decisions.shared.cells import MOST_VALUE, Cells
+from rainspindle.errors import Trouble
+from rainspindle.host import Effect, Outcome
+from rainspindle.host import State as Lifecycle
+from rainspindle.lab.canary_net import Net, Traffic
+from rainspindle.lab.virtual import Clock
+from rainspindle.lab.virtual_sites import VirtualLoop
+from rainspindle.logic import Balancer
+from rainspindle.program.fleet.canary import CanaryPart, CanaryRun, split_core, unfit
+from rainspindle.routing.canary import SplitCore
+from rainspindle.routing.core import Final, Finished, Forwarded, Given, Rejected
+from rainspindle.transport.loop import Coroutine
+
+from .fleet import line
+
+STEPS = (Step(0.05, 10.0, 50), Step(0.25, 10.0, 50), Step(0.5, 10.0, 50))
+TERMS = Terms("c", "kind new", STEPS, long=60.0, short=10.0)
+LAG = 10.0  # seconds for which two members may stand at different stages: heard for 4, alone after 5
+
+
+def begun(seed: int = 1, size: int = 5, terms: Terms = TERMS, **more: Any) -> Net:
+    net = Net(seed, size, terms, **more)
+    net.run(1.0)
+    net.nodes["s0"].canary.start(net.now, net.now)
+    net.run(2.0)
+    return net
+
+
+def stand(net: Net) -> list[str]:
+    return [node.canary.standing for node in net.nodes.values() if node.alive]
+
+
+def until(net: Net, standing: str, most: float, each: Callable[[], None] = lambda: None) -> float:
+    """Seconds until all alive stand so."""
+    begun_at = net.now
+    while set(stand(net)) != {standing}:
+        assert net.now - begun_at < most, (stand(net), net.nodes["s0"].canary.report(net.now))
+        net.step()
+        each()
+    return net.now - begun_at
+
+
+def test_who_is_in_at_a_small_part_stays_in_and_is_the_same_everywhere() -> None:
+    words = [f"key{n}" for n in range(4000)]
+    inside = [{w for w in words if point("c", w) < part} for part in (0.05, 0.25, 0.5)]
+    assert inside[0] < inside[1] < inside[2] and 900 < len(inside[1]) < 1100
+    assert inside[1] != {w for w in words if point("d", w) < 0.25}
+    net = begun()
+    for w in words[:200]:
+        assert len({node.canary.takes(net.now, w) for node in net.nodes.values()}) == 1
+    canary = net.nodes["s0"].canary
+    assert any(canary.takes(net.now, None, w) for w in words) and not canary.takes(net.now, None)
+
+
+marks = st.frozensets(st.tuples(st.integers(0, 3), st.binary(min_size=4, max_size=4)), max_size=4)
+states = st.builds(State, st.integers(0, 2), st.sampled_from([b"a", b"b"]), st.integers(0, 2),
+                   st.integers(0, 3), st.booleans(), marks, st.frozensets(st.binary(min_size=4, max_size=4), max_size=3))
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(states, states, states)
+def test_states_join_in_any_order_late_and_twice(a: State, b: State, c: State) -> None:
+    a, b, c = (s.join(s) for s in (a, b, c))
+    assert a.join(b) == b.join(a) and a.join(b).join(a) == a.join(b)
+    assert a.join(b).join(c) == a.join(b.join(c))
+    assert decode(a.join(b).encode("why"))[0] == a.join(b)
+    if (a.run, a.digest) == (b.run, b.digest):
+        assert a.join(b).aborted >= a.aborted
+        unseen = {m for m in a.open if m[1] not in b.pardoned}
+        assert a.join(b).resumed().join(a).paused is False
+        assert not unseen or a.join(b).paused, "a pause that the resume has not seen still holds"
+
+
+OPS = st.one_of(
+    st.tuples(st.just("cut"), st.integers(0, 31)), st.tuples(st.just("deaf"), st.integers(0, 24)),
+    st.tuples(st.just("loss"), st.sampled_from([0.0, 0.3])),
+    st.tuples(st.just("stall"), st.integers(0, 4)), st.tuples(st.just("crash"), st.integers(0, 4)),
+    st.tuples(st.just("back"), st.integers(0, 4)), st.tuples(st.just("heal"), st.just(0)),
+    st.tuples(st.sampled_from(["start", "pause", "resume", "abort", "resume", "pause"]), st.integers(0, 4)),
+    st.tuples(st.just("wait"), st.integers(2, 25)))
+
+
+class Watch:
+    """The properties, looked at after each step."""
+
+    def __init__(self, net: Net) -> None:
+        self.net, self.apart_since = net, math.inf
+        self.before: dict[tuple[str, int], State] = {}
+
+    def look(self) -> None:
+        net = self.net
+        at = {}
+        for node in net.nodes.values():
+            if not node.alive:
+                continue
+            s, now = node.canary.state, net.now
+            before = self.before.get((node.name, node.life), State())
+            if (s.run, s.digest) == (before.run, before.digest):
+                assert s.aborted >= before.aborted, "an abort that had been heard is not undone"
+                if before.open and before.open <= s.open:
+                    assert s.in_force <= before.in_force, "no advance after a pause that had been heard"
+            self.before[node.name, node.life] = s
+            if not node.runs():
+                continue
+            part = node.canary.part(now)
+            assert not part or not s.aborted, "no key in past an abort"
+            assert part in (0.0, *(step.part for step in STEPS), 1.0)
+            if part:
+                at[node.name] = (s.run, s.in_force)
+        self.apart_since = min(self.apart_since, net.now) if len(set(at.values())) > 1 else math.inf
+        assert net.now - self.apart_since <= LAG, ("two stages apart", at)
+
+
+@settings(max_examples=60, derandomize=True, deadline=None)
+@given(st.integers(0, 10**6), st.lists(OPS, min_size=3, max_size=14))
+def test_random_histories(seed: int, ops: list[tuple[str, int | float]]) -> None:
+    """Never two stages apart for longer than stated; no advance after a pause that had been heard; no key in
+    that was not to be; and once faults end, all come to the same state, paused if a pause was not resumed."""
+    net = Net(seed, 5, Terms("c", "x", tuple(Step(s.part, 4.0, 1) for s in STEPS), each_effect=0))
+    watch, names = Watch(net), list(net.nodes)
+    traffic = Traffic(net, 2.0, lambda new, effect, part: 0.0)
+
+    def each() -> None:
+        traffic.step()
+        watch.look()
+    net.run(1.0, each)
+    for op, arg in [("start", 0), ("wait", 5), *ops]:
+        node = net.nodes[names[int(arg) % 5]]
+        if op == "cut":
+            net.group = {name: int(arg) >> n & 1 for n, name in enumerate(names)}
+        elif op == "deaf":
+            net.deaf.add((names[int(arg) % 5], names[int(arg) // 5]))
+        elif op == "loss":
+            net.loss = float(arg)
+        elif op == "heal":
+            net.group, net.loss = {}, 0.0
+            net.deaf.clear()
+        elif op == "stall":
+            node.stopped_until = net.now + 1 + net.random.random() * 20
+        elif op == "crash":
+            node.alive = False
+        elif op == "back" and not node.alive:
+            node.start()
+        elif op in ("start", "pause", "resume", "abort") and node.runs():
+            with contextlib.suppress(NoRun, RunAborted, RunUnderWay):
+                getattr(node.canary, op)(net.now, *([net.now] if op == "start" else []))
+            if op == "abort":
+                assert node.canary.part(net.now) == 0.0
+        net.run(float(arg) if op == "wait" else 1.0, each)
+    net.group, net.loss = {}, 0.0
+    net.deaf.clear()
+    for node in net.nodes.values():
+        node.stopped_until = -math.inf
+        if not node.alive:
+            node.start()
+    net.run(8.0, each)
+    seen = {node.canary.state for node in net.nodes.values()}
+    assert len({(s.run, s.aborted, s.paused) for s in seen}) == 1, "all come to the same once faults end"
+    assert all(s.aborted or node.canary.in_touch(net.now) for s in seen for node in net.nodes.values())
+
+
+def test_a_cut_in_the_middle_of_an_advance() -> None:
+    """Hard case. Those that have heard of the stage and those that have not: nobody goes on, the smaller half
+    takes the old side, and all are level again after the cut."""
+    net = begun()
+    traffic = Traffic(net, 20.0, lambda new, effect, part: 0.0)
+    watch = Watch(net)
+
+    def each() -> None:
+        traffic.step()
+        watch.look()
+    while not any(node.canary.state.stage for node in net.nodes.values()):
+        net.step()
+        each()
+    at_two = [name for name, node in net.nodes.items() if node.canary.state.stage]
+    net.group = {name: 1 for name in [*at_two, *[n for n in net.nodes if n not in at_two]][:2]}
+    net.run(30.0, each)
+    assert {node.canary.part(net.now) for name, node in net.nodes.items() if name in net.group} == {0.0}
+    assert max(node.canary.state.stage for node in net.nodes.values()) == 1, "no stage without the others"
+    assert any("members heard" in why for why in net.nodes["s4"].canary.report(net.now)["waits"])  # type: ignore[attr-defined]
+    net.group = {}
+    net.run(5.0, each)
+    assert {node.canary.part(net.now) for node in net.nodes.values()} in ({0.25}, {0.5})
+
+
+def test_pause_and_resume_on_two_sides_of_a_cut() -> None:
+    """Hard case. A resume names the pauses that it has seen: the one that it cannot have heard of holds."""
+    net = begun()
+    net.nodes["s0"].canary.pause(net.now)
+    net.run(2.0)
+    assert set(stand(net)) == {"paused"}
+    net.group = {"s0": 1, "s1": 1}
+    net.nodes["s1"].canary.pause(net.now)
+    net.nodes["s4"].canary.resume(net.now)
+    net.run(2.0)
+    assert net.nodes["s3"].canary.standing == "running" and net.nodes["s0"].canary.standing == "paused"
+    net.group = {}
+    net.run(2.0)
+    assert set(stand(net)) == {"paused"}
+    net.nodes["s2"].canary.resume(net.now)
+    assert until(net, "running", 2.0) <= 1.0
+
+
+def test_the_one_that_advanced_it_dies_and_all_of_them_do() -> None:
+    """Hard case. What it said lives on in the cells of others, and in folders where all go."""
+    net = begun()
+    traffic = Traffic(net, 20.0, lambda new, effect, part: 0.0)
+    while not any(node.canary.state.stage for node in net.nodes.values()):
+        net.step()
+        traffic.step()
+    first = next(node for node in net.nodes.values() if node.canary.state.stage)
+    net.run(0.5)
+    first.alive = False
+    for node in net.nodes.values():
+        node.cells.forget(first.name, "canary/c/state")
+    net.run(3.0)
+    other = next(node for node in net.nodes.values() if node is not first)
+    other.folder, other.alive = False, False
+    other.start()
+    net.run(4.0)
+    assert other.canary.state.stage == 1
+    for node in net.nodes.values():
+        node.folder, node.alive = True, False
+    for node in net.nodes.values():
+        node.start()
+        assert node.canary.part(net.now) == 0.0, "nothing goes by a kept stage before anybody is heard"
+    net.run(3.0)
+    assert {node.canary.part(net.now) for node in net.nodes.values()} == {0.25}
+
+
+def test_a_stalled_one_takes_the_newest_before_one_exchange() -> None:
+    net = begun()
+    stalled = net.nodes["s3"]
+    stalled.stopped_until = net.now + 8.0
+    net.run(1.0)
+    net.nodes["s0"].canary.abort(net.now)
+    net.run(6.9)
+    assert not stalled.canary.state.aborted
+    assert stalled.canary.part(net.now + 0.1) == 0.0, "before its first tick"
+    net.run(1.0, lambda: Watch(net).look())
+    assert stalled.canary.state.aborted
+    net = begun()
+    net.group = {"s3": 1}
+    net.run(10.0)
+    assert net.nodes["s3"].canary.part(net.now) == 0.0 and net.nodes["s0"].canary.part(net.now) == 0.05
+
+
+Bad = Callable[[bool, Effect, float], float]
+
+
+def judged(bad: Bad, size: int = 5, rate: float = 20.0, seconds: float = 300.0, seed: int = 3
+           ) -> tuple[Net, Traffic]:
+    """Runs until it is paused or aborted, or for so long."""
+    net = begun(seed, size)
+    traffic, at = Traffic(net, rate, bad), net.now
+    while net.now < at + seconds and not {"paused", "aborted"} & set(stand(net)):
+        net.step()
+        traffic.step()
+    return net, traffic
+
+
+def always(share: float) -> Bad:
+    return lambda new, effect, part: share
+
+
+@pytest.mark.parametrize(("bad", "size", "rate"), [
+    pytest.param(lambda new, effect, part: 0.4 if new and part >= 0.25 else 0.003, 5, 20.0,
+                 id="fails only at 25% of load"),
+    pytest.param(lambda new, effect, part: 0.5 if new and effect is Effect.BINDING else 0.002, 5, 20.0,
+                 id="fails only for binding exchanges"),
+    pytest.param(lambda new, effect, part: 0.12 if new else 0.004, 50, 2.0,
+                 id="the budget burnt evenly over fifty sidecars"),
+    pytest.param(lambda new, effect, part: 0.99 if new else 0.004, 5, 20.0, id="slow, not wrong"),
+])
+def test_a_bad_release_is_stopped(bad: Bad, size: int, rate: float) -> None:
+    net, traffic = judged(bad, size, rate)
+    assert set(stand(net)) & {"paused", "aborted"}, net.nodes["s0"].canary.report(net.now)
+    assert max(node.canary.state.stage for node in net.nodes.values()) <= 1
+    # A sidecar alone would not know: it has seen too few.
+    least = min(node.canary.harmed for node in net.nodes.values())
+    assert size < 50 or least <= 3 < traffic.harmed
+    net.run(1.0)
+    assert "running" not in stand(net), "a second later it goes no further anywhere"
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_quiet_days_and_general_trouble_stop_nothing(seed: int) -> None:
+    """The old side is the yardstick."""
+    for share in (0.004, 0.3):
+        net, _ = judged(always(share), seconds=120.0, seed=seed)
+        assert not {"paused", "aborted"} & set(stand(net))
+        assert net.nodes["s0"].canary.state.stage > 0
+
+
+def test_few_exchanges_are_no_proof_of_health() -> None:
+    net, _ = judged(always(0.0), rate=0.3, seconds=100.0)
+    waits: Any = net.nodes["s0"].canary.report(net.now)["waits"]
+    assert net.nodes["s0"].canary.state.stage == 0 and any("exchanges seen" in why for why in waits)
+
+
+def test_counts_that_come_late_twice_or_from_a_dead_life() -> None:
+    """Hard case. They count once, in the spans in which they were made; nothing of a dead life after it."""
+    net = begun(size=2)
+    a, b = net.nodes["s0"], net.nodes["s1"]
+    for _ in range(40):
+        b.canary.ended(net.now, True, Effect.BINDING, True)
+    b.canary.tell(net.now)
+    cell = b.cells.named("canary/c")["s1"].cell
+    place = counts.at(True, 2, True)
+    for life, sequence in ((cell.life, cell.sequence), (cell.life, cell.sequence), (cell.life - 1, 999)):
+        a.canary.heard_counts(net.now, "s1", life, sequence, cell.value)
+        assert a.canary.sums(net.now)[0][place] == 40
+    assert a.canary.sums(net.now + 15)[1][place] == 0 and a.canary.sums(net.now + 15)[0][place] == 40
+    assert a.canary.sums(net.now + 80)[0][place] == 0, "too old, though nothing newer came"
+    a.canary.heard_counts(net.now, "s1", 9, 1, b"\xff\x00")
+    a.canary.heard_state(net.now, "s1", b"junk")
+    assert a.canary.unread == 2
+
+
+def test_a_cell_holds_what_the_busiest_sees() -> None:
+    net = begun(size=1)
+    canary, cells = net.nodes["s0"].canary, Cells("x", 1)
+    for ring in (canary.fine, canary.coarse):
+        for sums in [[10**7 + n] * counts.WIDTH for n in range(ring.most)]:
+            ring.spans.append(sums)
+    canary.tell(net.now)
+    value = net.nodes["s0"].cells.named("canary/c")["s0"].cell.value
+    assert len(value) <= MOST_VALUE and cells.write(0.0, "canary/c", value)
+    told = counts.decode(value)
+    assert told.unit * told.fine[0] == pytest.approx(10**7, rel=0.01)
+
+
+def test_another_file_is_a_named_fault_and_never_a_mixture() -> None:
+    other = Terms("c", "kind new", STEPS, budget=0.05)
+    net = begun(other_terms={"s4": other})
+    assert net.nodes["s4"].canary.standing == "another file's" and net.nodes["s4"].canary.part(net.now) == 0.0
+    assert [e for e in net.events if e[1:3] == ("s4", "canary terms differ")]
+    with pytest.raises(RunUnderWay) as refused:
+        net.nodes["s4"].canary.start(net.now, net.now)
+    assert "abort" in refused.value.line()
+    assert not net.nodes["s0"].canary.change(net.now, other)
+    net.nodes["s4"].canary.abort(net.now)
+    assert until(net, "aborted", 2.0) <= 1.0
+    for name in ("s0", "s1", "s2", "s3"):
+        assert net.nodes[name].canary.change(net.now, other)
+    net.nodes["s2"].canary.start(net.now, net.now)
+    net.run(3.0)
+    assert {node.canary.part(net.now) for node in net.nodes.values()} == {0.05}
+
+
+# The cores beside each other.
+
+
+class FakeBack:
+    """Endpoints that answer as a test says, after so many seconds."""
+
+    def __init__(self, pair: Pair) -> None:
+        self.pair = pair
+
+    def forward(self, given: Given, endpoint: str, address: Any, until: float, before: Any, after: Any,
+                started: Any) -> Coroutine[Forwarded]:
+        loop, (outcome, takes) = self.pair.loop, self.pair.how(endpoint)
+        self.pair.sent.append((given.key or "", endpoint))
+        ends = loop.now() + takes
+        while loop.now() < ends:
+            yield ends
+        return Forwarded(outcome, endpoint)
+
+    def drop(self, endpoint: str, address: Any) -> None: ...
+
+    def keep_only(self, endpoints: Any) -> None: ...
+
+
+TYPES = [{"name": name, "effect": effect, "promised-time": 600.0, "expiry": 2000.0, "memory-span": 150.0}
+         for name, effect in (("read", "read_like"), ("submit", "non_idempotent"))]
+
+
+class Pair:
+    """A sidecar's cores for one table, in virtual time; `start`ed, it is the only member."""
+
+    def __init__(self, how: Callable[[str], tuple[Outcome, float]], limits: dict[str, Any] | None = None,
+                 **table: Any) -> None:
+        self.clock, self.how = Clock(), how
+        self.loop = VirtualLoop(self.clock, self.fault)
+        self.sent: list[tuple[str, str]] = []
+        raw = {"zone": 0, "peers-total": 1, "traffic-types": TYPES,
+               "policy-limits": {"max-forwards": 3}, "contract": {
+                   "fall-multiple": 2.5, "tip-after": 3000.0, "cold-from": 0.15, "cold": 24000.0,
+                   "ask-within": 10000.0, **(limits or {})}}
+        settings = SimpleNamespace(type_names=("read", "submit"), kinds=("fast", "new"), expiries=(2.0, 2.0))
+        config: Any = SimpleNamespace(seed=1, raw_settings=raw, settings=settings)
+        self.config = config
+        self.part = msgspec.convert({"name": "c", "stages": [{"part": 0.5, "time": 1000, "exchanges": 10}],
+                                     **table}, type=CanaryPart)
+        self.core = split_core(self.loop, self.config, [self.part], lambda directory: FakeBack(self),
+                               lambda: None, lambda: None)
+        members = SimpleNamespace(own_name="me", own_life=1, members=lambda: [])
+        self.cells = Cells("me", 1)
+        ground: Any = SimpleNamespace(loop=self.loop, config=self.config, members=members, cells=self.cells,
+                                      folder=None)
+        self.run = CanaryRun(ground, [self.part], wall=lambda: 5.0)
+        self.taker = self.run.taker(self.core)
+        self.tick()
+        self.list_now(tuple(line(n, machine=n % 2) for n in range(6)))
+        self.go(1.0)
+
+    def fault(self, fault: BaseException) -> None:
+        raise fault
+
+    def tick(self) -> None:
+        self.run.tick(self.loop.now())
+        self.clock.at(self.loop.now() + 0.25, self.tick)
+
+    def list_now(self, lines: tuple[Any, ...], whole: bool = True) -> None:
+        self.core.list_changed(lines, {ln.id: ("127.0.0.1", 1) for ln in lines
+                                       if ln.state is not Lifecycle.GONE}, whole, False)
+
+    def go(self, seconds: float) -> None:
+        self.clock.env.run(until=self.loop.now() + seconds)
+
+    def start(self) -> None:
+        answer = self.run.call(self.loop.now(), "POST", ("canaries", "c", "start"), {})
+        assert answer is not None and answer.status == 200
+        self.go(4.0)
+
+    def exchange(self, key: str, type_index: int = 0) -> Final:
+        finals: list[Final] = []
+
+        def one() -> Coroutine[None]:
+            given = Given(type_index, key, None, False, self.loop.now() + 2.0, None)
+            finals.append((yield from self.taker.run(given, lambda: False)))
+        self.loop.spawn(one())
+        self.go(2.5)
+        return finals[0]
+
+    def in_canary(self, inside: bool = True) -> list[str]:
+        return [key for key in (f"k{n}" for n in range(200)) if (point("c", key) < 0.5) is inside][:20]
+
+
+def fine(endpoint: str) -> tuple[Outcome, float]:
+    return Outcome.SERVED, 0.02
+
+
+OLD, NEW = {"e0", "e2", "e4"}, {"e1", "e3", "e5"}
+
+
+@pytest.mark.parametrize("table", [{"kind": "new"}, {"endpoints": sorted(NEW)}])
+def test_each_side_gets_its_own_keys_list_and_orders(table: dict[str, Any]) -> None:
+    pair = Pair(fine, **table)
+    pair.exchange("k0")
+    assert {at for _, at in pair.sent} <= OLD, "not begun: all take the old side"
+    pair.start()
+    pair.sent.clear()
+    finals = [pair.exchange(key) for inside in (True, False) for key in pair.in_canary(inside)]
+    assert all(isinstance(final, Finished) for final in finals)
+    assert all((at in NEW) is (point("c", key) < 0.5) for key, at in pair.sent)
+    pair.core.leave_out("e1", True)
+    pair.list_now((line(3, Lifecycle.DRAINING),), whole=False)
+    pair.sent.clear()
+    for key in pair.in_canary():
+        pair.exchange(key)
+    assert {at for _, at in pair.sent} == {"e5"}, "drains and orders reach the new side"
+    pair.list_now((line(5, Lifecycle.GONE),), whole=False)
+    pair.sent.clear()
+    final = pair.exchange(pair.in_canary()[0], 1)
+    assert isinstance(final, Finished) and {at for _, at in pair.sent} <= OLD, "all of the new side are gone"
+    pair.core.leave_out("e1", False)
+    pair.run.call(pair.loop.now(), "POST", ("canaries", "c", "abort"), {})
+    pair.sent.clear()
+    for key in pair.in_canary():
+        pair.exchange(key)
+    assert {at for _, at in pair.sent} <= OLD, "all keys are back at once"
+
+
+def dead(outcome: Outcome) -> Callable[[str], tuple[Outcome, float]]:
+    return lambda endpoint: (outcome if endpoint in NEW else Outcome.SERVED, 0.01)
+
+
+def test_all_endpoints_of_the_new_side_die_and_keys_go_back() -> None:
+    """Hard case; and a binding exchange is repeated no more than ever."""
+    pair = Pair(dead(Outcome.UNCONNECTED), kind="new")
+    pair.start()
+    for key in pair.in_canary()[:3]:
+        pair.sent.clear()
+        assert isinstance(pair.exchange(key, 1), Finished), "it never ran there"
+        assert len(pair.sent) <= 3, "no more forwards in all than one exchange may have"
+    pair = Pair(dead(Outcome.RESET), kind="new")
+    pair.start()
+    for key in pair.in_canary()[:3]:
+        pair.sent.clear()
+        assert not isinstance(pair.exchange(key, 1), Finished)
+        assert len([at for _, at in pair.sent]) == 1, "a binding one that may have run goes nowhere else"
+    assert isinstance(pair.exchange(pair.in_canary()[0], 0), Finished), "a retriable one may"
+
+
+def test_the_budget_of_forwards_binds_over_both_sides() -> None:
+    pair = Pair(dead(Outcome.UNCONNECTED), {"budget-free": 1.0, "repeat-ratio": 0.0, "counted-over": 60000.0},
+                kind="new")
+    pair.start()
+    crossed = 0
+    for key in pair.in_canary()[:6]:
+        pair.sent.clear()
+        pair.exchange(key, 1)
+        crossed += max(0, len(pair.sent) - 1)
+    assert crossed == 1, "one further forward in a window, whichever side sends it"
+    old = pair.core.facade.balancer
+    assert isinstance(old, Balancer) and old.further is not None
+    assert len(old.further.taken) == pair.core.taken + pair.core.further["c"].taken - pair.run.router.crossed  # type: ignore[union-attr]
+
+
+def test_a_canary_of_a_setting_is_one_module_and_another_traffic_type() -> None:
+    def slow(endpoint: str) -> tuple[Outcome, float]:
+        return Outcome.SERVED, 0.5
+    pair = Pair(slow, setting={"traffic-type": "read", "promised-time": 200})
+    balancer = pair.core.facade.balancer
+    assert isinstance(balancer, Balancer) and not pair.core.further
+    assert [t.promised_time for t in balancer.types] == [0.6, 0.6, 0.2, 0.6]
+    pair.start()
+    for key in (*pair.in_canary()[:4], *pair.in_canary(False)[:4]):
+        pair.exchange(key)
+    sums = pair.run.canaries["c"].sums(pair.loop.now())[0]
+    # By the promise as it was, both sides: one is judged by the other.
+    new, old = ((sums[counts.at(side, 0)], sums[counts.at(side, 0, True)]) for side in (True, False))
+    assert new[0] == old[0] == 4 and new[1] >= 3 > 1 >= old[1]
+    with pytest.raises(Trouble):
+        pair.run.taker(pair.taker)
+    assert isinstance(pair.core, SplitCore)
+
+
+def test_every_fault_of_a_table_is_named_with_its_path() -> None:
+    pair = Pair(fine, kind="new")
+    one = {"name": "c", "stages": [{"part": 0.5, "time": 1, "exchanges": 1}]}
+    faulty = [msgspec.convert({**one, **more}, type=CanaryPart) for more in (
+        {"kind": "nwe"}, {"kind": "new", "endpoints": ["e1"]}, {"name": "a/b", "endpoints": []},
+        {"name": "d", "setting": {"traffic-type": "red", "value": 1.0}},
+        {"name": "e", "setting": {"traffic-type": "read", "value": 7.0}},
+        {"name": "f", "endpoints": ["e9"], "stages": [{"part": 1.0, "time": -1, "exchanges": 0}]},
+        {"name": "g", "endpoints": ["e9"], "short": 400, "budget": 0, "pause-at": 20, "fresh": 0.4,
+         "alone-after": 0, "each-effect": -1})]
+    told = list(unfit(faulty, pair.config))
+    for path in ("canary[0].kind", "canary[0].name", "canary[1]: names", "canary[2].name",
+                 "canary[2].endpoints", "canary[3].setting.traffic-type", "canary[4].setting.value", "canary[5].stages[0].part",
+                 "canary[5].stages[0]:", "canary[6].endpoints", "canary[6].budget", "canary[6].fresh",
+                 "canary[6].alone-after", "canary[6].each-effect", "canary[6]: wants 1 s"):
+        assert any(line_.startswith(path) for line_ in told), (path, told)
+    assert not list(unfit([msgspec.convert({**one, "kind": "new"}, type=CanaryPart)], pair.config))
+
+
+def test_calls_are_idempotent_and_refusals_say_what_to_do() -> None:
+    pair = Pair(fine, kind="new")
+
+    def call(method: str, *path: str) -> Any:
+        return pair.run.call(pair.loop.now(), method, path, {})
+    assert call("GET", "wallets") is None
+    for path, status in ((("canaries", "x", "start"), 404), (("canaries", "c", "stop"), 404)):
+        assert call("POST", *path).status == status and call("POST", *path).body["remedy"]
+    assert call("GET", "canaries", "c", "start").status == 405 and call("POST", "canaries").status == 405
+    for act, kind in (("pause", NoRun), ("resume", NoRun), ("abort", NoRun)):
+        with pytest.raises(kind) as refused:
+            call("POST", "canaries", "c", act)
+        assert "start" in refused.value.remedy
+    for act, standing in (("start", "running"), ("pause", "paused"), ("resume", "running"),
+                          ("abort", "aborted")):
+        bodies = [call("POST", "canaries", "c", act).body for _ in range(2)]
+        assert bodies[0]["state"] == bodies[1]["state"] == standing and bodies[0]["run"] == bodies[1]["run"]
+    with pytest.raises(RunAborted):
+        call("POST", "canaries", "c", "resume")
+    report = call("GET", "canaries").body["canaries"][0]
+    assert report["state"] == "aborted" and msgspec.json.encode(report)
+    assert isinstance(pair.run.canaries["c"], Canary) and isinstance(pair.exchange("k"), Finished | Rejected)
