--- a/rainspindle/fronts/console/front.py
+++ b/rainspindle/fronts/console/front.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from ...protocol.console import ConsoleSide, No, Order
+from ...protocol.console import ConsoleSide, FleetCall, No, Order
 from ...transport.address import Address
 from ...transport.connection import Broken, Connection, Late, Listener, Unwanted
 from ...transport.loop import Coroutine, Loop
@@ -15,9 +15,12 @@
 
 
 class ConsoleFront:
-    def __init__(self, loop: Loop, address: Address, call: Callable[[Order], tuple[int, str]]) -> None:
-        """`call` does what is asked and gives the status and a line of text. Raises OSError."""
-        self.loop, self.call = loop, call
+    def __init__(self, loop: Loop, address: Address, call: Callable[[Order], tuple[int, str]],
+                 fleet: Callable[[FleetCall], tuple[int, str]]) -> None:
+        """`call` does what is asked and gives the status and a line of text, `fleet` gives JSON.
+
+        Raises OSError."""
+        self.loop, self.call, self.fleet = loop, call, fleet
         self.callers: dict[Connection, bool] = {}  # the oldest first; whether its call is whole
         self.listener = Listener(loop, address, self.accepted, self.give_way, urgent=True)
 
@@ -42,13 +45,15 @@
 
     def serve(self, caller: Connection) -> Coroutine[None]:
         side, until = ConsoleSide(), self.loop.now() + HEAD_TIME
-        called: Order | No | None = None
+        called: Order | FleetCall | No | None = None
         try:
             while called is None:
                 called = side.receive((yield from caller.await_bytes(until, lambda: caller.closed)))
             if isinstance(called, Order):
                 status, text = self.call(called)
                 out = side.answer(status, text)
+            elif isinstance(called, FleetCall):
+                out = side.answer(*self.fleet(called), kind=b"application/json")
             else:
                 out = side.answer(called.status, called.reason, called.allow)
             self.callers[caller] = True
--- a/rainspindle/fronts/http1/front.py
+++ b/rainspindle/fronts/http1/front.py
@@ -172,7 +172,7 @@
         given = Given(ask.type_index, ask.key, ask.hint, ask.repeat,
                       self.loop.now() + MOST_UPLOAD if ask.more else expiry(),
                       Carried(ask, streams) if self.streams else ask, expiry if ask.more else None,
-                      tenant=ask.tenant)
+                      tenant=ask.tenant, request_id=ask.request_id.decode("latin-1"))
         # The request's own id may come again, when a client sends it once more, but not while it is open.
         self.open_ids.add(ask.request_id)
         try:
--- a/rainspindle/pool.py
+++ b/rainspindle/pool.py
@@ -42,10 +42,19 @@
     def learnt(self, now: float, who: str, facts: Facts) -> None:
         self.facts[who] = now, facts
 
+    def gone(self, now: float, who: str) -> None:
+        """A sidecar is known to be dead: what it told counts for nothing."""
+        if who in self.words:
+            self.drop_word(now, who)
+        self.facts.pop(who, None)
+
+    def drop_word(self, now: float, who: str) -> None:
+        self.told(now, who, (), (), whole=True)
+        del self.words[who]
+
     def sweep(self, now: float) -> None:
         for who in [who for who, (at, _) in self.words.items() if now - at > self.LASTS]:
-            self.told(now, who, (), (), whole=True)
-            del self.words[who]
+            self.drop_word(now, who)
         self.facts = {who: told for who, told in self.facts.items() if now - told[0] < 6 * self.LASTS}
         for counts in (self.held, *(marks for _, marks in self.words.values())):
             for mark in [mark for mark, count in counts.items() if not count]:
--- a/rainspindle/program/config.py
+++ b/rainspindle/program/config.py
@@ -71,30 +71,32 @@
     return raw
 
 
-def load(path: str | None, environment: Mapping[str, str]) -> Config:
+def load(path: str | None, environment: Mapping[str, str], over_members: bool = False) -> Config:
+    """`over_members`: messages between sidecars go over the members of a fleet, where no peers are named."""
     path = path or environment.get("RELAY_CONFIG")
     if not path:
         raise ConfigFault("no configuration: give --config or RELAY_CONFIG")
     raw = read(path)
-    return check(path, raw, environment)
+    return check(path, raw, environment, over_members)
 
 
-def check(path: str, raw: dict[str, Any], environment: Mapping[str, str] = os.environ) -> Config:
+def check(path: str, raw: dict[str, Any], environment: Mapping[str, str] = os.environ,
+          over_members: bool = False) -> Config:
     """Raises ConfigFault, one line that names the file."""
     try:
-        return decode(raw, environment)
+        return decode(raw, environment, over_members)
     except KeyError as fault:
         raise ConfigFault(f"{path}: lacks {fault}") from None
     except (Unreadable, ValueError, TypeError, AttributeError) as fault:
         raise ConfigFault(f"{path}: {fault}") from None
 
 
-def decode(raw: dict[str, Any], environment: Mapping[str, str]) -> Config:
+def decode(raw: dict[str, Any], environment: Mapping[str, str], over_members: bool = False) -> Config:
     def told(name: str) -> str:
         return str(raw.get(name) or environment.get(f"RELAY_{name.upper()}") or missing(name))
 
     whole, peers = raw["settings"], decode_peers(raw)
-    deaf = peers is None and flag(whole["policy-limits"], "peers")
+    deaf = peers is None and not over_members and flag(whole["policy-limits"], "peers")
     if deaf:
         whole = {**whole, "policy-limits": {**whole["policy-limits"], "peers": False}}
     settings = socket_settings(whole)
--- a/rainspindle/program/main.py
+++ b/rainspindle/program/main.py
@@ -9,8 +9,9 @@
 from typing import Any
 
 from .. import __version__
+from ..errors import Trouble
 from . import logs
-from .config import DEAF, ConfigFault, load
+from .config import DEAF, Config, ConfigFault, load
 from .serve import Sidecar
 
 
@@ -22,6 +23,8 @@
     check = commands.add_parser("check", help="read a configuration and say whether it can be served")
     for command in (serve, check):
         command.add_argument("--config", metavar="FILE", help="default: $RELAY_CONFIG")
+        command.add_argument("--fleet", metavar="FILE", help="members, wallets and canaries, TOML; default: "
+                                                             "$RELAY_FLEET, and without either none")
     gateway = commands.add_parser("gateway", help="serve as the gateway of a site until SIGTERM",
                                   epilog="Example: rainspindle gateway --config deploy/gateway.toml")
     gateway.add_argument("--config", metavar="FILE", required=True, help="the gateway's own file, TOML")
@@ -87,15 +90,20 @@
             return gateway(options)
         if options.command == "mysql":
             return mysql(options)
-        config = load(options.config, os.environ)
+        fleet_path = options.fleet or os.environ.get("RELAY_FLEET")
+
+        def read() -> Config:
+            return load(options.config, os.environ, over_members=bool(fleet_path))
+        config = read()
+        make_fleet = fleet(fleet_path, config) if fleet_path else None
         if options.command == "check":
             print(f"{config.name}: {len(config.known.lines)} endpoints known, "
                   f"traffic types {', '.join(config.settings.type_names)}"
                   + (f"\n{config.name}: {DEAF}" if config.deaf else ""))
             return 0
         logs.set_up(options.log_level)
-        sidecar = Sidecar(config, lambda: load(options.config, os.environ))
-    except (ConfigFault, OSError) as fault:
+        sidecar = Sidecar(config, read, make_fleet)
+    except (Trouble, ConfigFault, OSError) as fault:
         for line in str(fault).splitlines():
             print(f"rainspindle: {line}", file=sys.stderr)
         return 2
@@ -103,6 +111,18 @@
     return 0
 
 
+def fleet(path: str, config: Config) -> Any:
+    """What makes the fleet of a sidecar. Raises ConfigFault, also where its libraries are missing."""
+    try:
+        from .fleet.config import load_fleet
+        from .fleet.run import Fleet
+    except ImportError as fault:
+        raise ConfigFault(f"a fleet file needs the libraries of requirements-fleet.txt: {fault}") from None
+    read = load_fleet(path, config)
+    return lambda loop, config, successor: Fleet(loop, config, read, lambda new: load_fleet(path, new),
+                                                 successor)
+
+
 def gateway(options: argparse.Namespace) -> int:
     """Raises ConfigFault, also where its libraries are missing."""
     try:
--- a/rainspindle/program/serve.py
+++ b/rainspindle/program/serve.py
@@ -11,14 +11,17 @@
 import socket
 import time
 import traceback
-from collections.abc import Callable, Iterator, Sized
-from typing import Protocol
+from collections.abc import Callable, Iterator, Mapping, Sized
+from typing import Any, Protocol
+
+import orjson
 
 from .. import must
 from ..decisions.operation.stage import Stage, Stages
 from ..fronts.console.front import ConsoleFront
 from ..fronts.http1.back import HttpBack
 from ..fronts.http1.front import HttpFront
+from ..protocol.console import FleetCall
 from ..protocol.discovery import ListChange
 from ..routing.core import Back, Core, Directory, Taker
 from ..routing.follow import Follower
@@ -100,11 +103,39 @@
         """Ends the connections with no request for so many seconds; whether no client is left."""
 
 
+class Answered(Protocol):
+    status: int
+    body: Mapping[str, Any]
+
+
+class FleetSide(Protocol):
+    """What a sidecar needs of its fleet, where the operator's own file names one."""
+
+    def make_core(self, make_back: Callable[[Directory], Back], on_watch: Callable[[], None],
+                  on_tick: Callable[[], None]) -> Core: ...
+
+    def taker(self, core: Core) -> Taker: ...
+
+    def carry_words(self, core: Core, heard: Callable[[str, str], None]) -> None: ...
+
+    def call(self, call: FleetCall) -> Any: ...
+
+    def reload(self, config: Config) -> None: ...
+
+    def leave(self) -> None: ...
+
+    def close(self) -> None: ...
+
+    def figures(self) -> Mapping[str, object]: ...
+
+
 class Sidecar:
     streams = True  # whether long bodies go on piece by piece
+    fleet: FleetSide | None = None
 
-    def __init__(self, config: Config, load: Callable[[], Config]) -> None:
-        """`load` reads the configuration again."""
+    def __init__(self, config: Config, load: Callable[[], Config],
+                 make_fleet: Callable[[Loop, Config, Callable[[], bool]], FleetSide] | None = None) -> None:
+        """`load` reads the configuration again; `make_fleet` is told how to know whether a successor runs."""
         self.config, self.load = config, load
         self.loop = Loop(self.fault)
         self.began, self.told = self.loop.now(), False
@@ -114,9 +145,13 @@
         self.pool = Pool(self.loop, connections, config.settings.idle_time)
         self.follower = Follower(self.loop, config.discovery, config.decoder,
                                  config.settings.ask_within, config.known, pushed=not config.asks_list)
-        directory = Directory()
-        self.core = Core(self.loop, config.facade(self.loop.now()), config.settings, directory,
-                         self.make_back(directory), self.follower.want, self.each_tick)
+        if make_fleet is not None:
+            self.fleet = make_fleet(self.loop, config, lambda: self.operation.successor())
+            self.core = self.fleet.make_core(self.make_back, self.follower.want, self.each_tick)
+        else:
+            directory = Directory()
+            self.core = Core(self.loop, config.facade(self.loop.now()), config.settings, directory,
+                             self.make_back(directory), self.follower.want, self.each_tick)
         self.front: Front = self.make_front(clients)
         known = config.known
         if known.lines:
@@ -129,6 +164,8 @@
             self.peers = Datagrams(self.loop, config.peers.listen, config.peers.others, self.heard_peer,
                                    shared=config.console is not None)
             self.core.tell = self.peers.tell
+        elif self.fleet is not None:
+            self.fleet.carry_words(self.core, self.heard_peer)
         self.stages = Stages(min(max(config.settings.expiries), MOST_LEAVING))
         self.listener = Listener(self.loop, config.listen, self.front.accepted, self.front.make_room,
                                  shared=config.console is not None)
@@ -138,7 +175,7 @@
                                    self.core.leave_out, self.drained, self.serves,
                                    lambda: self.core.facade.give(self.loop.now()))
         if config.console is not None:
-            self.console = ConsoleFront(self.loop, config.console, self.operation.call)
+            self.console = ConsoleFront(self.loop, config.console, self.operation.call, self.fleet_call)
         self.overseer = self.loop.spawn(self.oversee())
         self.operation.look()
         self.operation.listed(list(known.addresses))
@@ -155,15 +192,25 @@
 
     def taker(self) -> Taker:
         """What the front hands its exchanges to."""
-        return self.core
+        return self.core if self.fleet is None else self.fleet.taker(self.core)
 
     def begin_leaving(self) -> None:
         """SIGTERM has come."""
+        if self.fleet is not None:
+            self.fleet.leave()
 
     def close_listeners(self) -> None:
         if not self.listener.closed:
             self.listener.close()
 
+    def fleet_call(self, call: FleetCall) -> tuple[int, str]:
+        """Status and JSON of what staff ask about the fleet."""
+        if self.fleet is None:
+            return 404, orjson.dumps({"error": "this sidecar has no fleet file",
+                                      "remedy": "start it with serve --fleet FILE"}).decode()
+        answer: Answered = self.fleet.call(call)
+        return answer.status, orjson.dumps(answer.body).decode()
+
     def heard_peer(self, who: str, message: str) -> None:
         try:
             self.core.apply(self.core.facade.heard(self.loop.now(), who, message))
@@ -202,6 +249,8 @@
         empty = front.finish_clients(idle) if idle != math.inf else False
         if stages.over(now, empty):
             self.loop.stopped = True
+            if self.fleet is not None:
+                self.fleet.close()
 
     def each_tick(self) -> None:
         self.pool.sweep()
@@ -237,6 +286,8 @@
         log.info("configuration read again", extra={"fields": {
             "discovery": address_text(new.discovery), "sockets": new.sockets,
             "needs_restart": ",".join(later).replace("raw_", "") or "nothing"}})
+        if self.fleet is not None:
+            self.fleet.reload(new)
 
     def oversee(self) -> Coroutine[None]:
         """Opens the door once this process can serve, follows its stage, looks for orders given elsewhere."""
@@ -295,5 +346,7 @@
         yield "connections_reused", self.pool.reused
         if self.peers is not None:
             yield "peers_unread", self.unread + self.peers.strangers
+        if self.fleet is not None:
+            yield from self.fleet.figures().items()
         yield "faults", self.faults
         yield "broken", dict(must.broken)
--- a/rainspindle/program/tables.py
+++ b/rainspindle/program/tables.py
@@ -41,7 +41,7 @@
     if not isinstance(value, dict):
         yield f"{at or 'the file'}: expected a table"
         return
-    fields, before = {f.name: f for f in msgspec.structs.fields(model)}, f"{at}." if at else ""
+    fields, before = {f.encode_name: f for f in msgspec.structs.fields(model)}, f"{at}." if at else ""
     for key in value:
         if key not in fields:
             near = difflib.get_close_matches(key, list(fields), 1)
@@ -58,6 +58,8 @@
         elif isinstance(inner, type) and issubclass(inner, msgspec.Struct) and isinstance(value[name], list):
             for n, one in enumerate(value[name]):
                 yield from shape(one, inner, f"{place}[{n}]")
+        elif isinstance(inner, type) and issubclass(inner, msgspec.Struct) and isinstance(value[name], dict):
+            yield from shape(value[name], inner, place)
         else:
             try:
                 msgspec.convert(value[name], field.type)
--- a/rainspindle/protocol/console.py
+++ b/rainspindle/protocol/console.py
@@ -4,9 +4,10 @@
 
 import contextlib
 import re
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from enum import Enum
-from urllib.parse import unquote
+from urllib.parse import parse_qsl, unquote
 
 import h11
 
@@ -15,6 +16,8 @@
 MOST_HEAD, MOST_BODY = 4096, 4096
 ENDPOINT = re.compile(r"/-/endpoints/([^/]+)/(disable|enable)")
 LONGEST_ID = 256
+FLEET = ("members", "wallets", "canaries")
+MOST_FIELDS = 8  # of a query
 
 
 class Act(Enum):
@@ -33,6 +36,15 @@
     endpoint: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class FleetCall:
+    """A call about what the sidecars share, by the parts of its path after `/-/`. The answer is JSON."""
+
+    method: str
+    path: tuple[str, ...]
+    query: Mapping[str, str] = field(default_factory=dict)
+
+
 @dataclass(frozen=True, slots=True)
 class No:
     """One that is not, or that is refused."""
@@ -53,7 +65,7 @@
         self.request: h11.Request | None = None
         self.got = 0
 
-    def receive(self, data: bytes) -> Order | No | None:
+    def receive(self, data: bytes) -> Order | FleetCall | No | None:
         """Takes what has come, b"" for the end; None while more must come."""
         with contextlib.suppress(RuntimeError):  # bytes after the end: the next event says what is wrong
             self.connection.receive_data(data)
@@ -78,9 +90,10 @@
         except h11.RemoteProtocolError as fault:
             return No(fault.error_status_hint, str(fault))
 
-    def answer(self, status: int, text: str, allow: str = "") -> bytes:
+    def answer(self, status: int, text: str, allow: str = "",
+               kind: bytes = b"text/plain; charset=utf-8") -> bytes:
         body = text.encode() + b"\n"
-        headers = [(b"Content-Type", b"text/plain; charset=utf-8"), (b"Content-Length", b"%d" % len(body)),
+        headers = [(b"Content-Type", kind), (b"Content-Length", b"%d" % len(body)),
                    (b"Connection", b"close")]
         if allow:
             headers.append((b"Allow", allow.encode()))
@@ -88,8 +101,11 @@
         return plain.encode(plain.status_line(status), headers, b"" if asked_head else body)
 
 
-def decode(request: h11.Request) -> Order | No:
-    path, method = request.target.partition(b"?")[0].decode("latin-1"), request.method.decode("latin-1")
+def decode(request: h11.Request) -> Order | FleetCall | No:
+    path, _, query = request.target.decode("latin-1").partition("?")
+    method = request.method.decode("latin-1")
+    if path.startswith("/-/") and path.split("/")[2] in FLEET:
+        return decode_fleet(method, path, query)
     found = PATHS.get(path)
     endpoint = ENDPOINT.fullmatch(path)
     if endpoint is not None:
@@ -107,3 +123,16 @@
     if method not in allowed:
         return No(405, f"{path} wants {wanted}", ", ".join(allowed))
     return Order(act, id if endpoint is not None else "")
+
+
+def decode_fleet(method: str, path: str, query: str) -> FleetCall | No:
+    try:
+        parts = tuple(unquote(part, errors="strict") for part in path.split("/")[2:])
+        fields = parse_qsl(query, keep_blank_values=True, errors="strict", max_num_fields=MOST_FIELDS)
+    except ValueError:
+        return No(400, f"a path or query that is not text, or of over {MOST_FIELDS} fields")
+    if any(len(text) > LONGEST_ID for text in (*parts, *(t for pair in fields for t in pair))):
+        return No(400, f"a name or value of over {LONGEST_ID} characters")
+    if len(dict(fields)) != len(fields):
+        return No(400, "a field of the query is there twice")
+    return FleetCall(method, parts, dict(fields))
--- a/rainspindle/routing/canary.py
+++ b/rainspindle/routing/canary.py
@@ -174,6 +174,11 @@
             if endpoint in core.directory.left_out if not out else self.at.get(endpoint) == name:
                 Core.leave_out(core, endpoint, out)
 
+    def peer_gone(self, who: str) -> None:
+        for name, core in self.cores.items():
+            for known in (who, *(f"{who}~{other}" for other in self.cores if other != name)):
+                core.facade.peer_gone(self.loop.now(), known)
+
     # Word of the other sidecars: each side's module hears its like alone, and what tenants ask of all.
 
     def teller(self, name: str) -> Callable[[str], None]:
--- a/rainspindle/routing/core.py
+++ b/rainspindle/routing/core.py
@@ -47,6 +47,7 @@
     spent: Callable[[], None] = nothing  # the back calls it when a part that is not kept goes to an endpoint
     written: Callable[[], float] = never  # and this after the last byte; until when to wait for the answer
     tenant: int | None = None  # its number in the settings
+    request_id: str = ""  # the client's own, where the protocol has one
 
 
 @dataclass(slots=True)
@@ -228,6 +229,10 @@
             self.back.drop(endpoint, self.directory.addresses[endpoint])
         self.apply(self.facade.leave_out(self.loop.now(), endpoint, out))
 
+    def peer_gone(self, who: str) -> None:
+        """Another sidecar's word counts for nothing from now on."""
+        self.facade.peer_gone(self.loop.now(), who)
+
     def list_failed(self) -> None:
         self.apply(self.facade.list_failed(self.loop.now()))
 
--- a/rainspindle/routing/facade.py
+++ b/rainspindle/routing/facade.py
@@ -167,6 +167,11 @@
             peers.hear(self.balancer.pool, now, who, message)
         return self.taken()
 
+    def peer_gone(self, now: float, who: str) -> None:
+        """Guards against word of a sidecar that is known to be dead, for as long as it would last."""
+        if isinstance(self.balancer, Balancer):
+            self.balancer.pool.gone(now, who)
+
     def tick(self, now: float) -> Did:
         """Lets the module do what it set itself to do by now."""
         self.now = now
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -19,7 +19,7 @@
 from rainspindle.fronts.http1.room import FEWEST, Room
 from rainspindle.host import Effect, Outcome, State
 from rainspindle.program.operation import Operation
-from rainspindle.protocol.console import MOST_BODY, Act, ConsoleSide, No
+from rainspindle.protocol.console import MOST_BODY, Act, ConsoleSide, FleetCall, No
 from rainspindle.protocol.console import Order as Call
 from rainspindle.store.file import StoredFile, Unfit
 from rainspindle.transport.connection import Late
@@ -176,7 +176,7 @@
 # The calls.
 
 
-def said(data: bytes) -> Call | No | None:
+def said(data: bytes) -> Call | FleetCall | No | None:
     return ConsoleSide().receive(data)
 
 
