--- a/rainspindle/lab/fleet/processes.py
+++ b/rainspindle/lab/fleet/processes.py
@@ -94,14 +94,14 @@
     return "\n".join(lines) + "\n"
 
 
-def quiet_config() -> dict[str, Any]:
-    """Of a sidecar with nobody to ask: no list service is there, and the one endpoint it knows is not."""
+def quiet_config(endpoint: str = "") -> dict[str, Any]:
+    """Of a sidecar that no list service tells anything; of its one endpoint, by default not there either."""
     x = Experiment.model_validate({
         "name": "fleet", "length": 1.0, "settle": 1.0, "fleet": {"kinds": [{"count": 1}]},
         "clients": {"rate": 1.0},
         "traffic": [{"name": "look", "work": 0.001, "promised": 0.2, "expiry": 0.3}]})
     world, nobody = World(x, x.variants[0], 1), f"127.0.0.1:{reserve_port()}"
-    known = [entry(line, nobody, x.fleet.zones, 0.0) for line in world.lines]
+    known = [entry(line, endpoint or nobody, x.fleet.zones, 0.0) for line in world.lines]
     return {"discovery": nobody, "settings": world.settings(0), "limits": {"cores": 1.0, "memory_mb": 192},
             "known": {"generation": 1, "reset": True, "instances": known}}
 
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -12,7 +12,8 @@
 import pytest
 
 from rainspindle.lab.fleet.player import play
-from rainspindle.lab.fleet.processes import Fleet, wait_until
+from rainspindle.lab.fleet.pressure import Pressure
+from rainspindle.lab.fleet.processes import Fleet, quiet_config, wait_until
 from rainspindle.lab.fleet.schedule import Cut, Kill, Leave, Split, Stall, Weather, draw, to_values
 from rainspindle.lab.fleet.watch import Watch
 
@@ -192,6 +193,20 @@
         assert not buried(watch, "m3") and not fleet["m1"].faults()
 
 
+def test_one_under_full_load_is_buried_by_nobody_and_hears_of_a_crash_in_time(tmp_path: Path) -> None:
+    with Pressure() as pressure, Fleet(tmp_path, names(5), config=quiet_config(pressure.endpoint)) as fleet:
+        fleet.start()
+        fleet.all_alive()
+        with Watch(fleet) as watch:
+            for name in ("m1", "m2"):
+                pressure.drive(fleet[name].listen, 8.0)
+            play(fleet, (Kill(3.0, ("m4",)),))
+            fleet.await_agreed({"m4": "dead"}, KNOWN, *names(4))
+            done = pressure.done()
+        assert all(one["per_s"] > 300 for one in done), "else there was no load to speak of"
+        assert not buried(watch, "m4") and not watch.said("suspect", "m1", "m2")
+
+
 def test_members_live_on_while_a_burst_of_faults_goes_over_them(tmp_path: Path) -> None:
     """A schedule drawn from a seed; what fails is played again from it."""
     schedule = draw(11, names(6), 12.0, 6, stall=(1.0, 4.0))
