--- a/rainspindle/lab/fleet/day.py
+++ b/rainspindle/lab/fleet/day.py
@@ -35,6 +35,7 @@
     TOP_UPS,
     Call,
     Called,
+    canary_lags,
     excuse,
     judge_canary,
     judge_wallet,
@@ -203,7 +204,9 @@
         day.broken += judge_wallet(ledger, world, run.called)
         day.figures["spent_part"] = round(spent_part(ledger, world), 4)
     if any("/-/canaries/" in call.path for call in plan.calls):
-        day.broken += judge_canary(ledger, run.called, run.player.away, plan.schedule)
+        told = run.called, run.player.away, plan.schedule
+        day.broken += judge_canary(ledger, *told)
+        day.figures.update((name, round(lag, 3)) for name, lag in canary_lags(ledger, *told))
     for sidecar in run.fleet.sidecars.values():
         day.broken += [f"{sidecar.name} logged: {line}" for line in sidecar.faults()]
     return day
--- a/rainspindle/lab/fleet/judge.py
+++ b/rainspindle/lab/fleet/judge.py
@@ -141,9 +141,31 @@
 
 def in_force(name: str, abort: Called, away: Sequence[Away], schedule: Schedule) -> float:
     """When this sidecar has to keep to the abort at the latest."""
+    over = unreached(name, abort, away, schedule)
+    return abort.at + IN_FORCE if over is None else max(abort.at + IN_FORCE, over + HEARD)
+
+
+def unreached(name: str, abort: Called, away: Sequence[Away], schedule: Schedule) -> float | None:
+    """The end of what kept the abort from this sidecar; None where it could be reached."""
     by = abort.at + IN_FORCE
     missed = [span.until for span in away
               if span.name == name and span.since - OPENS < by and span.until > abort.at - IN_FORCE]
     missed += [end(fault) for fault in schedule if isinstance(fault, Split) and fault.at < by
                and abort.at < end(fault) + HEARD and not crosses(fault, abort.member, name)]
-    return max([by, *(over + HEARD for over in missed)])
+    return max(missed, default=None)
+
+
+def canary_lags(ledger: Ledger, called: Sequence[Called], away: Sequence[Away], schedule: Schedule
+                ) -> Iterator[tuple[str, float]]:
+    """Seconds from the abort's answer to the last run at the canary, of those that could be reached; and from
+    the end of what kept it from the others, which is below 0 where they fell back before."""
+    abort = next((c for c in called if c.call.path.endswith("/abort")), None)
+    if abort is None:
+        return
+    last: dict[str, float] = {}
+    for run in ledger.runs:
+        if run.endpoint in NEW and run.first > abort.at:
+            over = unreached(f"s{run.sidecar}", abort, away, schedule)
+            what, since = ("canary_last_s", abort.at) if over is None else ("canary_cut_last_s", over)
+            last[what] = max(last.get(what, -math.inf), run.first - since)
+    yield from last.items()
