--- a/rainspindle/decisions/wallet/wallet.py
+++ b/rainspindle/decisions/wallet/wallet.py
@@ -475,10 +475,10 @@
             self.want, self.of, self.word_due = 0, "", True
             self.tried.clear()
 
-    def hand_back(self, now: float) -> None:
+    def hand_back(self, now: float, last: bool = False) -> None:
         """What is not needed for what still comes in goes to the home, or to the one that holds most."""
         account = self.account
-        quiet = now - self.spent_at > LOOK
+        quiet = last or now - self.spent_at > LOOK
         keep = 0 if quiet else math.ceil(self.rate * AHEAD)
         account.put_back(account.free - keep)
         if account.rights <= 0:
@@ -502,7 +502,7 @@
         paused = now - self.paused_since if self.paused_since is not None else 0.0
         word = Word(VERSION, self.account.row.account, kept.number, max(held, 0),
                     round(self.usable_rate(), 3), kept.topped, self.ask, self.want, self.of, paused,
-                    self.unsure, self.life)
+                    self.unsure, self.life, self.rules.home, self.rules.books)
         self.word_due, self.told_at, self.told_held = False, now, held
         self.host.tell(now, word_cell(self.name), encode(word), (toward,) if toward else ())
 
@@ -519,6 +519,13 @@
             self.host.urge(self)
         return new
 
+    def other_home(self) -> tuple[str, str] | None:
+        """A member that lives and whose file names another home for the same books, and that home."""
+        words, rules = self.words, self.rules
+        return next(((m, words[m].home) for m in self.host.alive()
+                     if m in words and words[m].home not in ("", rules.home) and words[m].books == rules.books
+                     ), None)
+
     def entered(self, id: str) -> bool:
         account = self.account
         return id in account.ids and id not in account.fresh and id not in account.ids_writing
--- a/rainspindle/program/fleet/wallet.py
+++ b/rainspindle/program/fleet/wallet.py
@@ -9,6 +9,7 @@
 import re
 import secrets
 import socket
+import time
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from pathlib import Path
 from typing import Any
@@ -25,7 +26,7 @@
 from ...protocol.wallet import UnreadableWord
 from ...routing.core import Taker
 from ...routing.wallet import Purse, WalletGate
-from ...store.kept import Done, Found, Kept
+from ...store.kept import MOST_WAIT, Done, Found, Kept
 from ...transport.loop import Coroutine
 from ..config import Config
 from ..tables import shape
@@ -402,20 +403,6 @@
             wallet.put_away(now)
         self.begin_batch(now)
 
-    def flush(self, now: float) -> None:
-        """The last that is written."""
-        if self.found is not None and not self.handed_on:
-            if self.batch:  # it goes before, by the order of the queue
-                for wallet in self.batch:
-                    wallet.account.failed()
-                    self.unsaved.add(wallet)
-                self.batch = []
-            self.again_at = -math.inf
-            while self.unsaved:
-                self.begin_batch(now)
-                self.batch = []
-        self.store.close()
-
     # Time.
 
     def urge(self, wallet: Wallet) -> None:
@@ -498,6 +485,9 @@
                 f"ids of earlier top-ups of {wallet.name} in the books {books!r} may be forgotten here",
                 "find out which payments have come in, then name new books for this wallet in the file")
         key = f"{books}/{id}"
+        if (other := wallet.other_home()) is not None:
+            raise WalletTrouble(f"the file of {other[0]} names {other[1]} as the home of {wallet.name}",
+                                "give all members the same home and books: an id could come in twice")
         known = wallet.account.ids.get(key)
         if known is not None and known != int(amount):
             raise WalletTrouble(f"the id {id!r} has come in already, with {known} units",
@@ -575,14 +565,25 @@
                 wallet.leave(now)
 
     def close(self) -> None:
+        """Writes the last rows, for a second at most; their words are in the cells then, to be told."""
         if self.closed:
             return
         self.closed = True
+        now = self.loop.now()
+        until, self.again_at = now + MOST_WAIT, -math.inf
         for wallet in self.wallets.values():
-            if wallet.loaded and wallet.account.free:
-                wallet.account.put_back(wallet.account.free)
+            if wallet.loaded and wallet.leaving:
+                wallet.hand_back(now, last=True)
+            if wallet.account.put_back(wallet.account.free) or wallet.account.dirty:
                 self.unsaved.add(wallet)
-        self.flush(self.loop.now())
+        while now < until and self.found is not None and not self.handed_on and (self.batch or self.unsaved):
+            self.begin_batch(now)
+            while not self.store.results and self.loop.now() < until:
+                time.sleep(0.001)
+            now = self.loop.now()
+            while self.store.results:
+                self.take(now, self.store.results.popleft())
+        self.store.close()
         self.loop.unwatch(self.told.fileno())
         self.told.close()
         self.teller.close()
--- a/rainspindle/protocol/wallet.py
+++ b/rainspindle/protocol/wallet.py
@@ -37,6 +37,8 @@
     paused: float = 0.0  # seconds, 0 where it is not
     unsure: bool = False  # it asks whether anybody knows a later row of its account
     life: int = 0
+    home: str = ""  # by its file
+    books: str = ""
 
 
 class Pair(msgspec.Struct, array_like=True, frozen=True):
--- a/rainspindle/store/kept.py
+++ b/rainspindle/store/kept.py
@@ -16,6 +16,7 @@
 import fcntl
 import os
 import queue
+import secrets
 import sqlite3
 import threading
 import time
@@ -112,7 +113,7 @@
             try:
                 self.tell(Done(found=self.open()))
                 break
-            except (Trouble, OSError, sqlite3.Error) as fault:
+            except Exception as fault:  # also what a file that was tampered with brings about
                 self.shut()
                 if str(fault) != told:
                     told = str(fault)
@@ -132,7 +133,7 @@
             try:
                 self.put(job.rows)
                 self.tell(Done(batch=job.batch))
-            except (OSError, sqlite3.Error) as fault:
+            except Exception as fault:
                 with contextlib.suppress(sqlite3.Error):
                     self.database.rollback()
                 self.tell(Done(trouble=self.trouble(fault), batch=job.batch))
@@ -187,7 +188,10 @@
             self.mark()
         self.last = os.open(f"{self.base}.last", os.O_RDWR | os.O_CLOEXEC)
         rows = {str(key): bytes(value) for key, value in database.execute("SELECT key, value FROM rows")}
-        boot = Path("/proc/sys/kernel/random/boot_id").read_text().strip().replace("-", "")
+        try:
+            boot = Path("/proc/sys/kernel/random/boot_id").read_text().strip().replace("-", "")
+        except OSError:  # each start counts as one of the machine then
+            boot = secrets.token_hex(16)
         volume = os.fstat(self.last).st_dev
         return Found(rows, fresh, not why, "" if fresh else why,
                      (int(boot[:14], 16) ^ volume * 0x9E3779B1) & ((1 << 62) - 1))
--- a/tests/test_wallet.py
+++ b/tests/test_wallet.py
@@ -798,3 +798,14 @@
     assert len(words.pair_cell("w" * 40, "m" * 1000)) <= 100
     assert words.short("m" * 1000) != words.short("m" * 999)
     assert math.isfinite(word.rate) and isinstance(sqlite3.sqlite_version, str)
+
+
+def test_two_files_that_name_two_homes_take_no_top_up(seats: Callable[..., Table]) -> None:
+    t = seats("ab")
+    t.top_up("a", "p1", 10)
+    t.seats["b"].run.reload(time.monotonic(), [table(home="b", books="2")])
+    t.seats["b"].run.reload(time.monotonic(), [table(home="b", books="1")])
+    t.until(lambda: t.seats["a"].run.wallets["north"].other_home())
+    for name in "ab":
+        with pytest.raises(WalletTrouble, match="as the home of north"):
+            t.seats[name].call("POST", "wallets", "north", "top-up", id="p2", amount="10")
