--- a/rainspindle/decisions/wallet/wallet.py
+++ b/rainspindle/decisions/wallet/wallet.py
@@ -29,14 +29,15 @@
 )
 from .account import Holding, Row, Trust, Who
 
-RATE_TIME = 0.5  # seconds over which the rate of spending is smoothed
+RATE_TIME, SLOW_TIME = 0.5, 10.0  # seconds over which the rate of spending is smoothed: to ask, and to keep
 LOOK = 0.1  # seconds between looks at a wallet that is in use
 AHEAD, AHEAD_LOW = 0.5, 0.25  # seconds of spending that are written ahead, and at which more is
 IDLE = 3.0  # seconds without an exchange after which what is written ahead is put back
 PATIENCE = 0.4  # seconds that an ask has for its answer, before another member is asked
 AGAIN, AGAIN_SOON = 1.0, 0.3  # seconds after a round of asks in vain; where somebody is known to have some
 SOON = 1.0  # seconds of spending left at which others than the home are asked too
-CALM = 5.0  # seconds between asks of one that has enough for now
+CALM = 5.0  # seconds between asks of one that has enough for now, and for which one must have too much
+MUCH = 2.0  # times what it keeps, which is too much
 WORD, WORD_CLOSE = 1.0, 0.2  # seconds between words of what is held, and where it is little
 TINY = 1e-3  # units a second that are none
 EAGER_PART = 16  # a member without traffic gets at most so small a part of the giver's rights
@@ -86,7 +87,8 @@
         self.told_pairs: dict[str, tuple[object, ...]] = {}
         self.answered: dict[str, int] = {}  # asks of others, by number
         self.pairs_due: set[str] = set()
-        self.rate = self.binding_rate = 0.0
+        self.rate = self.binding_rate = self.slow = 0.0
+        self.rich_since = math.inf
         self.demand = self.binding_demand = 0
         self.ticked = self.spent_at = now
         self.floor = 0  # of `held`, under which only binding exchanges are taken
@@ -379,6 +381,7 @@
                 self.floor_from_here()
             self.pauses(now, wanted)
             self.seek(now, rate)
+            self.give_up(now)
         self.refused_before = self.refused
         if account.dirty:
             self.host.save(self)
@@ -387,7 +390,7 @@
                 or self.leaving)
         if busy:
             return now + LOOK
-        return now + IDLE if account.free > rules.piece or self.want else math.inf
+        return now + IDLE if account.free > rules.piece or self.want or self.slow else math.inf
 
     def rates(self, now: float) -> None:
         dt = now - self.ticked
@@ -396,6 +399,9 @@
         part = 1 - math.exp(-dt / RATE_TIME)
         self.rate += (self.demand / dt - self.rate) * part
         self.binding_rate += (self.binding_demand / dt - self.binding_rate) * part
+        self.slow += (self.demand / dt - self.slow) * (1 - math.exp(-dt / SLOW_TIME))
+        if self.slow < TINY:
+            self.slow = 0.0
         if self.rate < TINY:
             self.rate = self.binding_rate = 0.0
         self.demand = self.binding_demand = 0
@@ -475,6 +481,21 @@
             self.want, self.of, self.word_due = 0, "", True
             self.tried.clear()
 
+    def give_up(self, now: float) -> None:
+        """What is far more than is kept goes to the home: it would be lost with this member's folder."""
+        rules, account = self.rules, self.account
+        keep = math.ceil(max(self.slow, self.rate) * rules.alone) + rules.piece
+        if self.own == rules.home or account.rights + account.free <= MUCH * keep:
+            self.rich_since = math.inf
+            return
+        self.slow = max(self.slow, 2 * TINY)  # it is looked at again
+        self.rich_since = min(self.rich_since, now)
+        home = self.words.get(rules.home)
+        if now - self.rich_since < CALM or home is None or rules.home not in self.host.alive():
+            return
+        if account.give((rules.home, home.account), account.rights + account.free - keep):
+            self.pairs_due.add(rules.home)
+
     def hand_back(self, now: float, last: bool = False) -> None:
         """What is not needed for what still comes in goes to the home, or to the one that holds most."""
         account = self.account
--- a/rainspindle/lab/walletfigures.py
+++ b/rainspindle/lab/walletfigures.py
@@ -114,7 +114,7 @@
 
 
 def in_a_cut(count: int, balance: int, alone: float) -> tuple[list[float], list[float]]:
-    """Part of the balance that two halves spend in a cut that comes after ten seconds and stays, over the time
+    """Part of the balance that two halves spend in a cut after ten seconds that stays, over the time
     that all of it would have lasted without; and seconds until the half without the home pauses."""
     parts, lasted = list[float](), list[float]()
     for seed in SEEDS:
--- a/tests/test_wallet.py
+++ b/tests/test_wallet.py
@@ -143,14 +143,14 @@
 
 def test_all_traffic_moves_to_one_sidecar_in_a_second() -> None:
     day = WalletDay(10, 5)
-    day.top_up("a", 20_000)
+    day.top_up("a", 21_000)
     for name in day.names:
         day.traffic(name, 50.0, 20.0)
     day.run(20.0)
     refused = day.members["m07"].wallet.refused
     day.traffic("m07", 500.0, 40.0)
     day.run(20.0)
-    assert day.executed > 19_000 and day.members["m07"].wallet.refused - refused < 100
+    assert day.executed > 19_500 and day.members["m07"].wallet.refused - refused < 100
 
 
 def test_halves_do_not_ask_in_circles() -> None:
@@ -608,7 +608,7 @@
         seats: Callable[..., Table]) -> None:
     t = seats("ab", table(piece=5))
     t.top_up("a", "p1", 100)
-    done = spend(t, "b", 5)
+    done = spend(t, "b", 5, pace=0.05)
     call = {"member": "b", "life": "2"}
     with pytest.raises(WalletTrouble, match="lives") as refused:
         t.seats["a"].call("POST", "wallets", "north", "write-off", **call)
@@ -809,3 +809,14 @@
     for name in "ab":
         with pytest.raises(WalletTrouble, match="as the home of north"):
             t.seats[name].call("POST", "wallets", "north", "top-up", id="p2", amount="10")
+
+
+def test_what_a_member_does_not_need_any_more_goes_back_to_the_home() -> None:
+    day = WalletDay(3, 1)
+    day.top_up("a", 10_000)
+    day.traffic("m01", 50.0, 5.0)
+    day.run(5.0)
+    assert day.members["m01"].wallet.account.held > 500
+    day.run(60.0)
+    assert day.members["m01"].wallet.account.held <= 2 * day.rules.piece + 1
+    assert day.held() == day.topped - day.executed
