--- a/tests/wallets.py
+++ b/rainspindle/lab/wallettable.py
@@ -2,37 +2,22 @@
 
 from __future__ import annotations
 
-import logging
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, TypeVar
 
-import pytest
-
-from rainspindle.decisions.members.members import Member, Standing
-from rainspindle.decisions.shared.cells import Cells
-from rainspindle.program.config import Config, check
-from rainspindle.program.fleet.ground import Answer, Ground
-from rainspindle.program.fleet.wallet import NotReady, WalletRun
-from rainspindle.routing.core import Final, Finished, Given, Taker
-from rainspindle.transport.loop import Coroutine, Loop
-
-from .fleet import SETTINGS
+from ..decisions.members.members import Member, Standing
+from ..decisions.shared.cells import Cells
+from ..program.config import Config
+from ..program.fleet.ground import Answer, Ground
+from ..program.fleet.wallet import NotReady, WalletRun
+from ..routing.core import Final, Finished, Given, Taker
+from ..transport.loop import Coroutine, Loop
 
 T = TypeVar("T")
 PATIENCE = 20.0
-TENANTS = {**SETTINGS, "tenants": [{"allowance-per-s": 100.0}, {"allowance-per-s": 100.0}]}
-
-
-def configured(name: str = "a") -> Config:
-    return check("x", {"name": name, "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9",
-                       "settings": TENANTS})
-
-
-def table(**changes: Any) -> dict[str, Any]:
-    return {"name": "north", "home": "a", "tenant": 0, **changes}
 
 
 @dataclass(slots=True)
@@ -61,7 +46,7 @@
     def __init__(self, table: Table, name: str, life: int, tables: list[dict[str, Any]]) -> None:
         self.table, self.own_name, self.own_life = table, name, life
         self.cells, self.down, self.inner = Cells(name, life), False, Inner()
-        ground = Ground(table.loop, configured(name), self, self.cells, table.folders[name])
+        ground = Ground(table.loop, table.config, self, self.cells, table.folders[name])
         self.run = WalletRun(ground, tables)
         self.taker: Taker = self.run.taker(self.inner)
 
@@ -101,11 +86,11 @@
 
 
 class Table:
-    def __init__(self, folder: Path, names: str, tables: list[dict[str, Any]] | None = None) -> None:
+    def __init__(self, folder: Path, names: str, config: Config, tables: list[dict[str, Any]]) -> None:
         self.faults: list[BaseException] = []
         self.loop = Loop(self.faults.append)
         self.folders = {name: folder / name for name in names}
-        self.tables = tables if tables is not None else [table()]
+        self.config, self.tables = config, tables
         self.side: dict[str, int] = {}
         self.seats: dict[str, Seat] = {}
         self.loop.spawn(self.pump())
@@ -182,12 +167,3 @@
         for seat in self.seats.values():
             if not seat.down:
                 seat.run.close()
-
-
-@pytest.fixture
-def logged(caplog: pytest.LogCaptureFixture) -> Callable[[str], int]:
-    caplog.set_level(logging.INFO, "rainspindle")
-
-    def count(text: str) -> int:
-        return sum(text in record.getMessage() for record in caplog.records)
-    return count
--- a/tests/test_wallet.py
+++ b/tests/test_wallet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import math
 import os
 import shutil
@@ -20,6 +21,8 @@
 from rainspindle.lab import walletcheck as wc
 from rainspindle.lab.walletcheck import Checker, Size
 from rainspindle.lab.walletday import WalletDay
+from rainspindle.lab.wallettable import Table
+from rainspindle.program.config import check
 from rainspindle.program.fleet import wallet as program
 from rainspindle.program.fleet.wallet import NotHome, WalletTrouble, unfit
 from rainspindle.protocol import wallet as words
@@ -27,8 +30,23 @@
 from rainspindle.routing.core import Final, Finished, Left, Rejected, Terminated
 from rainspindle.store.kept import Done, Found, Kept, StoreForeign
 
-from .wallets import Table, configured, table
-from .wallets import logged as logged
+from .fleet import SETTINGS
+
+TENANTS = {**SETTINGS, "tenants": [{"allowance-per-s": 100.0}, {"allowance-per-s": 100.0}]}
+CONFIG = check("x", {"name": "a", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "settings": TENANTS})
+
+
+def table(**changes: Any) -> dict[str, Any]:
+    return {"name": "north", "home": "a", "tenant": 0, **changes}
+
+
+@pytest.fixture
+def logged(caplog: pytest.LogCaptureFixture) -> Callable[[str], int]:
+    caplog.set_level(logging.INFO, "rainspindle")
+
+    def count(text: str) -> int:
+        return sum(text in record.getMessage() for record in caplog.records)
+    return count
 
 # Rights, exhaustively.
 
@@ -448,7 +466,7 @@
     tables: list[Table] = []
 
     def make(names: str = "abc", *given: dict[str, Any]) -> Table:
-        tables.append(Table(tmp_path, names, list(given) or None))
+        tables.append(Table(tmp_path, names, CONFIG, list(given) or [table()]))
         return tables[-1]
     yield make
     for one in tables:
@@ -709,7 +727,7 @@
         folder = tmp_path / str(count)
         tables = [table(name=f"w{n}", tenant=None if n else 0, match=[] if not n else ["look"])
                   for n in range(count)]
-        t = Table(folder, "a", tables)
+        t = Table(folder, "a", CONFIG, tables)
         purse = t.seats["a"].run.purses[0, 0]
         t.top_up("a", "p1", 10 ** 6, "w0")
         t.until(lambda: purse.wallet.account.free)
@@ -730,7 +748,7 @@
 
 
 def faults(*tables: Any, folder: Path | None = Path("/x")) -> list[str]:
-    return list(unfit(list(tables), configured(), folder))
+    return list(unfit(list(tables), CONFIG, folder))
 
 
 def test_every_fault_of_the_file_is_named_with_its_path() -> None:
@@ -748,7 +766,7 @@
                  "wallet[6].reserve"):
         assert part in found, part
     assert "wallet[0].rejoin" in faults(table(rejoin="ask"))[0]
-    assert list(unfit({}, configured(), None)) == ["wallet: expected a list of tables, [[wallet]]"]
+    assert list(unfit({}, CONFIG, None)) == ["wallet: expected a list of tables, [[wallet]]"]
 
 
 def test_bad_calls_are_told_what_to_do(seats: Callable[..., Table]) -> None:
--- /dev/null
+++ b/tests/test_wallet_processes.py
@@ -0,0 +1,132 @@
+"""Wallets as operators run them: real processes under faults, audited from outside by what was executed."""
+
+from __future__ import annotations
+
+import shutil
+import time
+from pathlib import Path
+
+import pytest
+
+from rainspindle.lab.fleet.processes import Fleet, NotInTime, Reply, wait_until
+from rainspindle.lab.fleet.schedule import Split, Weather
+from rainspindle.lab.fleet.wallets import PIECE, RATE, rig, settings
+
+pytestmark = pytest.mark.timeout(120)
+
+# Units that a crash may lose: a piece, and three quarters of a second's traffic, which may be three times the
+# usual while others are away.
+LOST = PIECE + 0.75 * RATE * 3
+
+
+def test_all_is_spent_then_all_pause_and_a_top_up_wakes_them(tmp_path: Path) -> None:
+    with rig(tmp_path) as r:
+        r.top_up("one", 400)
+        assert r.spend_all(20.0) <= 4
+        wait_until(lambda: all(r.shown(n)["state"] == "paused" for n in r.fleet.sidecars), 3.0, "all paused")
+        refused: Reply = r.fleet["b"].call("POST", "/-/wallets/north/top-up?id=two&amount=5")
+        assert refused.status == 409 and "console of a" in refused.text
+        since = time.monotonic()
+        r.top_up("two", 400)
+        wait_until(lambda: all(r.clients.served(n, since) for n in r.fleet.sidecars), 5.0, "all at work")
+        assert r.spend_all(20.0) <= 4
+
+
+@pytest.mark.parametrize("fault", ["cut", "kill", "kill home", "stall", "restart", "restart home", "loss"])
+def test_nothing_is_overspent_under_a_fault_and_all_is_spent_after_it(tmp_path: Path, fault: str) -> None:
+    with rig(tmp_path) as r:
+        fleet, lost = r.fleet, 4.0
+        who = "a" if fault.endswith("home") else "c"
+        r.top_up("one", 500)
+        r.watch(1.0)
+        if fault == "cut":
+            fleet.network.begin(Split(0.0, (("a", "b"), ("c", "d"))))
+            r.watch(0.5)
+            r.top_up("two", 200)  # on one side
+            on_the_other = fleet["c"].call("POST", "/-/wallets/north/top-up?id=two&amount=200")
+            assert on_the_other.status == 409
+            r.watch(2.5)
+            fleet.network.clear()
+        elif fault == "loss":
+            fleet.network.begin(Weather(loss=0.3, delay=0.01, jitter=0.05, doubled=0.1))
+            r.top_up("two", 200)
+            r.watch(4.0)
+            fleet.network.clear()
+        elif fault.startswith("kill"):
+            lost += 2 * LOST
+            for _ in range(2):  # with a hand-over under way, as all ask all the time
+                fleet[who].kill()
+                r.watch(0.3)
+                r.back(who)
+                r.watch(0.7)
+            r.top_up("two", 200)
+            r.top_up("one", 500)
+        elif fault == "stall":
+            fleet[who].stall()
+            r.watch(4.0)  # long enough to be taken for dead
+            fleet[who].go_on()
+            r.top_up("two", 200)
+        else:
+            fleet.restart(who)
+            r.top_up("two", 200)
+        assert r.spend_all(30.0) <= lost, {n: r.shown(n) for n in fleet.sidecars}
+
+
+def test_a_member_written_off_and_back_hands_what_it_has_to_the_home(tmp_path: Path) -> None:
+    with rig(tmp_path, 3, alone=4.0) as r:
+        fleet = r.fleet
+        r.top_up("one", 900)
+        r.watch(2.0)
+        life = fleet.views("a")["a"]["c"]["life"]
+        call = f"/-/wallets/north/write-off?member=c&life={life}"
+        refused = fleet["a"].call("POST", call)
+        assert refused.status == 409 and "lives" in refused.text
+        fleet["c"].kill()
+        fleet.await_agreed({"c": "dead"}, 15.0, "a", "b")
+        wait_until(lambda: fleet["a"].call("POST", call).status == 200, 5.0, "written off")
+        r.watch(0.5)
+        r.back("c")
+        wait_until(lambda: r.shown("c")["life"] > life, 10.0, "a new account")
+        assert "written off while away" in fleet["c"].logged()
+        assert r.spend_all(30.0) <= LOST
+
+
+def test_a_folder_put_back_from_a_copy_while_others_spend_is_noticed(tmp_path: Path) -> None:
+    with rig(tmp_path, 3, alone=2.0) as r:
+        fleet = r.fleet
+        r.top_up("one", 900)
+        r.watch(1.5)
+        kept = fleet["c"].folder / "kept"
+        shutil.copytree(kept, tmp_path / "copy")
+        r.watch(1.5)
+        fleet["c"].kill()
+        shutil.rmtree(kept)
+        shutil.copytree(tmp_path / "copy", kept)
+        r.back("c")
+        wait_until(lambda: "not the one that was written last" in fleet["c"].logged(), 5.0, "noticed")
+        since = time.monotonic()
+        wait_until(lambda: r.clients.served("c", since), 10.0, "c goes on with what others give it")
+        left = r.spend_all(30.0)
+        assert left <= 2 * 2.0 * RATE + LOST  # what it held is spent by nobody
+
+
+def test_a_successor_takes_the_folder_over_and_clients_are_served_on(tmp_path: Path) -> None:
+    with rig(tmp_path, 2) as r:
+        r.top_up("one", 500)
+        r.watch(1.0)
+        since = time.monotonic()
+        r.fleet.upgrade("b")
+        wait_until(lambda: r.clients.served("b", since) > 5, 10.0, "served on")
+        assert r.spend_all(30.0) <= LOST
+
+
+def test_without_a_folder_check_refuses_wallets_and_says_what_to_do(tmp_path: Path) -> None:
+    with Fleet(tmp_path, "a", 1, {"discovery": "127.0.0.1:9", "settings": settings()},
+               lambda name: {"wallet": [{"name": "north", "home": "a"}]}) as fleet:
+        without = fleet.file("a")
+        del without["members"]["folder"]
+        fleet["a"].write(fleet["a"].config, without)
+        fleet["a"].start()
+        with pytest.raises(NotInTime):
+            fleet.await_ready("a")
+        assert "members.folder: missing; wallets need a folder" in fleet["a"].logged()
