--- a/rainspindle/decisions/canary/canary.py
+++ b/rainspindle/decisions/canary/canary.py
@@ -81,9 +81,11 @@
 
 
 class Canary:
-    TICK, IDLE, LOOK = 0.25, 0.5, 0.5  # seconds
+    TICK, IDLE = 0.25, 0.5  # seconds
+    LOOK, LOOK_EACH = 0.25, 0.001  # seconds between looks at the sums, and more of them a member
     # Counts are told as often as EVERY, and of many members by turns: EACH seconds a member.
     EVERY, EACH, FRESH = 1.0, 0.01, 4.0  # FRESH: times that, or seconds at least
+    HASTE = 0.25  # times that, where an exchange of the new side went bad since
     STALL = 1.5  # seconds between ticks after which this process has been stopped
     SETTLE = 0.3  # seconds after that in which what comes may have lain there meanwhile
     ALONE = 3.0  # seconds after which a sidecar that never knew another goes by its own word
@@ -113,7 +115,7 @@
         self.seen = Seen()
         self.waits: list[str] = []
         self.in_touch_before = self.differs = False
-        self.harmed = 0
+        self.harmed, self.bad_since = 0, False
         self.begin_counts(now)
         if kept is not None:
             self.take_kept(now, kept)
@@ -167,6 +169,7 @@
         if new:
             self.stage_new[kind] += 1
             self.harmed += bad
+            self.bad_since = self.bad_since or bad
 
     def turned(self, now: float, new: bool) -> None:
         """One was turned away by a side with no forward."""
@@ -285,10 +288,10 @@
         members = [m for m in self.host.members() if m.name != self.own]
         self.confirm(now, members)
         if self.active and now >= self.look_at:
-            self.look_at = now + self.LOOK
+            self.look_at = now + max(self.LOOK, self.LOOK_EACH * self.seen.members)
             self.judge(now)
             self.go_on(now)
-        if now - self.told_at >= self.interval:
+        if now - self.told_at >= self.interval * (self.HASTE if self.bad_since else 1.0):
             self.tell(now)
         self.keep_carried(now)
         return now + self.TICK
@@ -435,7 +438,7 @@
 
     def tell(self, now: float) -> None:
         s = self.state
-        self.told_at = now
+        self.told_at, self.bad_since = now, False
         told = Told(counts.VERSION, self.digest, s.run, s.digest, s.epoch, s.stage, s.paused, s.aborted,
                     not self.in_touch(now), stage_new=self.stage_new, harmed=self.harmed)
         self.host.tell_counts(now, counts.encode(told, self.fine, self.coarse, now))
--- a/rainspindle/lab/canary_net.py
+++ b/rainspindle/lab/canary_net.py
@@ -63,10 +63,7 @@
         self.kept = value
 
     def members(self) -> Sequence[Member]:
-        now = self.net.now
-        return [Member(name, NOWHERE, 1, 0, Standing.ALIVE if name == self.name or now - at <= DEAD_AFTER
-                       else Standing.DEAD, at, at)
-                for name, at in {**self.there, self.name: now}.items()]
+        return self.net.seen_by(self)
 
     def log(self, event: str, **fields: object) -> None:
         self.net.logged(self, event, fields)
@@ -88,6 +85,7 @@
 
 class Net:
     STEP, FANOUT, ROOM = 0.1, 2, 64  # seconds; members told at each step; messages that a stopped one holds
+    TOWARD = 50
 
     def __init__(self, seed: int, size: int, terms: Terms, folder: bool = True, alone: bool = False,
                  other_terms: dict[str, Terms] | None = None) -> None:
@@ -110,12 +108,26 @@
         self.events.append((self.now, node.name, event, fields))
 
     def wrote(self, node: Node, name: str) -> None:
-        """Changes go out with the next step."""
+        """Counts go out with the next step; a decision goes to so many members at once."""
+        if not name.endswith("/state") or self.alone:
+            return
+        seen = node.cells.read(node.name, name)
+        assert seen is not None
+        for other in self.random.sample(list(self.nodes.values()), min(self.TOWARD, len(self.nodes))):
+            if other is not node and other.alive and self.passes(node.name, other.name) \
+                    and self.random.random() >= self.loss and len(other.inbox) < self.ROOM:
+                other.inbox.append((self.now + self.random.random() * self.delay, node.name, [seen.cell], {}))
 
     def passes(self, sender: str, to: str) -> bool:
         return self.group.get(sender, 0) == self.group.get(to, 0) and (sender, to) not in self.deaf
 
+    def seen_by(self, node: Node) -> Sequence[Member]:
+        return [Member(name, NOWHERE, 1, 0, Standing.ALIVE if self.now - at <= DEAD_AFTER else Standing.DEAD,
+                       at, at) for name, at in {**node.there, node.name: self.now}.items()]
+
     def gossip(self) -> None:
+        if self.alone:
+            return
         names = list(self.nodes)
         for node in self.nodes.values():
             if not node.runs():
@@ -150,13 +162,16 @@
     decisions alone. What one writes is there within `spread` seconds, and nothing is cut."""
 
     def __init__(self, seed: int, size: int, terms: Terms, judges: int = 12, spread: float = 1.0) -> None:
-        self.judges, self.spread = judges, spread
+        self.spread, self.listening = spread, set[Node]()
+        self.all_there: list[Member] = []
         super().__init__(seed, size, terms)
-        self.listening = list(self.nodes.values())[:judges]
+        self.listening = set(list(self.nodes.values())[:judges])
+        for node in self.nodes.values():
+            if node not in self.listening:
+                node.canary.alone = True  # it hears decisions alone, so it makes none
+                node.canary.look_at, node.canary.CARRIERS = math.inf, 0
 
     def wrote(self, node: Node, name: str) -> None:
-        if not hasattr(self, "listening"):
-            return
         seen = node.cells.read(node.name, name)
         assert seen is not None
         told = self.nodes.values() if name.endswith("/state") else self.listening
@@ -166,9 +181,14 @@
                 other.inbox.append((at, node.name, [seen.cell], {}))
 
     def gossip(self) -> None:
+        self.all_there = [Member(name, NOWHERE, 1, 0, Standing.ALIVE, self.now, self.now)
+                          for name in self.nodes]
         for node in self.nodes.values():
-            node.there = dict.fromkeys(self.nodes, self.now) if node in self.listening else {}
-            node.inbox = deque(sorted(node.inbox, key=lambda message: message[0]))
+            if node.inbox:
+                node.inbox = deque(sorted(node.inbox, key=lambda message: message[0]))
+
+    def seen_by(self, node: Node) -> Sequence[Member]:
+        return self.all_there if node in self.listening else self.all_there[:1]
 
 
 class Traffic:
--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -73,7 +73,8 @@
 
 marks = st.frozensets(st.tuples(st.integers(0, 3), st.binary(min_size=4, max_size=4)), max_size=4)
 states = st.builds(State, st.integers(0, 2), st.sampled_from([b"a", b"b"]), st.integers(0, 2),
-                   st.integers(0, 3), st.booleans(), marks, st.frozensets(st.binary(min_size=4, max_size=4), max_size=3))
+                   st.integers(0, 3), st.booleans(), marks,
+                   st.frozensets(st.binary(min_size=4, max_size=4), max_size=3))
 
 
 @settings(max_examples=300, derandomize=True, deadline=None)
@@ -558,7 +559,8 @@
          "alone-after": 0, "each-effect": -1})]
     told = list(unfit(faulty, pair.config))
     for path in ("canary[0].kind", "canary[0].name", "canary[1]: names", "canary[2].name",
-                 "canary[2].endpoints", "canary[3].setting.traffic-type", "canary[4].setting.value", "canary[5].stages[0].part",
+                 "canary[2].endpoints", "canary[3].setting.traffic-type", "canary[4].setting.value",
+                 "canary[5].stages[0].part",
                  "canary[5].stages[0]:", "canary[6].endpoints", "canary[6].budget", "canary[6].fresh",
                  "canary[6].alone-after", "canary[6].each-effect", "canary[6]: wants 1 s"):
         assert any(line_.startswith(path) for line_ in told), (path, told)
