--- a/rainspindle/decisions/members/swim.py
+++ b/rainspindle/decisions/members/swim.py
@@ -24,7 +24,7 @@
 from .table import Record, Table
 
 LOOK = 0.25  # seconds between two ticks at most, so that a stop of the process is seen
-SOON, AGAIN = 0.02, 0.2  # seconds until news go out; until they are told again
+SOON, AGAIN = 0.02, 0.4  # seconds until news go out; until they are told again
 FANOUT = 3  # members that a news is told at once
 FIRST = 8  # members that a cell may be told first
 PAGES = 6  # datagrams of members that answer one exchange
@@ -123,6 +123,7 @@
         self.greetings = Budget(tuning.greetings, tuning.greetings, now)
         self.words = Budget(tuning.words, tuning.words, now)
         self.lines = Budget(1.0, 20.0, now)
+        self.changes = 0
         self.unsaid = 0  # changes that were not logged one by one
         self.number = chance.randrange(1, 2**32)  # so that no answer to an earlier life fits
         self.probes: dict[int, Probe] = {}
@@ -131,7 +132,7 @@
         self.greeted_last: dict[str, float] = {}
         self.suspects: dict[str, Record] = {}
         self.round: list[str] = []
-        self.last = now
+        self.last = self.last_heard = now
         self.next_probe = now + chance.random() * tuning.period
         self.next_whole = self.next_far = now
         self.next_sums = now + chance.random() * tuning.sums
@@ -259,7 +260,7 @@
         if not record.is_new(message.number):
             self.counts.replayed += 1
             return None
-        record.direct = record.heard = now
+        record.direct = record.heard = self.last_heard = now
         if message.incarnation > record.incarnation:
             self.hear(now, wire.News(message.sender, message.address, message.life, message.incarnation,
                                      wire.ALIVE), message.sender)
@@ -285,7 +286,7 @@
         self.post(message.address, data)
 
     def heard(self, now: float, message: wire.Message, record: Record) -> None:
-        whole = message.kind in (wire.STATE, wire.STATES)
+        whole, before = message.kind in (wire.STATE, wire.STATES), self.changes
         for news in message.members:
             self.hear(now, news, record.name, whole)
         spread = self.spread
@@ -318,7 +319,7 @@
         elif kind == wire.STATES:
             if message.marks:
                 self.send_whole(now, record, message.marks, wire.NEWS)
-            if message.members:
+            if self.changes - before > 2:
                 self.next_whole = min(self.next_whole, now + (0.3 if self.young(now) else 1.0))
         elif kind == wire.WORD and record.living and message.word:
             self.on_word(now, record.name, message.word)
@@ -348,10 +349,15 @@
             record = self.table.records.get(probe.target)
             if record is not None and record.life == probe.life:
                 record.heard = now
+                if record.suspicion is not None and self.tuning.lifeguard:
+                    # It lives, by whatever path; that it has refuted the suspicion may still be on its way.
+                    record.suspicion.own, record.suspicion.since, record.suspicion.words = False, now, 0
             return
         relay = self.relays.pop(message.echo, None)
         if relay is not None and self.answers.take(now):
-            self.post(relay.asker, self.compose(now, wire.ACK, echo=relay.echo))
+            record = self.table.records.get(message.sender)
+            news = [self.raw(now, record)] if record is not None else []
+            self.post(relay.asker, self.compose(now, wire.ACK, echo=relay.echo, news=news))
 
     def asked(self, now: float, message: wire.Message, asker: Record) -> None:
         if not message.at or not message.target or len(self.relays) >= KEPT or not self.answers.take(now):
@@ -490,8 +496,8 @@
     def failed(self, now: float, probe: Probe) -> None:
         """No answer, neither directly nor through others."""
         self.forget_probe(probe)
-        if probe.helpers and not probe.nacks:
-            self.health.worse()  # not even those who were asked could be heard
+        if probe.helpers and not probe.nacks and now - self.last_heard > self.tuning.period:
+            self.health.worse()  # neither those who were asked could be heard, nor anybody else
         record = self.table.records.get(probe.target)
         if (record is None or record.life != probe.life or not record.living or now < self.doubt_until
                 or record.direct > now - self.tuning.indirect):
@@ -694,6 +700,7 @@
             self.news.add(record.name)
             self.gossip_at = min(self.gossip_at, now + SOON)
             self.note(now, "member came", record)
+        self.changes += 1
         self.host.changed(None, record.member())
         if news.standing == wire.SUSPECT:
             self.suspect(now, record, news.incarnation, news.by or "?")
@@ -728,6 +735,7 @@
             self.note(now, "member began anew", record)
         elif (after.standing in SAID and before.standing is not Standing.SUSPECT) or not record.living:
             self.note(now, SAID[after.standing], record)
+        self.changes += 1
         self.host.changed(before, after)
 
     def suspect(self, now: float, record: Record, incarnation: int, by: str, own: bool = False) -> None:
@@ -780,7 +788,7 @@
                     self.send(now, record, wire.NEWS, free=True)
         fresh = self.news.untold or (spread is not None and spread.queue.untold)
         level = self.will.look(now)
-        fan = FANOUT if fresh and level > 12.0 else 2 if level > 8.0 else 1
+        fan = FANOUT if fresh and level > 12.0 else 2 if fresh and level > 8.0 else 1
         for record in self.sample(fan):
             if not self.waiting:
                 break
--- a/rainspindle/decisions/members/table.py
+++ b/rainspindle/decisions/members/table.py
@@ -103,9 +103,9 @@
         self.there = None
 
     def stand(self, record: Record) -> None:
-        """After any change of a record."""
+        """After any change of a record. Incarnations of the living are left out: they pass by news alone."""
         rank = record.standing if record.standing > wire.SUSPECT else wire.ALIVE
-        what = f"{record.name}\0{record.life}\0{record.incarnation}\0{rank}".encode()
+        what = f"{record.name}\0{record.life}\0{rank}".encode()
         mark = int.from_bytes(hashlib.blake2b(what, digest_size=wire.MARK).digest(), "big")
         self.sums[bucket_of(record.name)] ^= mark ^ record.mark
         record.mark = mark
