--- a/rainspindle/decisions/operation/left_out.py
+++ b/rainspindle/decisions/operation/left_out.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from ...host import State
 from ...logic import Balancer
+from ...values import replace
 
 
 def disable(balancer: Balancer, now: float, id: str) -> None:
--- a/rainspindle/decisions/operation/orders.py
+++ b/rainspindle/decisions/operation/orders.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Any
 
+from ...values import dataclass
+
 MOST_IDS, LONGEST_ID = 8192, 256
 DRAIN = ""  # the matter of the sidecar itself; no endpoint has this name
 
--- a/rainspindle/fronts/http1/back.py
+++ b/rainspindle/fronts/http1/back.py
@@ -4,7 +4,6 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from ...host import Outcome
 from ...protocol.application import MOST_BODY, Ask, going_on
@@ -16,6 +15,7 @@
 from ...transport.connection import Broken, Connection, Late, OutOfSockets, Unwanted
 from ...transport.loop import Coroutine, Loop
 from ...transport.pool import Peer, Pool
+from ...values import dataclass
 from .stream import SILENCE, Carried, ClientLost, Streams, bound
 
 HOLD = 0.03  # seconds for which an answer of unknown length may become whole, so that another may replace it
--- a/rainspindle/host.py
+++ b/rainspindle/host.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
 
+from .values import dataclass
+
 
 class Effect(Enum):
     RETRIABLE = "retriable"
--- a/rainspindle/lab/sockets/sidecar.py
+++ b/rainspindle/lab/sockets/sidecar.py
@@ -4,12 +4,12 @@
 
 import os
 import sys
-from dataclasses import dataclass, fields
 
 from ...program import logs
 from ...program.config import Config, load
 from ...program.serve import Sidecar
 from ...routing.facade import Facade
+from ...values import dataclass, fields
 from ..decide import maker
 from ..experiment import Variant
 
@@ -28,7 +28,7 @@
 
     def read() -> Config:
         config = load(None, os.environ)
-        return BaselineConfig(**{f.name: getattr(config, f.name) for f in fields(Config)}, policy=sys.argv[1])
+        return BaselineConfig(**{name: getattr(config, name) for name in fields(Config)}, policy=sys.argv[1])
     Sidecar(read(), read).run()
     return 0
 
--- a/rainspindle/lab/world.py
+++ b/rainspindle/lab/world.py
@@ -7,12 +7,13 @@
 
 import zlib
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Any
 
 import numpy as np
 
 from ..host import Listed, State
+from ..values import replace
 from .experiment import AT_ENDPOINTS, AT_SIDECARS, Experiment, Fault, Variant
 from .models.clients import Operation, schedule
 from .models.endpoint import EndpointModel
--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -5,15 +5,15 @@
 
 import math
 import zlib
+from _blake2 import blake2b  # hashlib's; with hashlib a start would read all of OpenSSL
 from collections import Counter, deque
 from collections.abc import Callable, Collection
-from dataclasses import dataclass, field, replace
-from hashlib import blake2b
 from typing import Generic, TypeVar
 
 from .histogram import Histogram
 from .host import Effect, Facts, Group, Host, Listed, Outcome, State, TrafficType
 from .pool import Pool
+from .values import dataclass, field, replace
 
 NEVER_RAN = (Outcome.FULL, Outcome.UNCONNECTED, Outcome.UNSENT)
 Place = TypeVar("Place")  # what a key may be sent to: an endpoint here, a site where sites are chosen
--- a/rainspindle/program/config.py
+++ b/rainspindle/program/config.py
@@ -5,7 +5,6 @@
 import os
 import time
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Any
 
 import orjson
@@ -15,6 +14,7 @@
 from ..protocol.settings import SocketSettings, asks_list, flag, make_balancer, socket_settings
 from ..routing.facade import Facade
 from ..transport.address import Address, parse_address
+from ..values import dataclass
 
 DEAF = "messages are allowed, but no peers are named: this sidecar goes by its own exchanges alone"
 
--- a/rainspindle/program/mysql_config.py
+++ b/rainspindle/program/mysql_config.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -11,6 +11,7 @@
 
 from ..decisions.statements.statements import Rule
 from ..transport.address import Address, parse_address
+from ..values import replace
 from .config import Config, ConfigFault, load
 from .tables import read_secret, read_toml, shape
 
--- a/rainspindle/protocol/application.py
+++ b/rainspindle/protocol/application.py
@@ -4,10 +4,10 @@
 
 import contextlib
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
 
 import h11
 
+from ..values import dataclass
 from . import plain
 
 MOST_BODY = 64 * 1024  # over this a body goes on piece by piece, where it may
--- a/rainspindle/protocol/client.py
+++ b/rainspindle/protocol/client.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 import h11
 
+from ..values import dataclass
 from . import plain
 
 Headers = Iterable[tuple[bytes, bytes]]
--- a/rainspindle/protocol/console.py
+++ b/rainspindle/protocol/console.py
@@ -4,12 +4,11 @@
 
 import contextlib
 import re
-from dataclasses import dataclass
 from enum import Enum
-from urllib.parse import unquote
 
 import h11
 
+from ..values import dataclass
 from . import plain
 
 MOST_HEAD, MOST_BODY = 4096, 4096
@@ -93,6 +92,7 @@
     found = PATHS.get(path)
     endpoint = ENDPOINT.fullmatch(path)
     if endpoint is not None:
+        from urllib.parse import unquote  # here, as a start need not pay for it
         try:
             id = unquote(endpoint[1], errors="strict")
         except UnicodeDecodeError:
--- a/rainspindle/protocol/discovery.py
+++ b/rainspindle/protocol/discovery.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import Any
 
 import orjson
 
 from ..host import Listed, State
 from ..transport.address import Address, parse_address
+from ..values import dataclass
 from .client import Call, Unreadable
 
 MOST_LIST = 4 * 1024 * 1024
--- a/rainspindle/protocol/endpoint.py
+++ b/rainspindle/protocol/endpoint.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 from ..host import Outcome
+from ..values import dataclass
 from .application import MOST_BODY, MOST_STREAM, Ask, going_on
 from .client import Call, Reply
 
--- a/rainspindle/protocol/peers.py
+++ b/rainspindle/protocol/peers.py
@@ -4,10 +4,10 @@
 
 from base64 import b64decode, b64encode
 from collections.abc import Sequence
-from dataclasses import dataclass
 
 from ..host import Facts
 from ..pool import Pool
+from ..values import dataclass
 
 MOST, MARK = 256, 4  # bytes; characters for a mark
 # The first character tells the form, and with it the release: one that changes a form takes other characters.
--- a/rainspindle/protocol/settings.py
+++ b/rainspindle/protocol/settings.py
@@ -4,11 +4,11 @@
 
 import math
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import Any
 
 from ..host import Effect, Group, Host, TrafficType
 from ..logic import Balancer, ColdBudget, ForwardBudget
+from ..values import dataclass
 
 EFFECTS = {
     "read_like": Effect.RETRIABLE,
--- a/rainspindle/routing/core.py
+++ b/rainspindle/routing/core.py
@@ -9,7 +9,6 @@
 import math
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 from ..host import Listed, Outcome, State
@@ -18,6 +17,7 @@
 from ..protocol.settings import SocketSettings
 from ..transport.address import Address
 from ..transport.loop import Coroutine, Loop, Task
+from ..values import dataclass, field
 from .facade import Did, Facade, Reject, SendThere, Step, Terminate
 
 ANSWER_TIME, ANSWER_PART = 0.015, 0.05  # kept back before the expiry to write the answer, the smaller one
--- a/rainspindle/routing/facade.py
+++ b/rainspindle/routing/facade.py
@@ -10,7 +10,6 @@
 import logging
 import math
 from collections.abc import Callable, Collection, Sequence, Sized
-from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 from ..decisions.operation import learnt, left_out
@@ -18,6 +17,7 @@
 from ..logic import Balancer
 from ..must import must
 from ..protocol import peers
+from ..values import dataclass, field
 
 log = logging.getLogger("rainspindle.decisions")
 
--- a/rainspindle/store/file.py
+++ b/rainspindle/store/file.py
@@ -7,7 +7,8 @@
 import stat
 import struct
 import zlib
-from dataclasses import dataclass
+
+from ..values import dataclass
 
 MAGIC = b"rainspin"
 HEADER = struct.Struct(">8sHIQI")  # magic, version, kind, length, checksum of all before it and the payload
--- a/rainspindle/transport/address.py
+++ b/rainspindle/transport/address.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import ipaddress
+import socket
 
 Address = tuple[str, int]
 
@@ -17,7 +17,13 @@
     host = host.removeprefix("[").removesuffix("]")
     if not port.isdecimal() or not 0 <= int(port) < 65536:
         raise ValueError(f"not an address: {text!r}")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
     try:
-        return str(ipaddress.ip_address(host)), int(port)  # as a socket tells its peer's
+        return socket.inet_ntop(family, socket.inet_pton(family, host)), int(port)  # as it tells its peer's
+    except (OSError, ValueError):
+        pass
+    import ipaddress  # here, as a start need not pay for it: it also reads addresses with a zone
+    try:
+        return str(ipaddress.ip_address(host)), int(port)
     except ValueError:
         raise ValueError(f"not a numeric address: {text!r}") from None
