--- a/rainspindle/program/fleet/canary.py
+++ b/rainspindle/program/fleet/canary.py
@@ -7,7 +7,6 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Iterator, Mapping, Sequence
-from dataclasses import replace
 from functools import partial
 from typing import Any
 
@@ -24,6 +23,7 @@
 from ...routing.core import Back, Directory, Taker
 from ...store.file import Missing, StoredFile, Unfit
 from ...transport.loop import Loop
+from ...values import replace
 from ..config import Config
 from .ground import Answer, Ground
 
--- a/rainspindle/routing/canary.py
+++ b/rainspindle/routing/canary.py
@@ -8,7 +8,7 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from hashlib import blake2b
 
 from ..decisions.canary.canary import Canary
@@ -19,6 +19,7 @@
 from ..protocol.settings import SocketSettings
 from ..transport.address import Address
 from ..transport.loop import Coroutine, Loop
+from ..values import replace
 from .core import Back, Core, Directory, Final, Finished, Given, Left, Rejected, nothing
 from .facade import Decisions, Did, Facade
 
