--- a/rainspindle/program/fleet/run.py
+++ b/rainspindle/program/fleet/run.py
@@ -111,7 +111,8 @@
             new = self.load(config)
         except ConfigFault as fault:
             for line in str(fault).splitlines():
-                log.error("fleet file refused, the old one stays", extra={"fields": {"why": line}})
+                log.error("fleet file refused, the old one stays",
+                          extra={"fields": {"why": line, "remedy": fault.remedy}})
             return
         now, later = self.loop.now(), self.members.reload(new.file.members)
         later += self.canaries.reload(now, new.file.canary)
--- a/rainspindle/program/main.py
+++ b/rainspindle/program/main.py
@@ -11,7 +11,7 @@
 from .. import __version__
 from ..errors import Trouble
 from . import logs
-from .config import DEAF, Config, ConfigFault, load
+from .config import DEAF, Config, ConfigFault, Uninstalled, Unserved, load
 from .serve import Sidecar
 
 
@@ -65,7 +65,7 @@
     try:
         from ..lab import command
     except ImportError as fault:
-        raise ConfigFault(f"the lab needs the libraries of requirements-lab.txt: {fault}") from None
+        raise Uninstalled(f"the lab needs the libraries of requirements-lab.txt: {fault}") from None
     return command
 
 
@@ -74,8 +74,7 @@
     try:
         lab = the_lab(arguments)
     except ConfigFault as fault:
-        print(f"rainspindle: {fault}", file=sys.stderr)
-        return 2
+        return refused(fault)
     options = parser(lab).parse_args(arguments)
     if options.command == "lab":
         return int(lab.main(options))
@@ -103,21 +102,28 @@
             return 0
         logs.set_up(options.log_level)
         sidecar = Sidecar(config, read, make_fleet)
-    except (Trouble, ConfigFault, OSError) as fault:
-        for line in str(fault).splitlines():
-            print(f"rainspindle: {line}", file=sys.stderr)
-        return 2
+    except Trouble as fault:
+        return refused(fault)
+    except OSError as fault:
+        return refused(Unserved(str(fault)))
     sidecar.run()
     return 0
 
 
+def refused(fault: Trouble) -> int:
+    """What is wrong, a line for each fault, and what to do about it at the end of the last."""
+    for line in fault.line().splitlines():
+        print(f"rainspindle: {line}", file=sys.stderr)
+    return 2
+
+
 def fleet(path: str, config: Config) -> Any:
     """What makes the fleet of a sidecar. Raises ConfigFault, also where its libraries are missing."""
     try:
         from .fleet.config import load_fleet
         from .fleet.run import Fleet
     except ImportError as fault:
-        raise ConfigFault(f"a fleet file needs the libraries of requirements-fleet.txt: {fault}") from None
+        raise Uninstalled(f"a fleet file needs the libraries of requirements-fleet.txt: {fault}") from None
     read = load_fleet(path, config)
     return lambda loop, config, successor: Fleet(loop, config, read, lambda new: load_fleet(path, new),
                                                  successor)
@@ -129,7 +135,7 @@
         from .gateway import Gateway
         from .gateway_config import load_gateway
     except ImportError as fault:
-        raise ConfigFault(f"a gateway needs the libraries of requirements-gateway.txt: {fault}") from None
+        raise Uninstalled(f"a gateway needs the libraries of requirements-gateway.txt: {fault}") from None
     config = load_gateway(options.config, os.environ)
     if options.check:
         print(f"{config.site}: peers {', '.join(config.peers) or 'none'}, {len(config.keys)} keys, "
@@ -146,7 +152,7 @@
         from .mysql import MysqlSidecar
         from .mysql_config import load_mysql
     except ImportError as fault:
-        raise ConfigFault(f"the MySQL front needs the libraries of requirements-mysql.txt: {fault}") from None
+        raise Uninstalled(f"the MySQL front needs the libraries of requirements-mysql.txt: {fault}") from None
     config = load_mysql(options.config, os.environ)
     if options.check:
         print(f"{config.listen[0]}:{config.listen[1]}: {len(config.users)} users, {len(config.rules)} rules, "
--- a/rainspindle/program/serve.py
+++ b/rainspindle/program/serve.py
@@ -276,7 +276,7 @@
         try:
             new = self.load()
         except ConfigFault as fault:
-            log.error("configuration refused, the old one stays", extra={"fields": {"why": fault}})
+            log.error("configuration refused, the old one stays", extra={"fields": fault.fields()})
             return
         old, self.config = self.config, new
         self.front.most_clients, self.pool.most = caps(new)
