--- a/rainspindle/decisions/members/swim.py
+++ b/rainspindle/decisions/members/swim.py
@@ -30,6 +30,7 @@
 PAGES = 6  # datagrams of members that answer one exchange
 SETTLE = 3.0  # seconds from the first other on, in which a higher life of the own name is one's own last
 DOUBT = 2.0  # seconds after a stop in which nobody is suspected
+OWN_WORD = 1.0  # seconds for an own probe of one that others suspect, before it is buried
 FRESH = 1.0  # seconds for which a member's own message speaks against word of its death
 LEAVE_TOLD = 10  # members that are told at once of one that leaves
 ASK_NAMESAKE, NAMESAKE_GONE = 2.0, 6.0  # seconds between pings to a namesake; without an answer of it
@@ -518,7 +519,12 @@
                 self.suspects.pop(record.name, None)
                 continue
             left = suspicion.since + suspicion.lasts(self.tuning, self.health.factor, others) - now
-            if left <= 0:
+            if left <= 0 and not suspicion.own and suspicion.words < 2:
+                # Guards against a burial on hearsay alone: a probe of one's own comes before.
+                suspicion.words += 1
+                suspicion.since += OWN_WORD
+                self.probe(now, record)
+            elif left <= 0:
                 self.counts.buried += 1
                 self.stand(now, record, wire.DEAD, record.incarnation)
             elif self.tuning.lifeguard and suspicion.own and left < 0.6 - 0.25 * suspicion.words:
@@ -676,7 +682,8 @@
             if record.standing != wire.DEAD or not same:
                 self.suspect(now, record, news.incarnation, news.by or teller)
         elif record.standing != wire.DEAD or not same:
-            if self.tuning.lifeguard and record.living and (whole or record.direct > now - FRESH):
+            if self.tuning.lifeguard and record.living and (
+                    whole or record.direct > now - FRESH or now < self.doubt_until):
                 # Guards against word of a death that is old, or that own ears speak against. May hurt where
                 # it is dead: so it is probed at once, and the verdict counts as the opinion of several.
                 self.suspect(now, record, news.incarnation, teller)
--- a/rainspindle/decisions/shared/repeats.py
+++ b/rainspindle/decisions/shared/repeats.py
@@ -8,8 +8,8 @@
 
 Key = TypeVar("Key", bound=Hashable)
 
-SURE = 6  # times
-PER_DECADE = 4.0  # times that each news is told for each tenfold of members
+SURE = 8  # times
+PER_DECADE = 5.0  # times that each news is told for each tenfold of members
 
 
 def times(members: int) -> int:
--- a/rainspindle/decisions/shared/spread.py
+++ b/rainspindle/decisions/shared/spread.py
@@ -132,16 +132,17 @@
         return b"" if not any(sums) else b"".join(one.to_bytes(wire.MARK, "big") for one in sums)
 
     def wanted(self, now: float, want: wire.Want) -> list[list[msgspec.Raw]]:
-        """What another lacks or has otherwise, by datagrams: those written last first, and no more than a few
-        datagrams at once."""
+        """What another lacks or has otherwise, by datagrams: those written last first, then others by chance,
+        and no more than a few datagrams at once."""
         own = self.marks(want.owner) or bytes(wire.CELL_MARKS * wire.MARK)
         theirs = want.marks or bytes(wire.CELL_MARKS * wire.MARK)
         differ = {n // wire.MARK for n in range(len(own)) if own[n:n + 1] != theirs[n:n + 1]}
         pages: list[list[msgspec.Raw]] = [[]]
         room = full = wire.MOST - 300
-        for name in reversed(list(self.cells.by_owner.get(want.owner, {}))):
-            if part(name) not in differ:
-                continue
+        names = [name for name in reversed(self.cells.by_owner.get(want.owner, {})) if part(name) in differ]
+        older = names[MOST_PIECES:]
+        self.chance.shuffle(older)
+        for name in names[:MOST_PIECES] + older:
             piece = self.encoded(now, (want.owner, name))
             if len(piece) > room or len(pages[-1]) >= MOST_PIECES:
                 if len(pages) >= MOST_PART:
