--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -511,7 +511,8 @@
     world = settled(4)
     words: list[tuple[str, str, str]] = []
     for process in world.running():
-        process.members.on_word = partial(lambda me, now, who, text: words.append((me, who, text)), process.name)
+        process.members.on_word = partial(
+            lambda me, now, who, text: words.append((me, who, text)), process.name)
     world.processes["m1"].members.tell(world.now, "=" + "7" * 300)
     world.run(world.now + 1)
     assert sorted(me for me, _, _ in words) == ["m0", "m2", "m3"]
