--- a/rainspindle/program/main.py
+++ b/rainspindle/program/main.py
@@ -9,8 +9,9 @@
 from typing import Any
 
 from .. import __version__
+from ..errors import Trouble
 from . import logs
-from .config import DEAF, ConfigFault, load
+from .config import DEAF, Config, ConfigFault, Uninstalled, Unserved, load
 from .serve import Sidecar
 
 
@@ -22,6 +23,8 @@
     check = commands.add_parser("check", help="read a configuration and say whether it can be served")
     for command in (serve, check):
         command.add_argument("--config", metavar="FILE", help="default: $RELAY_CONFIG")
+        command.add_argument("--fleet", metavar="FILE", help="members, wallets and canaries, TOML; default: "
+                                                             "$RELAY_FLEET, and without either none")
     gateway = commands.add_parser("gateway", help="serve as the gateway of a site until SIGTERM",
                                   epilog="Example: rainspindle gateway --config deploy/gateway.toml")
     gateway.add_argument("--config", metavar="FILE", required=True, help="the gateway's own file, TOML")
@@ -62,7 +65,7 @@
     try:
         from ..lab import command
     except ImportError as fault:
-        raise ConfigFault(f"the lab needs the libraries of requirements-lab.txt: {fault}") from None
+        raise Uninstalled(f"the lab needs the libraries of requirements-lab.txt: {fault}") from None
     return command
 
 
@@ -71,8 +74,7 @@
     try:
         lab = the_lab(arguments)
     except ConfigFault as fault:
-        print(f"rainspindle: {fault}", file=sys.stderr)
-        return 2
+        return refused(fault)
     options = parser(lab).parse_args(arguments)
     if options.command == "lab":
         return int(lab.main(options))
@@ -87,29 +89,53 @@
             return gateway(options)
         if options.command == "mysql":
             return mysql(options)
-        config = load(options.config, os.environ)
+        fleet_path = options.fleet or os.environ.get("RELAY_FLEET")
+
+        def read() -> Config:
+            return load(options.config, os.environ, over_members=bool(fleet_path))
+        config = read()
+        make_fleet = fleet(fleet_path, config) if fleet_path else None
         if options.command == "check":
             print(f"{config.name}: {len(config.known.lines)} endpoints known, "
                   f"traffic types {', '.join(config.settings.type_names)}"
                   + (f"\n{config.name}: {DEAF}" if config.deaf else ""))
             return 0
         logs.set_up(options.log_level)
-        sidecar = Sidecar(config, lambda: load(options.config, os.environ))
-    except (ConfigFault, OSError) as fault:
-        for line in str(fault).splitlines():
-            print(f"rainspindle: {line}", file=sys.stderr)
-        return 2
+        sidecar = Sidecar(config, read, make_fleet)
+    except Trouble as fault:
+        return refused(fault)
+    except OSError as fault:
+        return refused(Unserved(str(fault)))
     sidecar.run()
     return 0
 
 
+def refused(fault: Trouble) -> int:
+    """What is wrong, a line for each fault, and what to do about it at the end of the last."""
+    for line in fault.line().splitlines():
+        print(f"rainspindle: {line}", file=sys.stderr)
+    return 2
+
+
+def fleet(path: str, config: Config) -> Any:
+    """What makes the fleet of a sidecar. Raises ConfigFault, also where its libraries are missing."""
+    try:
+        from .fleet.config import load_fleet
+        from .fleet.run import Fleet
+    except ImportError as fault:
+        raise Uninstalled(f"a fleet file needs the libraries of requirements-fleet.txt: {fault}") from None
+    read = load_fleet(path, config)
+    return lambda loop, config, successor: Fleet(loop, config, read, lambda new: load_fleet(path, new),
+                                                 successor)
+
+
 def gateway(options: argparse.Namespace) -> int:
     """Raises ConfigFault, also where its libraries are missing."""
     try:
         from .gateway import Gateway
         from .gateway_config import load_gateway
     except ImportError as fault:
-        raise ConfigFault(f"a gateway needs the libraries of requirements-gateway.txt: {fault}") from None
+        raise Uninstalled(f"a gateway needs the libraries of requirements-gateway.txt: {fault}") from None
     config = load_gateway(options.config, os.environ)
     if options.check:
         print(f"{config.site}: peers {', '.join(config.peers) or 'none'}, {len(config.keys)} keys, "
@@ -126,7 +152,7 @@
         from .mysql import MysqlSidecar
         from .mysql_config import load_mysql
     except ImportError as fault:
-        raise ConfigFault(f"the MySQL front needs the libraries of requirements-mysql.txt: {fault}") from None
+        raise Uninstalled(f"the MySQL front needs the libraries of requirements-mysql.txt: {fault}") from None
     config = load_mysql(options.config, os.environ)
     if options.check:
         print(f"{config.listen[0]}:{config.listen[1]}: {len(config.users)} users, {len(config.rules)} rules, "
--- a/rainspindle/program/tables.py
+++ b/rainspindle/program/tables.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from .config import ConfigFault
+from .config import ConfigFault, Unopened
 
 
 def read_toml(path: str) -> dict[str, Any]:
@@ -18,7 +18,7 @@
     try:
         return tomllib.loads(Path(path).read_text())
     except OSError as fault:
-        raise ConfigFault(f"{path}: {fault.strerror}") from None
+        raise Unopened(f"{path}: {fault.strerror}") from None
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as fault:
         raise ConfigFault(f"{path}: not TOML: {fault}") from None
 
@@ -28,7 +28,7 @@
     try:
         mode, key = path.stat().st_mode, path.read_bytes().strip()
     except OSError as fault:
-        raise ConfigFault(f"{path}: {fault.strerror}") from None
+        raise Unopened(f"{path}: {fault.strerror}") from None
     if mode & 0o077:
         raise ConfigFault(f"{path}: others than its owner may read it (mode {mode & 0o777:o}); 600 is needed")
     if len(key) < least:
@@ -41,7 +41,7 @@
     if not isinstance(value, dict):
         yield f"{at or 'the file'}: expected a table"
         return
-    fields, before = {f.name: f for f in msgspec.structs.fields(model)}, f"{at}." if at else ""
+    fields, before = {f.encode_name: f for f in msgspec.structs.fields(model)}, f"{at}." if at else ""
     for key in value:
         if key not in fields:
             near = difflib.get_close_matches(key, list(fields), 1)
@@ -58,6 +58,8 @@
         elif isinstance(inner, type) and issubclass(inner, msgspec.Struct) and isinstance(value[name], list):
             for n, one in enumerate(value[name]):
                 yield from shape(one, inner, f"{place}[{n}]")
+        elif isinstance(inner, type) and issubclass(inner, msgspec.Struct) and isinstance(value[name], dict):
+            yield from shape(value[name], inner, place)
         else:
             try:
                 msgspec.convert(value[name], field.type)
--- a/rainspindle/routing/facade.py
+++ b/rainspindle/routing/facade.py
@@ -10,7 +10,6 @@
 import logging
 import math
 from collections.abc import Callable, Collection, Sequence, Sized
-from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 from ..decisions.operation import learnt, left_out
@@ -18,6 +17,7 @@
 from ..logic import Balancer
 from ..must import must
 from ..protocol import peers
+from ..values import dataclass, field
 
 log = logging.getLogger("rainspindle.decisions")
 
@@ -167,6 +167,11 @@
             peers.hear(self.balancer.pool, now, who, message)
         return self.taken()
 
+    def peer_gone(self, now: float, who: str) -> None:
+        """Guards against word of a sidecar that is known to be dead, for as long as it would last."""
+        if isinstance(self.balancer, Balancer):
+            self.balancer.pool.gone(now, who)
+
     def tick(self, now: float) -> Did:
         """Lets the module do what it set itself to do by now."""
         self.now = now
--- a/rainspindle/store/file.py
+++ b/rainspindle/store/file.py
@@ -7,20 +7,32 @@
 import stat
 import struct
 import zlib
-from dataclasses import dataclass
+
+from ..errors import Trouble
+from ..values import dataclass
 
 MAGIC = b"rainspin"
 HEADER = struct.Struct(">8sHIQI")  # magic, version, kind, length, checksum of all before it and the payload
 Stamp = tuple[int, int, int]  # inode, time of change in ns, size
 
 
-class Unfit(Exception):
+class Unfit(Trouble):
     """The file cannot be used; the text says why."""
 
+    remedy = "nothing need be done, it is written anew; if it comes again, see who else writes in its folder"
+
 
 class Missing(Unfit):
     """There is no such file."""
 
+    remedy = "nothing need be done, it is made when there is something to keep"
+
+
+class Unwritten(Trouble):
+    """A file that is kept for a successor could not be written."""
+
+    remedy = "see that the folder named by TMPDIR may be written and has room; it is tried again"
+
 
 @dataclass(frozen=True, slots=True)
 class StoredFile:
