--- a/rainspindle/lab/fleet/day.py
+++ b/rainspindle/lab/fleet/day.py
@@ -61,6 +61,7 @@
     calls: tuple[Call, ...] = ()
     tables: Callable[[str], dict[str, Any]] = lambda name: {}
     fleet: bool = True  # whether the sidecars are given fleet files
+    odd: str = ""  # what is odd about the processes, as `odd.py` names it
 
 
 @dataclass(slots=True)
@@ -121,7 +122,7 @@
                                self.fleet.file(name) if self.plan.fleet else None)
 
     def start_sidecar(self, n: int) -> None:
-        self.fleet[f"s{n}"].start()
+        self.fleet[f"s{n}"].start(self.plan.odd)
         self.take_over(n)
 
     def take_over(self, n: int) -> None:
@@ -202,7 +203,7 @@
         day.figures.update(known_s=round(known[len(known) // 2], 3), known_most_s=round(known[-1], 3))
     if any("/top-up?" in call.path for call in plan.calls):
         day.broken += judge_wallet(ledger, world, run.called)
-        day.figures["spent_part"] = round(spent_part(ledger, world), 4)
+        day.figures["spent_part"] = round(spent_part(ledger, world, run.called), 4)
     if any("/-/canaries/" in call.path for call in plan.calls):
         told = run.called, run.player.away, plan.schedule
         day.broken += judge_canary(ledger, *told)
--- a/rainspindle/lab/fleet/judge.py
+++ b/rainspindle/lab/fleet/judge.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
+from urllib.parse import parse_qsl
 
 from ..audit import Break
 from ..ledger import Asked, Ledger
@@ -93,27 +94,34 @@
     for run in sorted(ledger.runs, key=lambda r: r.began):
         if run.began < math.inf and types[run.type] in PRICES:
             begun.setdefault(run.id, (run.began, PRICES[types[run.type]]))
-    topped: dict[str, float] = {}
-    for one in called:
-        if "/top-up?" in one.call.path:
-            id = one.call.path.partition("id=")[2].partition("&")[0]
-            topped[id] = min(topped.get(id, math.inf), one.call.at)
-            if one.status not in (200, 202):
-                yield f"top-up {id} at {one.member}: {one.status} {one.text}"
-    spent = 0
+    yield from (f"{one.call.path} at {one.member}: {one.status} {one.text}" for one in called
+                if "/top-up?" in one.call.path and one.status not in (200, 202))
+    topped, spent = top_ups(called), 0
     for at, price in begun.values():
         spent += price
-        balance = sum(TOP_UPS[id] for id, since in topped.items() if since <= at)
+        balance = sum(amount for since, amount in topped.values() if since <= at)
         if spent > balance:
             yield f"overspent at {at:.3f} s: {spent} units of {balance}"
             return
 
 
-def spent_part(ledger: Ledger, world: World) -> float:
+def top_ups(called: Sequence[Called]) -> dict[str, tuple[float, int]]:
+    """By the id: when it was first called, and how many units."""
+    found: dict[str, tuple[float, int]] = {}
+    for one in called:
+        if "/top-up?" in one.call.path:
+            query = dict(parse_qsl(one.call.path.partition("?")[2]))
+            told = one.call.at, int(query["amount"])
+            found[query["id"]] = min(found.get(query["id"], told), told)
+    return found
+
+
+def spent_part(ledger: Ledger, world: World, called: Sequence[Called]) -> float:
     """Of all that was topped up, what executed exchanges cost."""
     types = [kind.name for kind in world.x.traffic]
     executed = {run.id: types[run.type] for run in ledger.runs if run.began < math.inf}
-    return sum(PRICES.get(name, 0) for name in executed.values()) / sum(TOP_UPS.values())
+    topped = sum(amount for _, amount in top_ups(called).values())
+    return sum(PRICES.get(name, 0) for name in executed.values()) / max(topped, 1)
 
 
 def judge_canary(ledger: Ledger, called: Sequence[Called], away: Sequence[Away], schedule: Schedule
--- a/rainspindle/lab/fleet/odd.py
+++ b/rainspindle/lab/fleet/odd.py
@@ -1,13 +1,20 @@
-"""Starts the program with something odd about it: a wall clock that is wrong, or messages of a later release.
+"""Starts the program with something odd about it.
 
-    python -m rainspindle.lab.fleet.odd -3600 0 serve ...    Unix time is an hour behind, the steady clock not
-    python -m rainspindle.lab.fleet.odd 0 1 serve ...        what it tells members has more in it than ours
+    python -m rainspindle.lab.fleet.odd clock=-3600,next-release serve --config FILE --fleet FILE
+
+| oddity | is |
+| --- | --- |
+| clock=SECONDS | Unix time is so far ahead, the steady clock is right |
+| next-release | what it tells members has more in it than this release knows |
+| free-wallet | planted: exchanges are not debited |
+| deaf-canary | planted: others' word of an abort is not heard |
 """
 
 from __future__ import annotations
 
 import sys
 import time
+from collections.abc import Callable
 from typing import Any
 
 
@@ -34,10 +41,33 @@
     wire.encode = encode
 
 
+def free_wallet() -> None:
+    from ...decisions.wallet.wallet import Wallet
+
+    def debit(self: Wallet, now: float, price: int, binding: bool) -> bool:
+        return True
+    Wallet.debit = debit  # type: ignore[method-assign]
+
+
+def deaf_canary() -> None:
+    from ...decisions.canary.canary import Canary
+    from ...decisions.canary.state import State
+    learns = Canary.learn
+
+    def learn(self: Canary, now: float, other: State, note: str = "") -> None:
+        if not other.aborted or note == "called":
+            learns(self, now, other, note)
+    Canary.learn = learn  # type: ignore[method-assign]
+
+
+PLANTS: dict[str, Callable[[], None]] = {
+    "next-release": next_release, "free-wallet": free_wallet, "deaf-canary": deaf_canary}
+
 if __name__ == "__main__":
-    if float(sys.argv[1]):
-        shift(float(sys.argv[1]))
-    if int(sys.argv[2]):
-        next_release()
-    from ...program.main import main  # after both: names bound at import would keep what was right
-    sys.exit(main(sys.argv[3:]))
+    for name in sys.argv[1].split(","):
+        if name.startswith("clock="):
+            shift(float(name.removeprefix("clock=")))
+        else:
+            PLANTS[name]()
+    from ...program.main import main  # after all: names bound at import would keep what was right
+    sys.exit(main(sys.argv[2:]))
--- a/rainspindle/lab/fleet/player.py
+++ b/rainspindle/lab/fleet/player.py
@@ -51,7 +51,8 @@
             elif isinstance(fault, Kill):
                 self.at(fault.at, partial(self.kill, sidecar))
                 if fault.back is not None:
-                    self.at(fault.at + fault.back, partial(self.start, sidecar, clock=fault.clock))
+                    self.at(fault.at + fault.back, partial(
+                        self.start, sidecar, odd=f"clock={fault.clock}" if fault.clock else ""))
             else:
                 self.at(fault.at, partial(self.leave, sidecar, back=isinstance(fault, Restart)))
 
@@ -80,9 +81,9 @@
             sidecar.leave()
             self.leaving[sidecar.name] = back
 
-    def start(self, sidecar: Sidecar, now: float, clock: float = 0.0) -> None:
+    def start(self, sidecar: Sidecar, now: float, odd: str = "") -> None:
         if not sidecar.runs:
-            sidecar.start(clock)
+            sidecar.start(odd)
             self.starting.add(sidecar.name)
 
     def back(self, name: str, now: float, stalled: bool = False) -> None:
--- a/rainspindle/lab/fleet/processes.py
+++ b/rainspindle/lab/fleet/processes.py
@@ -139,21 +139,20 @@
         if self.tables is not None:
             (self.folder / "fleet.toml").write_text(toml(self.tables))
 
-    def line(self, clock: float, later: bool) -> list[str]:
+    def line(self, odd: str) -> list[str]:
         """The line by which it is started."""
-        module = ["rainspindle"] if not clock and not later else [
-            "rainspindle.lab.fleet.odd", str(clock), str(int(later))]
+        module = ["rainspindle.lab.fleet.odd", odd] if odd else ["rainspindle"]
         fleet = [] if self.tables is None else ["--fleet", str(self.folder / "fleet.toml")]
         return [sys.executable, "-O", "-m", *module, "serve", "--config", str(self.folder / "config.json"),
                 *fleet]
 
-    def start(self, clock: float = 0.0, later: bool = False) -> None:
-        """`clock`: seconds by which its wall clock is ahead; `later`: as a release after this one."""
+    def start(self, odd: str = "") -> None:
+        """`odd`: what is odd about it, as `odd.py` names it."""
         assert self.process is None or self.process.poll() is not None, f"{self.name} runs already"
         self.starts += 1
         with (self.folder / "log").open("ab") as log:
             self.process = subprocess.Popen(
-                self.line(clock, later), cwd=ROOT, stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL,
+                self.line(odd), cwd=ROOT, stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL,
                 stderr=log, start_new_session=True,
                 env={**os.environ, "TMPDIR": str(self.folder / "tmp")})
         self.keep(self.process.pid)
@@ -299,11 +298,11 @@
         if kind is None and self.network.faults:
             raise AssertionError(f"the lab's own fault: {self.network.faults}")
 
-    def start(self, *names: str, clock: float = 0.0, later: bool = False) -> None:
+    def start(self, *names: str, odd: str = "") -> None:
         """Starts them, or all, and waits until each can serve."""
         chosen = [self[name] for name in names or self.sidecars]
         for sidecar in chosen:
-            sidecar.start(clock, later)
+            sidecar.start(odd)
         self.await_ready(*names)
 
     def await_ready(self, *names: str) -> None:
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -56,7 +56,7 @@
         assert len(before) == 1
         fleet["m3"].kill()
         fleet.await_agreed({"m3": "dead", **dict.fromkeys(rest, "alive")}, KNOWN, *rest)
-        fleet.start("m3", clock=-3600.0)  # its folder tells it the life that it had
+        fleet.start("m3", odd="clock=-3600")  # its folder tells it the life that it had
         fleet.all_alive()
         assert min(lives(fleet, "m3")) > max(before)
 
@@ -73,7 +73,7 @@
         before = lives(fleet, "m2")
         fleet["m2"].kill()
         fleet.await_agreed({"m2": "dead"}, KNOWN, *rest)
-        fleet.start("m2", clock=-3600.0)
+        fleet.start("m2", odd="clock=-3600")
         fleet.all_alive()
         assert min(lives(fleet, "m2")) > max(before)
 
@@ -249,9 +249,9 @@
     with Fleet(tmp_path, names(6)) as fleet:
         rest = apart(names(6), "m2")
         fleet.start(*names(6)[:3])
-        fleet.start(*names(6)[3:], later=True)
+        fleet.start(*names(6)[3:], odd="next-release")
         fleet.all_alive()
         fleet["m2"].kill()
         fleet.await_agreed({"m2": "dead", **dict.fromkeys(rest, "alive")}, KNOWN, *rest)
-        fleet.start("m2", later=True)
+        fleet.start("m2", odd="next-release")
         fleet.all_alive()
--- a/tests/test_full_day.py
+++ b/tests/test_full_day.py
@@ -38,6 +38,30 @@
     assert plan.schedule == schedule and plan.calls[0].members[0] not in struck
 
 
+def short(tmp_path: Path, odd: str, calls: tuple[Call, ...]) -> list[str]:
+    """What a day of 7 s without any fault from outside breaks."""
+    x = X.model_copy(update={"length": 7.0})
+    whole = day.plan(1, X, ("wallet", "canary"), ())
+    plan = day.Plan((), calls, whole.tables, odd=odd)
+    return day.play(World(x, x.variants[0], 1), plan, tmp_path).broken
+
+
+@pytest.mark.timeout(100)
+def test_a_day_finds_processes_that_spend_without_a_debit(tmp_path: Path) -> None:
+    home = day.plan(1, X, ("wallet",), ()).calls[0].members
+    call = Call(0.2, "POST", "/-/wallets/north/top-up?id=first&amount=60", home)
+    broken = short(tmp_path, "free-wallet", (call,))
+    assert len(broken) == 1 and broken[0].startswith("overspent at"), broken
+
+
+@pytest.mark.timeout(100)
+def test_a_day_finds_processes_that_hear_of_no_abort(tmp_path: Path) -> None:
+    calls = tuple(Call(at, "POST", f"/-/canaries/answers/{act}", ("s0",))
+                  for at, act in ((0.5, "start"), (3.0, "abort")))
+    broken = short(tmp_path, "deaf-canary", calls)
+    assert broken and all("came to the canary's" in line for line in broken), broken
+
+
 def run(id: str, type: int, began: float, endpoint: int = 5, sidecar: int = 0) -> Run:
     return Run(id, id, type, sidecar, endpoint, 0, id, began, began, 0.01, began=began)
 
