--- a/rainspindle/lab/wallettable.py
+++ b/rainspindle/lab/wallettable.py
@@ -4,7 +4,6 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -20,11 +19,6 @@
 PATIENCE = 20.0
 
 
-@dataclass(slots=True)
-class Asked(Given):
-    request_id: str = ""
-
-
 class Inner:
     """Ends each exchange as it is told."""
 
@@ -72,7 +66,7 @@
 
     def exchange(self, **changes: Any) -> Final | None:
         """None while it is under way."""
-        given = Asked(changes.pop("type", 0), "k", None, False, time.monotonic() + 2.0, None, tenant=0)
+        given = Given(changes.pop("type", 0), "k", None, False, time.monotonic() + 2.0, None, tenant=0)
         for name, value in changes.items():
             setattr(given, name, value)
         ends: list[Final] = []
