--- a/rainspindle/decisions/wallet/wallet.py
+++ b/rainspindle/decisions/wallet/wallet.py
@@ -35,10 +35,14 @@
 IDLE = 3.0  # seconds without an exchange after which what is written ahead is put back
 PATIENCE = 0.4  # seconds that an ask has for its answer, before another member is asked
 AGAIN, AGAIN_SOON = 1.0, 0.3  # seconds after a round of asks in vain; where somebody is known to have some
+CLOSE = 3.0  # seconds of spending left at which words come often
 SOON = 1.0  # seconds of spending left at which others than the home are asked too
 CALM = 5.0  # seconds between asks of one that has enough for now, and for which one must have too much
 MUCH = 2.0  # times what it keeps, which is too much
-WORD, WORD_CLOSE = 1.0, 0.2  # seconds between words of what is held, and where it is little
+WORD, WORD_CLOSE = 2.0, 0.3  # seconds between words of what is held, and where it is little
+CHANGED = 0.2  # part by which it must have changed
+OLD_WORD = 3.0  # seconds for which another is taken to have gone on spending since its word
+MARGIN = 0.2  # seconds of spending that are under way while words are
 TINY = 1e-3  # units a second that are none
 EAGER_PART = 16  # a member without traffic gets at most so small a part of the giver's rights
 
@@ -246,9 +250,7 @@
 
     def usable_rate(self) -> float:
         """Units a second that clients here ask for and may get."""
-        if self.rules.reserve and self.balance() <= self.rules.reserve:
-            return self.binding_rate
-        return self.rate
+        return self.binding_rate if self.all_reserved else self.rate
 
     def known(self) -> list[Word]:
         """Of the others that live and whose account stands."""
@@ -345,6 +347,19 @@
             part = 1.0 if balance <= reserve else reserve / balance
             self.floor = math.ceil(self.account.held * part)
 
+    def look_at_reserve(self, now: float) -> None:
+        """Whether only the reserve is left, as far as can be told: others have spent since their words."""
+        known, words = self.known(), self.words
+        spent = sum(min(word.held, word.rate * min(now - self.heard_at[m], OLD_WORD))
+                    for m, word in words.items() if word in known)
+        under_way = MARGIN * (self.rate + sum(word.rate for word in known))
+        left = self.balance() - spent - self.rules.reserve
+        if left <= under_way + (self.rules.piece + self.rate if self.all_reserved else 0.0):
+            self.floor, self.all_reserved = max(self.account.held, 1), True
+        elif self.all_reserved:
+            self.all_reserved = False
+            self.floor_from_here()
+
     def tick(self, now: float) -> float:
         """Does what is due; when to be called next at the latest."""
         self.rates(now)
@@ -374,11 +389,8 @@
             if account.free + coming < low and account.rights > 0:
                 account.ahead(piece)
             self.low = math.ceil(low)
-            if rules.reserve and self.balance() <= rules.reserve:
-                self.floor, self.all_reserved = max(account.held, 1), True
-            elif self.all_reserved:
-                self.all_reserved = False
-                self.floor_from_here()
+            if rules.reserve:
+                self.look_at_reserve(now)
             self.pauses(now, wanted)
             self.seek(now, rate)
             self.give_up(now)
@@ -514,8 +526,8 @@
     def say(self, now: float, toward: str = "") -> None:
         """The own word, where there is one to say."""
         held = self.account.held
-        close = held < self.rate * SOON or self.paused_since is not None or held < self.rules.top
-        changed = abs(held - self.told_held) > 0.05 * max(self.told_held, 1)
+        close = held < self.rate * CLOSE or self.paused_since is not None or held < self.rules.top
+        changed = abs(held - self.told_held) > CHANGED * max(self.told_held, 1)
         due = now - self.told_at >= (WORD_CLOSE if close else WORD) and changed
         if not (toward or self.word_due or due):
             return
--- a/rainspindle/program/fleet/wallet.py
+++ b/rainspindle/program/fleet/wallet.py
@@ -427,7 +427,7 @@
             if wallet.planned == number:
                 self.look(now, wallet)
         self.begin_batch(now)
-        if self.batch and now - self.batch_at > STALLED and not self.stalled:
+        if self.batch and now - self.batch_at > STALLED and not self.stalled and not self.troubled:
             self.stalled = True
             log.error("wallets: the disk has stalled, spending goes on by what is written", extra={"fields": {
                 "folder": self.ground.folder, "remedy": "see what holds up the disk; it goes on by itself"}})
