--- a/rainspindle/errors.py
+++ b/rainspindle/errors.py
@@ -6,7 +6,11 @@
 class Trouble(Exception):
     """`str()` says what is wrong, `remedy` in one sentence what an operator can do about it.
 
-    A subclass gives the remedy for all of its kind; one raise may give a closer one."""
+    A subclass gives the remedy for all of its kind; one raise may give a closer one.
+
+    >>> Trouble("the disk is full", "make room").line()
+    'the disk is full; make room'
+    """
 
     remedy = "look up the message in docs/on-call.md"
 
--- a/rainspindle/program/logs.py
+++ b/rainspindle/program/logs.py
@@ -7,6 +7,11 @@
 
 
 def quoted(value: object) -> str:
+    r"""As a value of a log line: between quotes where a reader could take it for more than one.
+
+    >>> print(quoted("e7"), quoted('it said "no"\n'))
+    e7 "it said \"no\"\n"
+    """
     text = str(value)
     if text and not any(c in ' "=\n\r' for c in text):
         return text
--- a/rainspindle/transport/address.py
+++ b/rainspindle/transport/address.py
@@ -13,6 +13,14 @@
 
 
 def parse_address(text: str) -> Address:
+    """Of host and port, as `address_text` writes them. Raises ValueError, also for names.
+
+    >>> parse_address("[::1]:80")
+    ('::1', 80)
+    >>> parse_address("localhost:80")
+    Traceback (most recent call last):
+    ValueError: not a numeric address: 'localhost:80'
+    """
     host, _, port = text.rpartition(":")
     host = host.removeprefix("[").removesuffix("]")
     if not port.isdecimal() or not 0 <= int(port) < 65536:
--- a/rainspindle/values.py
+++ b/rainspindle/values.py
@@ -31,7 +31,17 @@
 @dataclass_transform(field_specifiers=(field,))
 def dataclass(*, frozen: bool = False, slots: bool = True, eq: bool = True, order: bool = False
               ) -> Callable[[type[T]], type[T]]:
-    """As that of `dataclasses` with these arguments; the classes have slots whatever `slots` says."""
+    """As that of `dataclasses` with these arguments; the classes have slots whatever `slots` says.
+
+    >>> @dataclass(frozen=True)
+    ... class Place:
+    ...     zone: int
+    ...     cell: int = 0
+    >>> Place(3)
+    Place(zone=3, cell=0)
+    >>> replace(Place(3), cell=1) == Place(3, 1)
+    True
+    """
     return lambda cls: remade(cls, frozen, eq, order)
 
 
