--- a/rainspindle/decisions/wallet/wallet.py
+++ b/rainspindle/decisions/wallet/wallet.py
@@ -206,6 +206,8 @@
         gained = self.take_gifts(member, pair.entries)
         if gained:
             self.floor_from_here()
+            if not (self.unsure or self.sealing or self.leaving):
+                self.write_ahead(self.usable_rate())  # in the same row
             self.host.save(self)
             self.host.urge(self)
         if self.of == member and pair.ask == self.ask:
@@ -377,18 +379,9 @@
         elif now - self.spent_at > IDLE and account.free > rules.piece and self.rate < TINY:
             account.put_back(account.free - rules.piece)
         rate = self.usable_rate()
-        coming = account.coming
         wanted = self.refused != self.refused_before
         if not self.leaving:
-            low = rate * AHEAD_LOW + rules.top
-            piece = max(rules.piece, math.ceil(rate * AHEAD), rules.top)
-            # Near the end pieces are small, so that what is left is not bound up here and there.
-            seconds = account.held / rate if rate > TINY else math.inf
-            if seconds < 2 * AHEAD:
-                piece = max(rules.top, math.ceil(account.held / 2))
-            if account.free + coming < low and account.rights > 0:
-                account.ahead(piece)
-            self.low = math.ceil(low)
+            self.write_ahead(rate)
             if rules.reserve:
                 self.look_at_reserve(now)
             self.pauses(now, wanted)
@@ -404,6 +397,18 @@
             return now + LOOK
         return now + IDLE if account.free > rules.piece or self.want or self.slow else math.inf
 
+    def write_ahead(self, rate: float) -> None:
+        account, rules = self.account, self.rules
+        low = rate * AHEAD_LOW + rules.top
+        piece = max(rules.piece, math.ceil(rate * AHEAD), rules.top)
+        # Near the end pieces are small, so that what is left is not bound up here and there.
+        seconds = account.held / rate if rate > TINY else math.inf
+        if seconds < 2 * AHEAD:
+            piece = max(rules.top, math.ceil(account.held / 2))
+        if account.free + account.coming < low and account.rights > 0:
+            account.ahead(piece)
+        self.low = math.ceil(low)
+
     def rates(self, now: float) -> None:
         dt = now - self.ticked
         if dt < LOOK / 2:
