--- a/rainspindle/decisions/wallet/wallet.py
+++ b/rainspindle/decisions/wallet/wallet.py
@@ -100,6 +100,7 @@
         self.refused = 0  # exchanges, ever
         self.refused_before = 0
         self.paused_since: float | None = None
+        self.hope = False  # others are known to have some
         self.ask, self.of, self.want = 0, "", 0
         self.asked_at = self.calm_until = self.vain_at = -math.inf
         self.tried: set[str] = set()
@@ -159,8 +160,7 @@
 
     def hold_off(self) -> float:
         """Seconds, for one that is refused."""
-        hope = not self.loaded or self.unsure or self.account.held >= self.rules.top or any(
-            word.held > 0 for word in self.known())
+        hope = self.hope or not self.loaded or self.unsure or self.account.held >= self.rules.top
         return min(AHEAD, self.rules.come_back) if hope else self.rules.come_back
 
     # What others say.
@@ -388,6 +388,7 @@
             self.seek(now, rate)
             self.give_up(now)
         self.refused_before = self.refused
+        self.hope = any(word.held > 0 for word in self.known())
         if account.dirty:
             self.host.save(self)
         self.say(now)
