--- a/rainspindle/lab/fleet/judge.py
+++ b/rainspindle/lab/fleet/judge.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
+from urllib.parse import parse_qsl
 
 from ..audit import Break
 from ..ledger import Asked, Ledger
@@ -19,7 +20,7 @@
 TOP_UPS = {"first": 500, "second": 250}  # units, by the call's id; clients ask for about 1,300
 NEW = (0, 1)  # endpoints of the canary
 IN_FORCE = 1.0  # seconds from an abort until it is so at all who can be reached
-HEARD = 8.0  # seconds after the end of a split, or from waking, within which those cut off have heard
+HEARD = 5.0  # seconds after the end of a split, or from waking, within which those cut off have heard
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,15 +69,17 @@
             yield Break(1, f"sent {run.first - end:.3f} s after its end", run.first, run.id)
 
 
-def times_to_know(seen: Sequence[Sighting], killed: Sequence[Away]) -> Iterator[float]:
-    """Seconds from a process's end until a console said so that had held it for alive; `seen` on the clock of
-    `killed`."""
-    for span in killed:
+def times_to_know(seen: Sequence[Sighting], killed: Sequence[str], away: Sequence[Away]) -> Iterator[float]:
+    """Seconds from a process's end until each console said so that had held it for alive, but for those of
+    processes that were away meanwhile; `seen` on the clock of `away`."""
+    for span in (a for a in away if a.name in killed):
         for viewer in {s.viewer for s in seen} - {span.name}:
             said = [s for s in seen if (s.viewer, s.name) == (viewer, span.name)]
             before = [s.state for s in said if s.at < span.since]
             after = [s.at for s in said if span.since <= s.at < span.until and s.state == "dead"]
-            if before and before[-1] in ("alive", "suspect") and after:
+            asleep = after and any(
+                a.name == viewer and a.since < after[0] and a.until > span.since for a in away)
+            if before and before[-1] in ("alive", "suspect") and after and not asleep:
                 yield after[0] - span.since
 
 
@@ -91,27 +94,34 @@
     for run in sorted(ledger.runs, key=lambda r: r.began):
         if run.began < math.inf and types[run.type] in PRICES:
             begun.setdefault(run.id, (run.began, PRICES[types[run.type]]))
-    topped: dict[str, float] = {}
-    for one in called:
-        if "/top-up?" in one.call.path:
-            id = one.call.path.partition("id=")[2].partition("&")[0]
-            topped[id] = min(topped.get(id, math.inf), one.call.at)
-            if one.status not in (200, 202):
-                yield f"top-up {id} at {one.member}: {one.status} {one.text}"
-    spent = 0
+    yield from (f"{one.call.path} at {one.member}: {one.status} {one.text}" for one in called
+                if "/top-up?" in one.call.path and one.status not in (200, 202))
+    topped, spent = top_ups(called), 0
     for at, price in begun.values():
         spent += price
-        balance = sum(TOP_UPS[id] for id, since in topped.items() if since <= at)
+        balance = sum(amount for since, amount in topped.values() if since <= at)
         if spent > balance:
             yield f"overspent at {at:.3f} s: {spent} units of {balance}"
             return
 
 
-def spent_part(ledger: Ledger, world: World) -> float:
+def top_ups(called: Sequence[Called]) -> dict[str, tuple[float, int]]:
+    """By the id: when it was first called, and how many units."""
+    found: dict[str, tuple[float, int]] = {}
+    for one in called:
+        if "/top-up?" in one.call.path:
+            query = dict(parse_qsl(one.call.path.partition("?")[2]))
+            told = one.call.at, int(query["amount"])
+            found[query["id"]] = min(found.get(query["id"], told), told)
+    return found
+
+
+def spent_part(ledger: Ledger, world: World, called: Sequence[Called]) -> float:
     """Of all that was topped up, what executed exchanges cost."""
     types = [kind.name for kind in world.x.traffic]
     executed = {run.id: types[run.type] for run in ledger.runs if run.began < math.inf}
-    return sum(PRICES.get(name, 0) for name in executed.values()) / sum(TOP_UPS.values())
+    topped = sum(amount for _, amount in top_ups(called).values())
+    return sum(PRICES.get(name, 0) for name in executed.values()) / max(topped, 1)
 
 
 def judge_canary(ledger: Ledger, called: Sequence[Called], away: Sequence[Away], schedule: Schedule
@@ -139,9 +149,32 @@
 
 def in_force(name: str, abort: Called, away: Sequence[Away], schedule: Schedule) -> float:
     """When this sidecar has to keep to the abort at the latest."""
+    over = unreached(name, abort, away, schedule)
+    return abort.at + IN_FORCE if over is None else max(abort.at + IN_FORCE, over + HEARD)
+
+
+def unreached(name: str, abort: Called, away: Sequence[Away], schedule: Schedule) -> float | None:
+    """The end of what kept the abort from this sidecar; None where it could be reached."""
     by = abort.at + IN_FORCE
     missed = [span.until for span in away
               if span.name == name and span.since - OPENS < by and span.until > abort.at - IN_FORCE]
     missed += [end(fault) for fault in schedule if isinstance(fault, Split) and fault.at < by
                and abort.at < end(fault) + HEARD and not crosses(fault, abort.member, name)]
-    return max([by, *(over + HEARD for over in missed)])
+    return max(missed, default=None)
+
+
+def canary_lags(ledger: Ledger, called: Sequence[Called], away: Sequence[Away], schedule: Schedule
+                ) -> Iterator[tuple[str, float]]:
+    """Seconds from the abort's answer to the last run at the canary, of those that could be reached; of the
+    others from the end of what kept it from them, which is below 0 where they fell back before."""
+    abort = next((c for c in called if c.call.path.endswith("/abort")), None)
+    if abort is None:
+        return
+    last: dict[str, float] = {}
+    for run in ledger.runs:
+        if run.endpoint in NEW and run.first > abort.at:
+            over = unreached(f"s{run.sidecar}", abort, away, schedule)
+            what, since = ("canary_last_s", abort.at) if over is None else (
+                "canary_cut_last_s", max(over, abort.at))
+            last[what] = max(last.get(what, -math.inf), run.first - since)
+    yield from last.items()
