--- a/tests/test_wallet.py
+++ b/tests/test_wallet.py
@@ -53,7 +53,8 @@
 
 @pytest.mark.parametrize(("size", "states"), [
     (Size((2,), gives=2, aheads=2, crashes=1), 9_000),
-    (Size((1,), gives=1, aheads=2, crashes=1, copies=1, offs=1), 3_000),
+    (Size((1,), gives=1, aheads=2, crashes=1, copies=1), 1_500),
+    (Size((1,), gives=1, aheads=2, crashes=1, copies=1, offs=1, members=2), 30_000),
     (Size((1, 1), gives=0, aheads=2, backs=1, crashes=2, fails=1, copies=1, members=1), 20_000)])
 def test_no_order_of_events_spends_more_than_was_paid(size: Size, states: int) -> None:
     """Guards against a cut in the middle of a hand-over, a giver killed between its write and its word, words
