--- a/rainspindle/decisions/wallet/wallet.py
+++ b/rainspindle/decisions/wallet/wallet.py
@@ -241,6 +241,11 @@
                 and not self.old and row.barred != self.rules.books:
             self.bar()
 
+    def came_home(self) -> None:
+        """By the file it was not the home of these books before: ids may have come in elsewhere."""
+        if self.own == self.rules.home and self.account.row.barred != self.rules.books:
+            self.bar()
+
     def bar(self) -> None:
         row = self.account.row
         row.barred, self.account.dirty = self.rules.books, True
--- a/rainspindle/program/fleet/wallet.py
+++ b/rainspindle/program/fleet/wallet.py
@@ -26,7 +26,7 @@
 from ...protocol.wallet import UnreadableWord
 from ...routing.core import Taker
 from ...routing.wallet import Purse, WalletGate
-from ...store.kept import MOST_WAIT, Done, Found, Kept
+from ...store.kept import MOST_WAIT, Done, Found, Kept, StoreHeld
 from ...transport.loop import Coroutine
 from ..config import Config
 from ..tables import shape
@@ -139,21 +139,21 @@
                  max(*prices, 1), eager, part.books, part.rejoin)
 
 
-def encode_row(row: Row, boot: int) -> bytes:
+def encode_row(row: Row, boot: int, rules: Rules) -> bytes:
     return words.encode(KeptRow(
         words.VERSION, row.account, row.number, row.spent, row.back, row.topped,
         [(*who, total) for who, total in row.given.items()],
         [(*who, total) for who, total in row.got.items()],
-        list(row.off.items()), row.barred, boot))
+        list(row.off.items()), row.barred, boot, rules.home, rules.books))
 
 
-def decode_row(value: bytes) -> tuple[Row, int]:
-    """And the start of the machine in which it was known to be the last. Raises UnreadableWord."""
+def decode_row(value: bytes) -> tuple[Row, KeptRow]:
+    """And all that was kept with it. Raises UnreadableWord."""
     kept = words.decode_kept(value)
     return Row(kept.account, kept.row, kept.spent, kept.back, kept.topped,
                {(name, account): total for name, account, total in kept.given},
                {(name, account): total for name, account, total in kept.got},
-               dict(kept.off), kept.barred), kept.boot
+               dict(kept.off), kept.barred), kept
 
 
 class WalletRun:
@@ -313,7 +313,10 @@
         elif done.wanted:
             self.hand_on(now)
         elif done.trouble is not None:
-            if not self.troubled:
+            if isinstance(done.trouble, StoreHeld):
+                log.info("wallets: wait for the process before this one", extra={"fields": {
+                    "why": done.trouble, "remedy": done.trouble.remedy}})
+            elif not self.troubled:
                 self.troubled = True
                 log.error("wallets can't be written: spending goes on by what is written", extra={"fields": {
                     "why": done.trouble, "remedy": done.trouble.remedy}})
@@ -347,14 +350,14 @@
 
     def load(self, now: float, wallet: Wallet) -> None:
         assert self.found is not None
-        rows, old, ids = dict[int, tuple[Row, int, bool]](), list[Row](), dict[str, int]()
+        rows, old, ids = dict[int, tuple[Row, KeptRow, bool]](), list[Row](), dict[str, int]()
         for key, value in self.unclaimed.pop(wallet.name, {}).items():
             try:
                 if key.startswith("#"):
                     ids[key.partition("/")[2]] = int(value)
                 else:
-                    row, boot = decode_row(value)
-                    rows[row.account] = row, boot, key.startswith("-")
+                    row, kept = decode_row(value)
+                    rows[row.account] = row, kept, key.startswith("-")
             except (UnreadableWord, ValueError) as fault:
                 log.error("wallet: a row is unreadable, the wallet stays paused here", extra={"fields": {
                     "wallet": wallet.name, "why": fault, "remedy": getattr(fault, "remedy", Trouble.remedy)}})
@@ -364,11 +367,14 @@
             wallet.load(now, None, ids, [], Trust.SURE)
         else:
             last = max(rows)
-            row, self.boots[wallet], aged = rows[last]
+            row, kept, aged = rows[last]
+            self.boots[wallet] = kept.boot
             old = [rows[account][0] for account in sorted(rows) if account != last]
             trust = Trust.OLD if aged else (
                 Trust.SURE if self.boots[wallet] == self.found.boot else Trust.UNSURE)
             wallet.load(now, row, ids, old, trust)
+            if kept.home not in ("", self.own) and kept.books == wallet.rules.books:
+                wallet.came_home()
         self.replay(now, wallet)
 
     def save(self, wallet: Wallet) -> None:
@@ -387,7 +393,7 @@
                 continue
             if not wallet.unsure:
                 self.boots[wallet] = self.found.boot
-            rows[f"{wallet.name}/{row.account}"] = encode_row(row, self.boots[wallet])
+            rows[f"{wallet.name}/{row.account}"] = encode_row(row, self.boots[wallet], wallet.rules)
             for id in wallet.account.ids_writing:
                 rows[f"#{wallet.name}/{id}"] = b"%d" % wallet.account.ids[id]
             self.batch.append(wallet)
--- a/rainspindle/protocol/wallet.py
+++ b/rainspindle/protocol/wallet.py
@@ -65,6 +65,8 @@
     off: list[tuple[str, int]] = []
     barred: str = ""
     boot: int = 0  # tells the start of the machine, and the volume, in which it was known to be the last
+    home: str = ""  # by the file of then
+    books: str = ""
 
 
 word_of, pair_of = msgspec.msgpack.Decoder(Word), msgspec.msgpack.Decoder(Pair)
--- a/rainspindle/routing/wallet.py
+++ b/rainspindle/routing/wallet.py
@@ -63,7 +63,7 @@
 
     def charge(self, now: float, purse: Purse, given: Given) -> Charge | None:
         """None where the wallet can't pay."""
-        id: str = getattr(given, "request_id", "")
+        id = given.request_id
         known = self.ids.get((purse.wallet.name, given.type_index, given.key, id)) if id else None
         # Guards against one id for all of a client's exchanges; may hurt one that repeats for very long.
         if known is not None and now < known.until and known.repeats < MOST_REPEATS \
@@ -96,7 +96,7 @@
             return
         charge.purse.wallet.credit(charge.purse.price)
         self.given_back += 1
-        id: str = getattr(given, "request_id", "")
+        id = given.request_id
         repeat = charge.purse.wallet.name, given.type_index, given.key, id
         if id and self.ids.get(repeat) is charge:
             del self.ids[repeat]
--- a/tests/test_wallet.py
+++ b/tests/test_wallet.py
@@ -819,6 +819,19 @@
     assert math.isfinite(word.rate) and isinstance(sqlite3.sqlite_version, str)
 
 
+def test_a_member_made_home_by_a_new_file_and_a_restart_takes_no_top_up_in_the_old_books(
+        seats: Callable[..., Table]) -> None:
+    t = seats("ab")
+    t.top_up("a", "p1", 100)
+    assert spend(t, "b", 3) == 3
+    t.kill("b")
+    t.tables = [table(home="b")]
+    t.seat("b", 9)
+    t.until(lambda: t.seats["b"].shown()["state"] == "open")
+    with pytest.raises(WalletTrouble, match="may be forgotten"):
+        t.seats["b"].call("POST", "wallets", "north", "top-up", id="p1", amount="100")
+
+
 def test_two_files_that_name_two_homes_take_no_top_up(seats: Callable[..., Table]) -> None:
     t = seats("ab")
     t.top_up("a", "p1", 10)
