--- a/rainspindle/decisions/wallet/account.py
+++ b/rainspindle/decisions/wallet/account.py
@@ -211,6 +211,15 @@
         self.account.dirty = True
         self.unsure = self.sealing = False
 
+    def others_know(self, number: int) -> bool:
+        """The highest row of this account that others have heard of; whether that makes it sure."""
+        if self.unsure and number > self.account.kept.number:
+            self.begin_anew()
+            return False
+        self.account.dirty = self.account.dirty or self.unsure  # so that the next life knows it too
+        self.unsure = False
+        return True
+
     def seal(self, home: Who | None) -> bool:
         """All that is left goes to the home, where it is known; whether that is on disk, and a new account
         has begun."""
@@ -231,6 +240,10 @@
                 for (peer, account), total in row.given.items() if peer == member][-MOST_OLD:]
 
     def take_gifts(self, member: str, entries: list[tuple[int, int, int]]) -> int:
-        """A member's word of what it gave to this one; how much of that is new."""
+        """A member's word of what it gave to this one; how much of that is new.
+
+        Nothing is while it is unsure: a row that is written would hide that a later one was there before."""
+        if self.unsure:
+            return 0
         return sum(self.account.hear((member, account), total)
                    for account, to, total in entries if to == self.account.row.account)
--- a/rainspindle/decisions/wallet/wallet.py
+++ b/rainspindle/decisions/wallet/wallet.py
@@ -40,7 +40,8 @@
 CALM = 5.0  # seconds between asks of one that has enough for now, and for which one must have too much
 MUCH = 2.0  # times what it keeps, which is too much
 WORD, WORD_CLOSE = 2.0, 0.3  # seconds between words of what is held, and where it is little
-CHANGED = 0.2  # part by which it must have changed
+CHANGED, CHANGED_CLOSE = 0.5, 0.2  # parts by which it must have changed
+ROW = 5.0  # seconds until others are told of a row at the latest
 OLD_WORD = 3.0  # seconds for which another is taken to have gone on spending since its word
 MARGIN = 0.2  # seconds of spending that are under way while words are
 TINY = 1e-3  # units a second that are none
@@ -90,6 +91,7 @@
         self.highest: dict[Who, int] = {}  # rows heard of
         self.told_pairs: dict[str, tuple[object, ...]] = {}
         self.answered: dict[str, int] = {}  # asks of others, by number
+        self.waiting: dict[str, Pair] = {}  # what others said while it was unsure
         self.pairs_due: set[str] = set()
         self.rate = self.binding_rate = self.slow = 0.0
         self.rich_since = math.inf
@@ -104,8 +106,8 @@
         self.ask, self.of, self.want = 0, "", 0
         self.asked_at = self.calm_until = self.vain_at = -math.inf
         self.tried: set[str] = set()
-        self.begun_at, self.told_at, self.told_held = now, -math.inf, 0
-        self.word_due = False
+        self.begun_at, self.told_at, self.told_held, self.told_slow = now, -math.inf, 0, 0.0
+        self.word_due, self.told_row = False, 0
         self.planned, self.planned_at, self.looked_at = 0, math.inf, -math.inf  # the host's
 
     # The start.
@@ -185,28 +187,24 @@
             self.written_off(now)
         if word.of == self.own and word.ask != self.answered.get(member, 0):
             self.grant(now, member, word)
-        elif before is None or before.held != word.held:
+        elif (self.want or self.paused_since is not None or self.rules.reserve) and (
+                before is None or before.held != word.held):
             self.host.urge(self)
 
     def on_pair(self, now: float, member: str, pair: Pair) -> None:
         """What `member` says to this one."""
         if not self.loaded or self.out:
             return
-        if self.unsure and pair.seen[0] == self.life and pair.seen[1] == self.account.row.account:
-            if pair.seen[2] > self.account.kept.number:
-                self.anew(f"{member} has heard of a later row")
-            elif member == self.rules.home or self.own == self.rules.home:
-                self.unsure, self.word_due = False, True
-                self.account.dirty = True  # so that the next life knows it too
-                self.host.save(self)
-                self.host.urge(self)
-                self.host.log("wallet: its row is the last that is known", wallet=self.name, by=member)
+        if self.unsure:
+            self.waiting[member] = pair
+            self.heard_unsure(now, member, pair)
+            return
         if pair.off >= self.account.row.account and member == self.rules.home:
             self.written_off(now)
         gained = self.take_gifts(member, pair.entries)
         if gained:
             self.floor_from_here()
-            if not (self.unsure or self.sealing or self.leaving):
+            if not (self.sealing or self.leaving):
                 self.write_ahead(self.usable_rate())  # in the same row
             self.host.save(self)
             self.host.urge(self)
@@ -219,6 +217,25 @@
                 self.tried.add(member)
             self.host.urge(self)
 
+    def heard_unsure(self, now: float, member: str, pair: Pair) -> None:
+        over = self.account.row.account
+        if pair.seen[:2] != (self.life, over):
+            return
+        if pair.seen[2] > self.account.kept.number:
+            self.others_know(pair.seen[2])
+            self.has_begun_anew(f"{member} has heard of a later row", over)
+        elif self.rules.home in (member, self.own):
+            self.others_know(pair.seen[2])
+            self.word_due = True
+            self.host.save(self)
+            self.host.urge(self)
+            self.host.log("wallet: its row is the last that is known", wallet=self.name, by=member)
+        else:
+            return
+        waiting, self.waiting = self.waiting, {}
+        for giver, held_up in waiting.items():
+            self.on_pair(now, giver, held_up)
+
     def written_off(self, now: float) -> None:
         """The home has written this account off: all that is left goes there, and then a new one begins."""
         if not self.sealing:
@@ -261,9 +278,11 @@
 
     def known(self) -> list[Word]:
         """Of the others that live and whose account stands."""
+        return [self.words[member] for member in self.standing()]
+
+    def standing(self) -> list[str]:
         words, off = self.words, self.account.row.off
-        return [words[m] for m in self.host.alive()
-                if m in words and off.get(m, 0) < words[m].account]
+        return [m for m in self.host.alive() if m in words and off.get(m, 0) < words[m].account]
 
     def balance(self) -> int:
         """As far as is known here, of those that live."""
@@ -356,10 +375,9 @@
 
     def look_at_reserve(self, now: float) -> None:
         """Whether only the reserve is left, as far as can be told: others have spent since their words."""
-        known, words = self.known(), self.words
-        spent = sum(min(word.held, word.rate * min(now - self.heard_at[m], OLD_WORD))
-                    for m, word in words.items() if word in known)
-        under_way = MARGIN * (self.rate + sum(word.rate for word in known))
+        known = [(self.words[member], now - self.heard_at[member]) for member in self.standing()]
+        spent = sum(min(word.held, word.rate * min(age, OLD_WORD)) for word, age in known)
+        under_way = MARGIN * (self.rate + sum(word.rate for word, _ in known))
         left = self.balance() - spent - self.rules.reserve
         if left <= under_way + (self.rules.piece + self.rate if self.all_reserved else 0.0):
             self.floor, self.all_reserved = max(self.account.held, 1), True
@@ -401,7 +419,8 @@
                 or self.leaving)
         if busy:
             return now + LOOK
-        return now + IDLE if account.free > rules.piece or self.want or self.slow else math.inf
+        more = account.free > rules.piece or self.want or self.slow or account.kept.number != self.told_row
+        return now + IDLE if more else math.inf
 
     def write_ahead(self, rate: float) -> None:
         account, rules = self.account, self.rules
@@ -538,16 +557,21 @@
         """The own word, where there is one to say."""
         held = self.account.held
         close = held < self.rate * CLOSE or self.paused_since is not None or held < self.rules.top
-        changed = abs(held - self.told_held) > CHANGED * max(self.told_held, 1)
+        part = CHANGED_CLOSE if close else CHANGED
+        changed = abs(held - self.told_held) > part * max(self.told_held, 1) or (
+            abs(self.slow - self.told_slow) > CHANGED * max(self.told_slow, 1.0))
         due = now - self.told_at >= (WORD_CLOSE if close else WORD) and changed
+        kept = self.account.kept
+        # Others must have heard of rows, so that a folder that was set back is known as such.
+        due = due or (now - self.told_at >= ROW and kept.number != self.told_row)
         if not (toward or self.word_due or due):
             return
-        kept = self.account.kept
         paused = now - self.paused_since if self.paused_since is not None else 0.0
         word = Word(VERSION, self.account.row.account, kept.number, max(held, 0),
                     round(self.usable_rate(), 3), kept.topped, self.ask, self.want, self.of, paused,
                     self.unsure, self.life, self.rules.home, self.rules.books)
-        self.word_due, self.told_at, self.told_held = False, now, held
+        self.word_due, self.told_at, self.told_held, self.told_slow = False, now, held, self.slow
+        self.told_row = kept.number
         self.host.tell(now, word_cell(self.name), encode(word), (toward,) if toward else ())
 
     # The home.
--- a/rainspindle/lab/walletcheck.py
+++ b/rainspindle/lab/walletcheck.py
@@ -16,7 +16,7 @@
 from ..decisions.wallet.account import SHIFT, Account, Holding, Row, Trust
 from .explore import Found, explore
 
-Frozen = tuple[Any, ...]  # a row: account, spent, back, topped, given, got, off, barred
+Frozen = tuple[Any, ...]  # a row: account, number, spent, back, topped, given, got, off, barred
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +31,7 @@
     fails: int = 0
     copies: int = 0
     offs: int = 0
+    boots: int = 0  # restarts of the machine, by the volume as it is or set back, which is not noticed
     members: int = 3
 
 
@@ -54,6 +55,7 @@
     ids_writing: tuple[str, ...] = ()
     old: tuple[Frozen, ...] = ()
     sealing: bool = False
+    unsure: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,24 +69,24 @@
 @dataclass(frozen=True, slots=True)
 class World:
     members: tuple[Member, ...]
-    left: tuple[int, ...]  # of gives, aheads, backs, crashes, fails, copies, offs
+    left: tuple[int, ...]  # of gives, aheads, backs, crashes, fails, copies, offs, boots
     words: frozenset[tuple[Any, ...]] = frozenset()
     paid: frozenset[int] = frozenset()  # top-ups that were ever asked for
     done: int = 0
 
 
 Next = tuple[str, World]
-GIVES, AHEADS, BACKS, CRASHES, FAILS, COPIES, OFFS = range(7)
+GIVES, AHEADS, BACKS, CRASHES, FAILS, COPIES, OFFS, BOOTS = range(8)
 
 
 def frozen(row: Row) -> Frozen:
-    return (row.account, row.spent, row.back, row.topped, tuple(sorted(row.given.items())),
+    return (row.account, row.number, row.spent, row.back, row.topped, tuple(sorted(row.given.items())),
             tuple(sorted(row.got.items())), tuple(sorted(row.off.items())), row.barred)
 
 
 def thawed(row: Frozen) -> Row:
-    account, spent, back, topped, given, got, off, barred = row
-    return Row(account, 0, spent, back, topped, dict(given), dict(got), dict(off), barred)
+    account, number, spent, back, topped, given, got, off, barred = row
+    return Row(account, number, spent, back, topped, dict(given), dict(got), dict(off), barred)
 
 
 def name(member: int) -> str:
@@ -94,12 +96,14 @@
 class Checker:
     def __init__(self, size: Size, make_account: Callable[[Row, dict[str, int]], Account] = Account,
                  make_holding: Callable[[int], Holding] = Holding, notices: bool = True,
-                 keeps_ids: bool = True, returns: bool = False, bars: bool = True) -> None:
+                 keeps_ids: bool = True, returns: bool = False, bars: bool = True,
+                 hears_last: bool = True) -> None:
         """The rest is for planting faults: older copies are not noticed, ids of top-ups are not written down,
         a write-off gives the home what the other was last heard to hold, a home that was put back goes on
-        taking top-ups."""
+        taking top-ups. Not `hears_last`: who answers the unsure may have missed its last rows."""
         self.size, self.make_account, self.make_holding = size, make_account, make_holding
         self.notices, self.keeps_ids, self.returns, self.bars = notices, keeps_ids, returns, bars
+        self.hears_last = hears_last
 
     # Between the classes and their states.
 
@@ -113,19 +117,24 @@
         account.free, account.dirty = live.free, live.dirty
         account.fresh, account.ids_writing = list(live.fresh), list(live.ids_writing)
         made.old, made.sealing = [thawed(row) for row in live.old], live.sealing
+        made.unsure = live.unsure
         return made
 
     def life(self, holding: Holding) -> Life:
         a = holding.account
         writing = frozen(a.writing) if a.writing is not None else None
         return Life(frozen(a.row), frozen(a.kept), writing, a.free, a.dirty, frozenset(a.ids), tuple(a.fresh),
-                    tuple(a.ids_writing), tuple(frozen(row) for row in holding.old), holding.sealing)
+                    tuple(a.ids_writing), tuple(frozen(row) for row in holding.old), holding.sealing,
+                    holding.unsure)
 
     def with_live(self, w: World, m: int, holding: Holding) -> World:
         """What it has now, and what it tells of that."""
         who = name(m)
         others = [name(n) for n in range(self.size.members) if n != m]
         told: set[tuple[Any, ...]] = {("gift", who, to, *gift) for to in others for gift in holding.gifts(to)}
+        kept = holding.account.kept
+        if self.size.boots and not holding.unsure:
+            told.add(("row", who, kept.account, kept.number))
         if m == 0:
             told.update(("off", *off) for off in holding.account.kept.off.items())
         members = (*w.members[:m], replace(w.members[m], live=self.life(holding)), *w.members[m + 1:])
@@ -148,7 +157,7 @@
             yield from self.acts(w, m, member)
             yield from self.hears(w, m, member)
         for m, member in enumerate(w.members):
-            if w.left[COPIES] and member.copy is None and member.disk.rows:
+            if (w.left[COPIES] or w.left[BOOTS]) and member.copy is None and member.disk.rows:
                 yield f"{name(m)}'s folder is copied", self.put(w, m, replace(member, copy=member.disk))
 
     def starts(self, w: World, m: int, member: Member) -> Iterator[Next]:
@@ -160,6 +169,11 @@
                     yield f"{name(m)} starts by {what}", self.started(
                         self.spend(w, COPIES), m, older, Trust.OLD if self.notices else Trust.SURE)
 
+        for what, disk in (("its volume", member.disk), ("its volume set back", member.copy)):
+            if w.left[BOOTS] and disk is not None and disk.rows:
+                yield f"{name(m)}'s machine restarts with {what}", self.started(
+                    self.spend(w, BOOTS), m, replace(member, life=member.life + 1, disk=disk), Trust.UNSURE)
+
     def started(self, w: World, m: int, member: Member, trust: Trust) -> World:
         if trust is Trust.OLD:
             member = replace(member, disk=replace(member.disk, rows=tuple(
@@ -170,7 +184,7 @@
         if rows:
             last, aged = rows[-1]
             made.take(thawed(last), ids, [thawed(row) for row, _ in rows[:-1]],
-                      Trust.OLD if aged else Trust.SURE)
+                      Trust.OLD if aged else trust)
             if aged and m == 0 and self.bars:
                 made.account.row.barred = "1"
         else:
@@ -198,6 +212,8 @@
         elif live.dirty:
             made = self.holding(member)
             made.account.stage()
+            if not self.size.boots and made.account.writing is not None:  # numbers tell apart equal states
+                made.account.row.number = made.account.writing.number = 0
             yield f"{who} writes", self.with_live(w, m, made)
         if w.left[CRASHES]:
             after = self.spend(w, CRASHES)
@@ -213,7 +229,7 @@
             made = self.holding(member)
             made.account.debit(1)
             yield f"{who} does one", replace(self.with_live(w, m, made), done=w.done + 1)
-        if live.sealing:
+        if live.sealing or live.unsure:
             return
         if m == 0 and not live.row[-1]:
             for n, amount in enumerate(self.size.top_ups):
@@ -255,6 +271,15 @@
         return known | ({member.live.row[0]} if member.live is not None else known or {member.life << SHIFT})
 
     def hears(self, w: World, m: int, member: Member) -> Iterator[Next]:
+        live = member.live
+        if live is not None and live.unsure:
+            told = [word[3] for word in w.words if word[:3] == ("row", name(m), live.row[0])]
+            for number in [max(told, default=0)] if self.hears_last else [0, *told]:
+                made = self.holding(member)
+                made.others_know(number)
+                if m == 0 and made.account.row.account != live.row[0] and self.bars:
+                    made.account.row.barred = "1"
+                yield f"{name(m)} hears that its row {number} is known", self.with_live(w, m, made)
         for word in sorted(w.words, key=str):
             if word[0] == "gift" and word[2] == name(m):
                 made = self.holding(member)
@@ -262,7 +287,7 @@
                     yield f"{name(m)} hears {word[1]} gave {word[3:]}", self.with_live(w, m, made)
             elif word[0] == "off" and word[1] == name(m):
                 made = self.holding(member)
-                if made.account.row.account <= word[2]:
+                if made.account.row.account <= word[2] and not made.unsure:
                     for account in self.accounts(w.members[0]):
                         made = self.holding(member)
                         made.seal(("A", account))
@@ -279,7 +304,7 @@
     def run(self, most: int = 10_000_000) -> Found:
         s = self.size
         first = World(tuple(Member() for _ in range(s.members)),
-                      (s.gives, s.aheads, s.backs, s.crashes, s.fails, s.copies, s.offs))
+                      (s.gives, s.aheads, s.backs, s.crashes, s.fails, s.copies, s.offs, s.boots))
         for m in range(s.members):
             first = self.started(first, m, first.members[m], Trust.SURE)
         return explore(first, self.steps, self.violation, lambda w: w.done == sum(s.top_ups), most)
@@ -339,3 +364,20 @@
 
     def take_gifts(self, member: str, entries: list[tuple[int, int, int]]) -> int:
         return sum(self.account.hear((member, account), total) for account, _, total in entries)
+
+
+class Eager(Holding):
+    """Takes gifts, and writes them down, while it is unsure."""
+
+    def take_gifts(self, member: str, entries: list[tuple[int, int, int]]) -> int:
+        unsure, self.unsure = self.unsure, False
+        gained = super().take_gifts(member, entries)
+        self.unsure = unsure
+        return gained
+
+
+class Trusting(Holding):
+    """Goes on after a restart of the machine, with nobody heard."""
+
+    def take(self, row: Row | None, ids: dict[str, int], old: list[Row], trust: Trust) -> None:
+        super().take(row, ids, old, Trust.SURE if trust is Trust.UNSURE else trust)
--- a/tests/test_wallet.py
+++ b/tests/test_wallet.py
@@ -54,6 +54,7 @@
 @pytest.mark.parametrize(("size", "states"), [
     (Size((2,), gives=2, aheads=2, crashes=1), 9_000),
     (Size((1,), gives=1, aheads=2, crashes=1, copies=1), 1_500),
+    (Size((1,), gives=1, aheads=2, crashes=1, boots=1, members=2), 2_500),
     (Size((1,), gives=1, aheads=2, crashes=1, copies=1, offs=1, members=2), 30_000),
     (Size((1, 1), gives=0, aheads=2, backs=1, crashes=2, fails=1, copies=1, members=1), 20_000)])
 def test_no_order_of_events_spends_more_than_was_paid(size: Size, states: int) -> None:
@@ -74,6 +75,9 @@
     Checker(Size((1,), gives=1, copies=1, members=2), make_holding=wc.Blind),  # gifts to another account
     Checker(Size((1,), gives=0, copies=1, members=1), notices=False),  # an older copy goes on
     Checker(Size((1, 1), gives=0, aheads=3, copies=1, members=1), bars=False),  # ... and takes top-ups
+    Checker(Size((1,), gives=0, crashes=1, boots=1, members=1), make_holding=wc.Trusting),  # asks nobody
+    # What can't be proved, as the page says: a volume set back, and the rows since then heard by nobody.
+    Checker(Size((1,), gives=0, crashes=1, boots=1, members=1), hears_last=False),
     Checker(Size((1,), gives=1, offs=1, members=2), returns=True)])  # a write-off gives back
 def test_the_search_finds_each_planted_fault(checker: Checker) -> None:
     found = checker.run(100_000)
@@ -258,6 +262,34 @@
     assert day.members["m01"].wallet.account.row.account == 1 << SHIFT
 
 
+def test_what_others_give_to_one_that_is_unsure_does_not_hide_that_a_later_row_was_there() -> None:
+    day = WalletDay(3, 1, Rules("m00", alone=3.0))
+    day.top_up("a", 300)
+    day.traffic("m01", 20.0, 6.0)
+    home, other = (day.members[name].wallet for name in ("m00", "m02"))
+    day.run(2.0)
+    home.account.give(("m02", other.account.row.account), 50)
+    home.pairs_due.add("m02")
+    home.host.save(home)
+    day.run(1.0)
+    older = day.disks["m01"].copy()
+    day.cut(["m00", "m01"], ["m02"])  # which hears of no row after that
+    day.run(8.0)
+    day.cut(["m00"], ["m01", "m02"])
+    day.disks["m01"] = older
+    day.restart("m01", Trust.UNSURE)
+    for _ in range(5):  # each would be a row of its own
+        other.account.give(("m01", 1 << SHIFT), 2)
+        other.pairs_due.add("m01")
+        other.host.save(other)
+        day.run(1.0)
+    assert day.members["m01"].wallet.unsure
+    day.heal()
+    day.run(3.0)
+    wallet = day.members["m01"].wallet
+    assert wallet.account.row.account == 2 << SHIFT and not wallet.unsure
+
+
 def test_what_was_written_off_goes_home_when_its_member_is_back() -> None:
     day = WalletDay(3, 1)
     day.top_up("a", 300)
