--- a/rainspindle/program/fleet/wallet.py
+++ b/rainspindle/program/fleet/wallet.py
@@ -571,7 +571,7 @@
                 wallet.leave(now)
 
     def close(self) -> None:
-        """Writes the last rows, for a second at most; their words are in the cells then, to be told."""
+        """Writes the last rows, for half a second at most; their words are in the cells then, to be told."""
         if self.closed:
             return
         self.closed = True
--- a/rainspindle/store/kept.py
+++ b/rainspindle/store/kept.py
@@ -28,7 +28,7 @@
 from ..errors import Trouble
 
 HELD_LOOK = 0.1  # seconds between looks at a folder that another process holds, and at who wants it
-MOST_WAIT = 1.0  # seconds that the end of the process waits for the disk
+MOST_WAIT = 0.5  # seconds that the end of the process waits for the disk, twice at most
 
 
 class StoreTrouble(Trouble):
@@ -101,7 +101,7 @@
         self.jobs.put(None)
 
     def close(self) -> None:
-        """Waits for the end, for a second at most."""
+        """Waits for the end, for half a second at most."""
         self.end()
         self.thread.join(MOST_WAIT)
 
