--- a/rainspindle/fronts/console/front.py
+++ b/rainspindle/fronts/console/front.py
@@ -55,7 +55,7 @@
             elif isinstance(called, FleetCall):
                 out = side.answer(*self.fleet(called), kind=b"application/json")
             else:
-                out = side.answer(called.status, called.reason, called.allow)
+                out = side.refuse(called)
             self.callers[caller] = True
             until = self.loop.now() + LINGER
             yield from caller.send(out, until)
--- a/rainspindle/program/operation.py
+++ b/rainspindle/program/operation.py
@@ -228,7 +228,7 @@
         out = order.act in (Act.DISABLE, Act.DRAIN)
         matter = order.endpoint or DRAIN
         if matter != DRAIN and matter not in self.orders.listed and matter not in self.orders.given:
-            return 404, "no list has named this endpoint"
+            return 404, "no list has named this endpoint; look for a typing error in its id"
         self.look()  # guards against a number below that of an order given to the process beside this one
         if self.orders.give(matter, out):
             self.put_into_force(matter)
--- a/rainspindle/protocol/console.py
+++ b/rainspindle/protocol/console.py
@@ -8,6 +8,7 @@
 from enum import Enum
 
 import h11
+import orjson
 
 from ..values import dataclass, field
 from . import plain
@@ -17,6 +18,7 @@
 LONGEST_ID = 256
 FLEET = ("members", "wallets", "canaries")
 MOST_FIELDS = 8  # of a query
+FLEET_PAGES = "docs/operators/ tells what the calls take"
 
 
 class Act(Enum):
@@ -51,6 +53,7 @@
     status: int
     reason: str
     allow: str = ""
+    remedy: str = "docs/on-call.md lists the calls"
 
 
 PATHS = {"/-/ready": (Act.READY, "GET"), "/-/drain": (Act.DRAIN, "POST"), "/-/resume": (Act.RESUME, "POST")}
@@ -73,19 +76,19 @@
                 event = self.connection.next_event()
                 if event is h11.NEED_DATA:
                     if self.connection.they_are_waiting_for_100_continue:
-                        return No(417, "the body must come at once")
+                        return No(417, "the body must come at once", remedy="send no Expect header")
                     return None
                 if isinstance(event, h11.Request):
                     self.request = event
                 elif isinstance(event, h11.Data):
                     self.got += len(event.data)
                     if self.got > MOST_BODY:
-                        return No(413, f"a body over {MOST_BODY} bytes")
+                        return No(413, f"a body over {MOST_BODY} bytes", remedy="send none")
                 elif isinstance(event, h11.EndOfMessage):
                     assert self.request is not None
                     return decode(self.request)
                 else:
-                    return No(400, "the call ended early")
+                    return No(400, "the call ended early", remedy="repeat it")
         except h11.RemoteProtocolError as fault:
             return No(fault.error_status_hint, str(fault))
 
@@ -99,11 +102,23 @@
         asked_head = self.request is not None and self.request.method == b"HEAD"
         return plain.encode(plain.status_line(status), headers, b"" if asked_head else body)
 
+    def refuse(self, no: No) -> bytes:
+        """What is wrong with the call, and what to do."""
+        if self.request is not None and is_fleet(self.request.target.decode("latin-1")):
+            text = orjson.dumps({"error": no.reason, "remedy": no.remedy}).decode()
+            return self.answer(no.status, text, no.allow, b"application/json")
+        return self.answer(no.status, f"{no.reason}; {no.remedy}", no.allow)
+
+
+def is_fleet(path: str) -> bool:
+    """Whether it is about what the sidecars share, so that the answer is JSON."""
+    return path.startswith("/-/") and path.partition("?")[0].split("/")[2] in FLEET
+
 
 def decode(request: h11.Request) -> Order | FleetCall | No:
     path, _, query = request.target.decode("latin-1").partition("?")
     method = request.method.decode("latin-1")
-    if path.startswith("/-/") and path.split("/")[2] in FLEET:
+    if is_fleet(path):
         return decode_fleet(method, path, query)
     found = PATHS.get(path)
     endpoint = ENDPOINT.fullmatch(path)
@@ -112,16 +127,16 @@
         try:
             id = unquote(endpoint[1], errors="strict")
         except UnicodeDecodeError:
-            return No(404, "no such endpoint")
+            return No(404, "no such endpoint", remedy="look for a typing error in its id")
         if len(id) > LONGEST_ID:
-            return No(404, "no such endpoint")
+            return No(404, "no such endpoint", remedy="look for a typing error in its id")
         found = Act(endpoint[2]), "POST"
     if found is None:
         return No(404, "no such call")
     act, wanted = found
     allowed = ("GET", "HEAD") if wanted == "GET" else (wanted,)
     if method not in allowed:
-        return No(405, f"{path} wants {wanted}", ", ".join(allowed))
+        return No(405, f"{path} wants {wanted}", ", ".join(allowed), f"call with {wanted}")
     return Order(act, id if endpoint is not None else "")
 
 
@@ -131,9 +146,10 @@
         parts = tuple(unquote(part, errors="strict") for part in path.split("/")[2:])
         fields = parse_qsl(query, keep_blank_values=True, errors="strict", max_num_fields=MOST_FIELDS)
     except ValueError:
-        return No(400, f"a path or query that is not text, or of over {MOST_FIELDS} fields")
+        return No(400, f"a path or query that is not text, or of over {MOST_FIELDS} fields",
+                  remedy=FLEET_PAGES)
     if any(len(text) > LONGEST_ID for text in (*parts, *(t for pair in fields for t in pair))):
-        return No(400, f"a name or value of over {LONGEST_ID} characters")
+        return No(400, f"a name or value of over {LONGEST_ID} characters", remedy=FLEET_PAGES)
     if len(dict(fields)) != len(fields):
-        return No(400, "a field of the query is there twice")
+        return No(400, "a field of the query is there twice", remedy="leave one of them out")
     return FleetCall(method, parts, dict(fields))
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -210,6 +210,18 @@
         assert (got.status == 405) == bool(got.allow)
 
 
+def test_whoever_is_refused_is_told_what_to_do_and_in_json_about_what_is_shared() -> None:
+    for path, remedy in (("/-/nowhere", b"no such call; docs/on-call.md lists the calls\n"),
+                         ("/-/drain", b"/-/drain wants POST; call with POST\n"),
+                         ("/-/wallets?x=1&x=2", b'{"error":"a field of the query is there twice",'
+                                                b'"remedy":"leave one of them out"}\n')):
+        side = ConsoleSide()
+        got = side.receive(call("GET", path))
+        assert isinstance(got, No)
+        head, _, body = side.refuse(got).partition(b"\r\n\r\n")
+        assert body == remedy and (b"application/json" in head) == remedy.startswith(b"{")
+
+
 # Endpoints out and back.
 
 
