--- a/rainspindle/decisions/members/swim.py
+++ b/rainspindle/decisions/members/swim.py
@@ -139,7 +139,7 @@
         self.next_sums = now + chance.random() * tuning.sums
         self.next_clean = now + 10.0
         self.next_name = now
-        self.gossip_at = math.inf
+        self.gossip_at, self.gossiped = math.inf, -math.inf
         self.doubt_until = -math.inf
         self.settled = math.inf
         self.leaving = False
@@ -163,8 +163,10 @@
 
     def stir(self) -> None:
         """An own cell was written."""
-        self.gossip_at = min(self.gossip_at, self.last)
-        self.wake()
+        at = max(self.last, self.gossiped + SOON)  # many writes go out together
+        if at < self.gossip_at:
+            self.gossip_at = at
+            self.wake()
 
     def reseed(self, seeds: Iterable[Address]) -> None:
         self.seeds = list(seeds)
@@ -420,7 +422,7 @@
             if self.spread is not None and now >= self.next_sums:
                 self.next_sums = now + self.tuning.sums * (0.8 + 0.4 * self.chance.random())
                 self.send_sums(now)
-        if now >= self.gossip_at or (self.spread is not None and self.spread.cells.fresh):
+        if now >= self.gossip_at:
             self.gossip(now)
         if now >= self.next_clean:
             self.clean(now)
@@ -612,7 +614,7 @@
 
     def hand_over(self) -> None:
         self.handed_over = self.outnamed = True
-        self.host.log("members: a successor has the name")
+        self.host.log("members: the process beside this one has the name")
 
     def take_life(self, now: float, above: int) -> None:
         before = self.own.member()
@@ -787,7 +789,7 @@
 
     def gossip(self, now: float) -> None:
         """Tells news to a few."""
-        spread = self.spread
+        spread, self.gossiped = self.spread, now
         if spread is not None:
             for name in list(spread.gather())[:FIRST]:
                 record = self.table.records.get(name)
--- a/rainspindle/lab/fleet/members_figures.py
+++ b/rainspindle/lab/fleet/members_figures.py
@@ -263,13 +263,13 @@
 def page(results: list[Result], cases: dict[str, str]) -> str:
     lines = [
         "# Members: figures", "",
-        "In virtual time, by `python -m rainspindle.lab.fleet.figures members`: the classes that run, on a",
-        "network with 0.2 to 2 ms of delay. Crashes: seconds until a survivor holds the member for dead, over",
-        "all crashes and survivors (median / 99th), and until all do (median / worst). Wrong burials: members",
-        "that were there and that at least one other took for dead, an hour over the whole fleet; a member",
-        "counts again after 10 s. Stalls: each second one in a hundred members stands still for 1 to 8 s.",
-        "Datagrams and bytes are what one member sends a second (mean / the one that sends most). CPU is a part",
-        "of one core for one member, with the virtual network's part in it.", ""]
+        "In virtual time, by `python -m rainspindle.lab.fleet.figures members`: the classes that run, on",
+        "a network with 0.2 to 2 ms of delay. Crashes: seconds until a survivor holds the member for dead,",
+        "over all crashes and survivors (median / 99th), and until all do (median / worst). Wrong burials:",
+        "members that were there and that at least one other took for dead, an hour over the whole fleet; a",
+        "member counts again after 10 s. Stalls: each second one in a hundred members stands still for 1 to",
+        "8 s. Datagrams and bytes are what a member sends a second (mean / the one that sends most). CPU is",
+        "a part of one core for one member, with the virtual network's part in it.", ""]
     for way in WAYS:
         lines += [f"## {way[0].upper()}{way[1:]}", "",
                   "| members | faults | a crash is known to one (s) | to all (s) | wrong burials an hour | "
--- a/rainspindle/program/fleet/members.py
+++ b/rainspindle/program/fleet/members.py
@@ -245,7 +245,7 @@
             faults.append(f"another process at {members.twin} has this name too; give each its own name"
                           + (", this one keeps quiet until then" if members.outnamed else ""))
         if members.handed_over:
-            faults.append("a successor has the name")
+            faults.append("the process of this sidecar beside this one has the name")
         return faults
 
     def figures(self) -> Mapping[str, object]:
--- a/rainspindle/transport/wire.py
+++ b/rainspindle/transport/wire.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import math
 import socket
 from collections.abc import Callable
@@ -78,5 +77,4 @@
             return True
         finally:
             if some:
-                with contextlib.suppress(Exception) if self.closed else contextlib.nullcontext():
-                    self.after()
+                self.after()
