--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -222,6 +222,32 @@
     assert "faults=0 broken={}" in service.logged()
 
 
+def test_a_client_that_goes_on_after_sigterm_is_answered_until_its_connection_says_so(service: Service
+                                                                                         ) -> None:
+    clients = [service.asked(ask(f"first{n}")) for n in range(3)]
+    for client in clients:
+        service.got().answer(200)
+        assert service.answer(client)[0] == 200
+    service.process.send_signal(signal.SIGTERM)
+    service.until(lambda: "event=leaving" in service.logged())
+    began, sent = time.monotonic(), 0
+    while clients:
+        for client in list(clients):
+            if ended(client):  # between two requests, which is no request unanswered
+                clients.remove(client)
+                continue
+            client.send(ask(f"more{sent}"))
+            sent += 1
+            service.got().answer(200)
+            status, _, headers = service.answer(client)
+            assert status == 200, "a request on a connection left open"
+            if headers.get("connection") == "close":
+                clients.remove(client)
+        select.select([], [], [], 0.05)
+    assert time.monotonic() - began > 1.0 and sent > 10, "it serves on until a successor can be up"
+    assert service.process.wait(PATIENCE) == 0
+
+
 def test_sighup_reads_the_configuration_again_and_discovery_moves(service: Service) -> None:
     """Guards against an end by SIGHUP, and against following the old list service."""
     def reload(text: str, log: str) -> None:
