--- a/tests/examples.py
+++ b/tests/examples.py
@@ -1,10 +1,9 @@
-"""What pages and docstrings show is done: files go through `check`, calls to a live sidecar, lines to a
-shell.
+"""What pages and docstrings show is done: files go through `check`, calls to a live sidecar, lines to
+a shell.
 
 In a page an example is a fenced or an indented block, or words between backticks that read as a command line,
-as a call of the console or as a path of the repository, or that stand in a table as a log line. A
-block of no kind that is known here is a fault
-itself: a picture is fenced as `text`.
+as a call of the console or as a path of the repository, or that stand in a table as a log line. A block of no
+kind that is known here is a fault itself: a picture is fenced as `text`.
 """
 
 from __future__ import annotations
