--- a/rainspindle/program/fleet/canary.py
+++ b/rainspindle/program/fleet/canary.py
@@ -36,7 +36,7 @@
 ACTS = ("start", "pause", "resume", "abort")
 
 
-class StagePart(msgspec.Struct, frozen=True, rename="kebab", forbid_unknown_fields=True):
+class StagePart(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One entry of `stages`."""
 
     part: float
@@ -44,7 +44,7 @@
     exchanges: int
 
 
-class SettingPart(msgspec.Struct, frozen=True, rename="kebab", forbid_unknown_fields=True):
+class SettingPart(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A setting that may differ between exchanges of one module: of one traffic type."""
 
     traffic_type: str
@@ -52,7 +52,7 @@
     value: float | None = None
 
 
-class CanaryPart(msgspec.Struct, frozen=True, rename="kebab", forbid_unknown_fields=True):
+class CanaryPart(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """`[[canary]]`. One of `endpoints`, `kind` and `setting` names what is new. Times are seconds."""
 
     name: str
@@ -115,13 +115,13 @@
 def unfit_setting(at: str, setting: SettingPart, config: Config) -> Iterator[str]:
     types = {t["name"]: t for t in config.raw_settings["traffic-types"]}
     if setting.traffic_type not in types:
-        yield f"{at}.traffic-type: {setting.traffic_type!r} is none of {', '.join(types)}"
+        yield f"{at}.traffic_type: {setting.traffic_type!r} is none of {', '.join(types)}"
         return
     if (setting.promised_time is None) == (setting.value is None):
-        yield f"{at}: give one of 'promised-time' and 'value': one thing is judged at a time"
+        yield f"{at}: give one of 'promised_time' and 'value': one thing is judged at a time"
     expiry = float(types[setting.traffic_type]["expiry"])
     if setting.promised_time is not None and not 0 < setting.promised_time <= expiry:
-        yield f"{at}.promised-time: {setting.promised_time} ms is not from 0 to the expiry, {expiry}"
+        yield f"{at}.promised_time: {setting.promised_time} ms is not from 0 to the expiry, {expiry}"
     highest = max(traffic_type(t).value for t in types.values())
     if setting.value is not None and not 0 <= setting.value <= highest:
         yield (f"{at}.value: {setting.value} is not from 0 to {highest}, the highest of the settings: "
@@ -144,15 +144,15 @@
     if not 1.0 <= table.short < table.long <= 86_400:
         yield f"{at}: wants 1 s <= short < long <= 86400 s, not {table.short} and {table.long}"
     if not 1 <= table.pause_at <= table.abort_at:
-        yield f"{at}: wants 1 <= pause-at <= abort-at, not {table.pause_at} and {table.abort_at}"
+        yield f"{at}: wants 1 <= pause_at <= abort_at, not {table.pause_at} and {table.abort_at}"
     if not 0.5 < table.fresh <= 1:
         yield f"{at}.fresh: {table.fresh} is not over 0.5 and up to 1"
     if not 0 <= table.hold < table.fresh:
         yield f"{at}.hold: {table.hold} is not from 0 to below fresh, {table.fresh}"
     if not 1 <= table.alone_after <= 3600:
-        yield f"{at}.alone-after: {table.alone_after} is not from 1 to 3600 s"
+        yield f"{at}.alone_after: {table.alone_after} is not from 1 to 3600 s"
     if table.each_effect < 0:
-        yield f"{at}.each-effect: {table.each_effect} is below 0"
+        yield f"{at}.each_effect: {table.each_effect} is below 0"
 
 
 def split_core(loop: Loop, config: Config, tables: Sequence[CanaryPart],
--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -572,7 +572,7 @@
 def test_a_canary_of_a_setting_is_one_module_and_another_traffic_type() -> None:
     def slow(endpoint: str) -> tuple[Outcome, float]:
         return Outcome.SERVED, 0.5
-    pair = Pair(slow, setting={"traffic-type": "read", "promised-time": 200})
+    pair = Pair(slow, setting={"traffic_type": "read", "promised_time": 200})
     balancer = pair.core.facade.balancer
     assert isinstance(balancer, Balancer) and not pair.core.further
     assert [t.promised_time for t in balancer.types] == [0.6, 0.6, 0.6, 0.2, 0.6, 0.6]
@@ -593,17 +593,17 @@
     one = {"name": "c", "stages": [{"part": 0.5, "time": 1, "exchanges": 1}]}
     faulty = [msgspec.convert({**one, **more}, type=CanaryPart) for more in (
         {"kind": "nwe"}, {"kind": "new", "endpoints": ["e1"]}, {"name": "a/b", "endpoints": []},
-        {"name": "d", "setting": {"traffic-type": "red", "value": 1.0}},
-        {"name": "e", "setting": {"traffic-type": "read", "value": 7.0}},
+        {"name": "d", "setting": {"traffic_type": "red", "value": 1.0}},
+        {"name": "e", "setting": {"traffic_type": "read", "value": 7.0}},
         {"name": "f", "endpoints": ["e9"], "stages": [{"part": 1.0, "time": -1, "exchanges": 0}]},
-        {"name": "g", "endpoints": ["e9"], "short": 400, "budget": 0, "pause-at": 20, "fresh": 0.4,
-         "alone-after": 0, "each-effect": -1})]
+        {"name": "g", "endpoints": ["e9"], "short": 400, "budget": 0, "pause_at": 20, "fresh": 0.4,
+         "alone_after": 0, "each_effect": -1})]
     told = list(unfit(faulty, pair.config))
     for path in ("canary[0].kind", "canary[0].name", "canary[1]: names", "canary[2].name",
-                 "canary[2].endpoints", "canary[3].setting.traffic-type", "canary[4].setting.value",
+                 "canary[2].endpoints", "canary[3].setting.traffic_type", "canary[4].setting.value",
                  "canary[5].stages[0].part",
                  "canary[5].stages[0]:", "canary[6].endpoints", "canary[6].budget", "canary[6].fresh",
-                 "canary[6].alone-after", "canary[6].each-effect", "canary[6]: wants 1 s"):
+                 "canary[6].alone_after", "canary[6].each_effect", "canary[6]: wants 1 s"):
         assert any(line_.startswith(path) for line_ in told), (path, told)
     assert not list(unfit([msgspec.convert({**one, "kind": "new"}, type=CanaryPart)], pair.config))
 
--- a/tests/test_canary_processes.py
+++ b/tests/test_canary_processes.py
@@ -19,7 +19,7 @@
 pytestmark = pytest.mark.timeout(120)
 NAMES = ["a", "b", "c", "d", "e"]
 TABLE: dict[str, Any] = {
-    "name": "next", "kind": "new", "budget": 0.05, "long": 20.0, "short": 4.0, "each-effect": 5,
+    "name": "next", "kind": "new", "budget": 0.05, "long": 20.0, "short": 4.0, "each_effect": 5,
     "stages": [{"part": 0.2, "time": 2.0, "exchanges": 20}, {"part": 0.5, "time": 600.0, "exchanges": 20}]}
 
 
