--- a/rainspindle/errors.py
+++ b/rainspindle/errors.py
@@ -6,7 +6,11 @@
 class Trouble(Exception):
     """`str()` says what is wrong, `remedy` in one sentence what an operator can do about it.
 
-    A subclass gives the remedy for all of its kind; one raise may give a closer one."""
+    A subclass gives the remedy for all of its kind; one raise may give a closer one.
+
+    >>> Trouble("the disk is full", "make room").line()
+    'the disk is full; make room'
+    """
 
     remedy = "look up the message in docs/on-call.md"
 
@@ -16,5 +20,10 @@
             self.remedy = remedy
 
     def line(self) -> str:
-        """Both in one line, as a log, a console and the command line show it."""
+        """Both, as the command line shows it: where several things are wrong, each has a line, and the remedy
+        ends the last."""
         return f"{self}; {self.remedy}"
+
+    def fields(self) -> dict[str, object]:
+        """Both, as a log line shows it."""
+        return {"why": self, "remedy": self.remedy}
--- a/rainspindle/protocol/console.py
+++ b/rainspindle/protocol/console.py
@@ -5,12 +5,11 @@
 import contextlib
 import re
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from enum import Enum
-from urllib.parse import parse_qsl, unquote
 
 import h11
 
+from ..values import dataclass, field
 from . import plain
 
 MOST_HEAD, MOST_BODY = 4096, 4096
@@ -109,6 +108,7 @@
     found = PATHS.get(path)
     endpoint = ENDPOINT.fullmatch(path)
     if endpoint is not None:
+        from urllib.parse import unquote  # here, as a start need not pay for it
         try:
             id = unquote(endpoint[1], errors="strict")
         except UnicodeDecodeError:
@@ -126,6 +126,7 @@
 
 
 def decode_fleet(method: str, path: str, query: str) -> FleetCall | No:
+    from urllib.parse import parse_qsl, unquote  # here, as a start need not pay for it
     try:
         parts = tuple(unquote(part, errors="strict") for part in path.split("/")[2:])
         fields = parse_qsl(query, keep_blank_values=True, errors="strict", max_num_fields=MOST_FIELDS)
