--- a/rainspindle/decisions/wallet/wallet.py
+++ b/rainspindle/decisions/wallet/wallet.py
@@ -346,7 +346,7 @@
         if self.out:
             self.account.put_back(self.account.free)  # what was on its way to be spent
         due, self.pairs_due = self.pairs_due, set()
-        for member in due:
+        for member in sorted(due):  # in whatever order it was put, the same is done each time
             if self.more_for(member):
                 self.pairs_due.add(member)
             else:
