--- a/rainspindle/decisions/members/swim.py
+++ b/rainspindle/decisions/members/swim.py
@@ -138,7 +138,7 @@
         self.next_whole = self.next_far = now
         self.next_sums = now + chance.random() * tuning.sums
         self.next_clean = now + 10.0
-        self.next_name = now
+        self.next_name = self.next_suspects = now
         self.gossip_at, self.gossiped = math.inf, -math.inf
         self.doubt_until = -math.inf
         self.settled = math.inf
@@ -187,6 +187,8 @@
     def leave(self, now: float) -> None:
         if self.leaving:
             return
+        if not self.outnamed and self.successor():
+            self.hand_over()  # the name goes on
         self.leaving, self.own.standing = True, wire.LEFT
         self.table.stand(self.own)
         if self.outnamed:
@@ -410,7 +412,9 @@
         if self.settled == math.inf and self.table.living():
             self.settled = now + SETTLE
         self.look_at_probes(now)
-        self.look_at_suspects(now)
+        if now >= self.next_suspects:
+            self.next_suspects = now + 0.1
+            self.look_at_suspects(now)
         if not self.leaving:
             if now >= self.next_probe:
                 self.next_probe = max(self.next_probe + self.tuning.period * self.health.factor, now)
--- a/rainspindle/decisions/shared/repeats.py
+++ b/rainspindle/decisions/shared/repeats.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import math
 from collections.abc import Callable, Hashable
 from typing import Generic, TypeVar
@@ -12,6 +13,7 @@
 PER_DECADE = 5.0  # times that each news is told for each tenfold of members
 
 
+@functools.lru_cache(8192)
 def times(members: int) -> int:
     """How often one member tells a news on, in a fleet of so many."""
     return math.ceil(PER_DECADE * math.log10(members + 2))
