--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -278,7 +278,7 @@
         return msgspec.msgpack.encode(plain(f="virtual", n="m1", l=7, q=n, k=wire.PING, t="m0",
                                             m=[["m2", HERE, 1, 9, wire.DEAD]]))
     return msgspec.msgpack.encode(plain(f="virtual", n="m1", l=record.life, q=record.top, k=wire.PING, t="m0",
-                                        a=record.packed, m=[["m2", HERE, 2**50, 9, wire.DEAD]]))
+                                        a=record.packed, m=[["m2", HERE, 2**61, 9, wire.DEAD]]))
 
 
 @pytest.mark.parametrize("kind", ["unreadable", "strangers", "other fleet", "older life", "replayed"])
