--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -159,6 +159,8 @@
     world = settled(30)
     wrong = buried(world)
     world.cut("m3", "m4")
+    world.run(world.now + 30)
+    assert not any(p.members.counts.suspected for p in world.running())  # others are asked first
     for n in range(1, 30, 2):
         world.cut(f"m{n}", "m8")
     world.run(world.now + 40)
