--- a/rainspindle/lab/fleet/network.py
+++ b/rainspindle/lab/fleet/network.py
@@ -183,6 +183,10 @@
         return self.ask(lambda: {
             link: Count(c.sent, c.bytes, c.lost, c.doubled) for link, c in self.links.counts.items()})
 
+    def recent(self) -> list[tuple[str, str, bytes]]:
+        """Sender, receiver and datagram of those that came last, the oldest first."""
+        return self.ask(lambda: list(self.tapped))
+
     def replay(self, source: str, target: str) -> int:
         """Sends the receiver once more what it was last sent by this member; how many datagrams."""
         def replay() -> int:
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -180,14 +180,16 @@
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
             for _ in range(20_000):
                 stranger.sendto(chance.randbytes(chance.randrange(1, 1400)), at)
-            for _, _, data in list(fleet.network.tapped):
+            for _, _, data in fleet.network.recent():
                 stranger.sendto(data, at)
                 stranger.sendto(data[:-1] + bytes([data[-1] ^ 1]), at)
         assert fleet["m1"].call("GET", "/-/members").status == 200
         assert fleet.agree(dict.fromkeys(names(5), "alive"))
+        wait_until(lambda: sum(source == "m3" for source, _, _ in fleet.network.recent()) >= 20, KNOWN,
+                   "m3 has told enough")
         fleet["m3"].kill()
         fleet.await_agreed({"m3": "dead"}, KNOWN, *rest)
-        assert sum(fleet.network.replay("m3", name) for name in rest) > 10
+        assert sum(fleet.network.replay("m3", name) for name in rest) >= 20
         play(fleet, (), until=1.0)
         assert fleet.agree({"m3": "dead"}, *rest), "what it told before its end brings it back to nobody"
         assert not buried(watch, "m3") and not fleet["m1"].faults()
