--- a/rainspindle/lab/fleet/day.py
+++ b/rainspindle/lab/fleet/day.py
@@ -239,6 +239,15 @@
     return Plan(schedule, tuple(calls), lambda name: tables)
 
 
+def shortest(x: experiment.Experiment, seed: int, whole: Plan) -> Schedule:
+    """The least of a day's faults with which it still does not hold; each try is a day played."""
+    def fails(schedule: Schedule) -> bool:
+        with tempfile.TemporaryDirectory(prefix="rainspindle-day-") as folder:
+            day = play(World(x, x.variants[0], seed), replace(whole, schedule=schedule), Path(folder))
+        return bool(day.broken)
+    return shrink(whole.schedule, fails)
+
+
 def main(arguments: Sequence[str] | None = None) -> int:
     parser = argparse.ArgumentParser("python -m rainspindle.lab.fleet.day", description="Play the full day.")
     parser.add_argument("--seed", type=int, default=1)
@@ -246,6 +255,7 @@
     parser.add_argument("--folder", type=Path, help="where files and logs are kept; default: nowhere")
     parser.add_argument("--plain", action="store_true", help="sidecars without fleet files: the lab alone")
     parser.add_argument("--with", dest="parts", default="wallet,canary", help="what is on beside the members")
+    parser.add_argument("--shrink", action="store_true", help="if it does not hold, look for the least faults")
     options = parser.parse_args(arguments)
     x = experiment.load(FILE)
     schedule = from_values(json.loads(options.schedule.read_text())) if options.schedule else None
@@ -255,6 +265,9 @@
         day = play(World(x, x.variants[0], options.seed), whole, options.folder or Path(folder))
     print(json.dumps({"seed": options.seed, "schedule": to_values(whole.schedule), "broken": day.broken[:20],
                       "figures": day.figures}))
+    if day.broken and options.shrink:
+        least = shortest(x, options.seed, whole)
+        print(json.dumps({"seed": options.seed, "schedule": to_values(least)}))
     return 3 if day.broken else 0
 
 
--- a/tests/test_full_day.py
+++ b/tests/test_full_day.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import json
 import math
 from pathlib import Path
 
 import pytest
 
 from rainspindle.lab import experiment
+from rainspindle.lab.audit import Audit
 from rainspindle.lab.fleet import day
 from rainspindle.lab.fleet.judge import NEW, Call, Called, excuse, judge_canary, judge_wallet
 from rainspindle.lab.fleet.player import Away
@@ -62,6 +64,18 @@
     assert broken and all("came to the canary's" in line for line in broken), broken
 
 
+def test_a_day_that_fails_is_shrunk_to_the_faults_that_it_takes(
+        monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]) -> None:
+    def play(world: World, plan: day.Plan, folder: Path) -> day.Day:
+        fails = any(isinstance(fault, Stall) for fault in plan.schedule)
+        return day.Day(Ledger(), Audit(), {}, [], [], ["planted"] if fails else [])
+    monkeypatch.setattr(day, "play", play)
+    assert day.main(["--seed", "4", "--shrink"]) == 3
+    first, least = (json.loads(line) for line in capsys.readouterr().out.splitlines())
+    assert first["broken"] == ["planted"] and len(first["schedule"]) == 4
+    assert least["schedule"] == [fault for fault in first["schedule"] if fault["fault"] == "stall"]
+
+
 def run(id: str, type: int, began: float, endpoint: int = 5, sidecar: int = 0) -> Run:
     return Run(id, id, type, sidecar, endpoint, 0, id, began, began, 0.01, began=began)
 
