--- a/rainspindle/lab/fleet/day.py
+++ b/rainspindle/lab/fleet/day.py
@@ -45,7 +45,7 @@
 )
 from .player import Away, Player
 from .processes import Fleet, NotInTime
-from .schedule import Kill, Restart, Schedule, Split, Stall, from_values, to_values
+from .schedule import Kill, Restart, Schedule, Split, Stall, from_values, shrink, to_values
 from .watch import Watch
 
 FILE = ROOT / "experiments" / "full-day.toml"
@@ -255,7 +255,7 @@
     parser.add_argument("--folder", type=Path, help="where files and logs are kept; default: nowhere")
     parser.add_argument("--plain", action="store_true", help="sidecars without fleet files: the lab alone")
     parser.add_argument("--with", dest="parts", default="wallet,canary", help="what is on beside the members")
-    parser.add_argument("--shrink", action="store_true", help="if it does not hold, look for the least faults")
+    parser.add_argument("--shrink", action="store_true", help="if it does not hold, find the least faults")
     options = parser.parse_args(arguments)
     x = experiment.load(FILE)
     schedule = from_values(json.loads(options.schedule.read_text())) if options.schedule else None
