--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -5,7 +5,6 @@
 import contextlib
 import math
 from collections.abc import Callable
-from types import SimpleNamespace
 from typing import Any
 
 import msgspec
@@ -22,15 +21,11 @@
 from rainspindle.host import Effect, Outcome
 from rainspindle.host import State as Lifecycle
 from rainspindle.lab.canary_net import Net, Traffic
-from rainspindle.lab.virtual import Clock
-from rainspindle.lab.virtual_sites import VirtualLoop
+from rainspindle.lab.canary_pair import Pair, line
 from rainspindle.logic import Balancer
-from rainspindle.program.fleet.canary import CanaryPart, CanaryRun, split_core, unfit
+from rainspindle.program.fleet.canary import CanaryPart, unfit
 from rainspindle.routing.canary import SplitCore
-from rainspindle.routing.core import Final, Finished, Forwarded, Given, Rejected
-from rainspindle.transport.loop import Coroutine
-
-from .fleet import line
+from rainspindle.routing.core import Finished, Rejected
 
 STEPS = (Step(0.05, 10.0, 50), Step(0.25, 10.0, 50), Step(0.5, 10.0, 50))
 TERMS = Terms("c", "kind new", STEPS, long=60.0, short=10.0)
@@ -402,93 +397,6 @@
 # The cores beside each other.
 
 
-class FakeBack:
-    """Endpoints that answer as a test says, after so many seconds."""
-
-    def __init__(self, pair: Pair) -> None:
-        self.pair = pair
-
-    def forward(self, given: Given, endpoint: str, address: Any, until: float, before: Any, after: Any,
-                started: Any) -> Coroutine[Forwarded]:
-        loop, (outcome, takes) = self.pair.loop, self.pair.how(endpoint)
-        self.pair.sent.append((given.key or "", endpoint))
-        ends = loop.now() + takes
-        while loop.now() < ends:
-            yield ends
-        return Forwarded(outcome, endpoint)
-
-    def drop(self, endpoint: str, address: Any) -> None: ...
-
-    def keep_only(self, endpoints: Any) -> None: ...
-
-
-TYPES = [{"name": name, "effect": effect, "promised-time": 600.0, "expiry": 2000.0, "memory-span": 150.0}
-         for name, effect in (("read", "read_like"), ("submit", "non_idempotent"),
-                              ("print", "idempotency_key"))]
-
-
-class Pair:
-    """A sidecar's cores for one table, in virtual time; `start`ed, it is the only member."""
-
-    def __init__(self, how: Callable[[str], tuple[Outcome, float]], limits: dict[str, Any] | None = None,
-                 forwards: int = 3, **table: Any) -> None:
-        self.clock, self.how = Clock(), how
-        self.loop = VirtualLoop(self.clock, self.fault)
-        self.sent: list[tuple[str, str]] = []
-        raw = {"zone": 0, "peers-total": 1, "traffic-types": TYPES,
-               "policy-limits": {"max-forwards": forwards}, "contract": {
-                   "fall-multiple": 2.5, "tip-after": 3000.0, "cold-from": 0.15, "cold": 24000.0,
-                   "ask-within": 10000.0, **(limits or {})}}
-        settings = SimpleNamespace(type_names=("read", "submit", "print"), kinds=("fast", "new"))
-        config: Any = SimpleNamespace(seed=1, raw_settings=raw, settings=settings)
-        self.config = config
-        self.part = msgspec.convert({"name": "c", "stages": [{"part": 0.5, "time": 1000, "exchanges": 10}],
-                                     **table}, type=CanaryPart)
-        self.core = split_core(self.loop, self.config, [self.part], lambda directory: FakeBack(self),
-                               lambda: None, lambda: None)
-        members = SimpleNamespace(own_name="me", own_life=1, members=lambda: [])
-        self.cells = Cells("me", 1)
-        ground: Any = SimpleNamespace(loop=self.loop, config=self.config, members=members, cells=self.cells,
-                                      folder=None)
-        self.run = CanaryRun(ground, [self.part], wall=lambda: 5.0)
-        self.taker = self.run.taker(self.core)
-        self.tick()
-        self.list_now(tuple(line(n, machine=n % 2) for n in range(6)))
-        self.go(1.0)
-
-    def fault(self, fault: BaseException) -> None:
-        raise fault
-
-    def tick(self) -> None:
-        self.run.tick(self.loop.now())
-        self.clock.at(self.loop.now() + 0.25, self.tick)
-
-    def list_now(self, lines: tuple[Any, ...], whole: bool = True) -> None:
-        self.core.list_changed(lines, {ln.id: ("127.0.0.1", 1) for ln in lines
-                                       if ln.state is not Lifecycle.GONE}, whole, False)
-
-    def go(self, seconds: float) -> None:
-        self.clock.env.run(until=self.loop.now() + seconds)
-
-    def start(self) -> None:
-        answer = self.run.call(self.loop.now(), "POST", ("canaries", "c", "start"), {})
-        assert answer is not None and answer.status == 200
-        self.go(4.0)
-
-    def exchange(self, key: str, type_index: int = 0) -> Final:
-        finals: list[Final] = []
-
-        def one() -> Coroutine[None]:
-            given = Given(type_index, key, None, False, self.loop.now() + 2.0, None)
-            finals.append((yield from self.taker.run(given, lambda: False)))
-        self.loop.spawn(one())
-        self.go(2.5)
-        return finals[0]
-
-    def in_canary(self, inside: bool = True) -> list[str]:
-        return [key for key in (f"k{n}" for n in range(200)) if (point("c", key) < 0.5) is inside][:20]
-
-
 def fine(endpoint: str) -> tuple[Outcome, float]:
     return Outcome.SERVED, 0.02
 
@@ -569,6 +477,27 @@
     assert len(old.further.taken) == pair.core.taken + pair.core.further["c"].taken - pair.run.router.crossed
 
 
+def test_in_a_pool_each_side_hears_its_like_and_both_what_tenants_ask() -> None:
+    pair, other = (Pair(fine, peers=True, kind="new") for _ in range(2))
+    told: list[str] = []
+    pair.core.tell = told.append
+    pair.start()
+    for key in (*pair.in_canary()[:3], *pair.in_canary(False)[:2]):
+        pair.exchange(key)
+    assert {message.startswith("~") for message in told} == {True, False}
+    for message in told:
+        other.core.apply(other.core.facade.heard(other.loop.now(), "pair", message))
+    for core, like in ((other.core, "pair"), (other.core.further["c"], "pair")):
+        balancer = core.facade.balancer
+        assert isinstance(balancer, Balancer) and like in balancer.pool.words
+        assert {"pair~", "pair~c"} & balancer.pool.facts.keys()
+    other.core.peer_gone("pair")
+    for core in other.core.cores.values():
+        balancer = core.facade.balancer
+        assert isinstance(balancer, Balancer)
+        assert not any(who.startswith("pair") for who in (*balancer.pool.words, *balancer.pool.facts))
+
+
 def test_a_canary_of_a_setting_is_one_module_and_another_traffic_type() -> None:
     def slow(endpoint: str) -> tuple[Outcome, float]:
         return Outcome.SERVED, 0.5
