--- a/rainspindle/decisions/canary/canary.py
+++ b/rainspindle/decisions/canary/canary.py
@@ -195,7 +195,10 @@
             return
         self.learn(now, self.carried[owner][0])
 
-    def heard_counts(self, now: float, owner: str, life: int, sequence: int, value: bytes) -> None:
+    def heard_counts(self, now: float, owner: str, life: int, sequence: int, value: bytes,
+                     held: float = math.inf) -> None:
+        """`held`: when their owner is known to have told them, where that is before now."""
+        at = min(now, held)
         before = self.others.get(owner)
         # Guards against counts that come twice, late, or from a dead life.
         if before is not None and (life, sequence) <= (before.life, before.sequence):
@@ -209,12 +212,12 @@
             self.unread += 1
             return
         self.others[owner] = Heard(
-            told, now, life, sequence,
-            Window(now, told.coarse, told.unit, told.coarse_age, self.terms.long, COARSE),
-            Window(now, told.fine, told.unit, told.fine_age, self.terms.short, FINE))
-        self.hear_stamp(now, told)
+            told, at, life, sequence,
+            Window(at, told.coarse, told.unit, told.coarse_age, self.terms.long, COARSE),
+            Window(at, told.fine, told.unit, told.fine_age, self.terms.short, FINE))
+        self.hear_stamp(now, at, told)
 
-    def hear_stamp(self, now: float, told: Told) -> None:
+    def hear_stamp(self, now: float, held: float, told: Told) -> None:
         """What its counts say of the state may come before the state itself."""
         s = self.state
         if (told.run, told.digest) < (s.run, s.digest) or not told.run:
@@ -222,7 +225,7 @@
         known = State(told.run, told.digest, told.epoch, told.stage, told.aborted)
         if told.paused and not told.aborted:
             if (told.run, told.digest, told.epoch) >= (s.run, s.digest, s.epoch) and not s.paused:
-                self.held_until = now + self.HELD
+                self.held_until = max(self.held_until, held + self.HELD)
             # The stage that holds there may be lower than the one told, and its marks are not here yet.
             known = replace(known, epoch=0, stage=0)
         self.learn(now, known)
--- a/rainspindle/lab/canary_net.py
+++ b/rainspindle/lab/canary_net.py
@@ -20,7 +20,8 @@
 DEAD_AFTER = 5.0  # seconds
 MIX = ((Effect.RETRIABLE, 0.6), (Effect.FINGERPRINTED, 0.3), (Effect.BINDING, 0.1))
 NOWHERE = ("0.0.0.0", 1)
-Message = tuple[float, str, list[Cell], dict[str, float]]  # when it arrives, from whom, cells, who was there
+# When it arrives, from whom, cells with the age of each, who was there when.
+Message = tuple[float, str, list[tuple[Cell, float]], dict[str, float]]
 
 
 class Node:
@@ -47,7 +48,9 @@
         if cell.name.endswith("/state"):
             self.canary.heard_state(now, cell.owner, cell.value)
         elif cell.owner != self.name:
-            self.canary.heard_counts(now, cell.owner, cell.life, cell.sequence, cell.value)
+            seen = self.cells.read(cell.owner, cell.name)
+            assert seen is not None
+            self.canary.heard_counts(now, cell.owner, cell.life, cell.sequence, cell.value, seen.heard)
 
     # What its canary acts through.
 
@@ -79,8 +82,8 @@
             _, _, cells, there = self.inbox.popleft()
             for name, at in there.items():
                 self.there[name] = max(self.there.get(name, -math.inf), at)
-            for cell in cells:
-                self.cells.heard(self.net.now, cell)
+            for cell, age in cells:
+                self.cells.heard(self.net.now, cell, age)
 
 
 class Net:
@@ -116,7 +119,8 @@
         for other in self.random.sample(list(self.nodes.values()), min(self.TOWARD, len(self.nodes))):
             if other is not node and other.alive and self.passes(node.name, other.name) \
                     and self.random.random() >= self.loss and len(other.inbox) < self.ROOM:
-                other.inbox.append((self.now + self.random.random() * self.delay, node.name, [seen.cell], {}))
+                at = self.now + self.random.random() * self.delay
+                other.inbox.append((at, node.name, [(seen.cell, 0.0)], {}))
 
     def passes(self, sender: str, to: str) -> bool:
         return self.group.get(sender, 0) == self.group.get(to, 0) and (sender, to) not in self.deaf
@@ -133,7 +137,8 @@
             if not node.runs():
                 continue
             node.there[node.name] = self.now
-            cells = [seen.cell for seen in node.cells.all()]
+            cells = [(seen.cell, 0.0 if seen.cell.owner == node.name else self.now - seen.heard)
+                     for seen in node.cells.all()]
             for name in self.random.sample(names, min(self.FANOUT + 1, len(names))):
                 other = self.nodes[name]
                 if other is node or not other.alive or not self.passes(node.name, name) \
@@ -178,7 +183,7 @@
         for other in told:
             if other is not node:
                 at = self.now + self.random.random() * self.spread
-                other.inbox.append((at, node.name, [seen.cell], {}))
+                other.inbox.append((at, node.name, [(seen.cell, 0.0)], {}))
 
     def gossip(self) -> None:
         self.all_there = [Member(name, NOWHERE, 1, 0, Standing.ALIVE, self.now, self.now)
--- a/rainspindle/program/fleet/canary.py
+++ b/rainspindle/program/fleet/canary.py
@@ -290,7 +290,9 @@
         if what == "state":
             canary.heard_state(now, cell.owner, cell.value)
         elif not what and cell.owner != self.ground.members.own_name:
-            canary.heard_counts(now, cell.owner, cell.life, cell.sequence, cell.value)
+            seen = self.ground.cells.read(cell.owner, cell.name)
+            canary.heard_counts(now, cell.owner, cell.life, cell.sequence, cell.value,
+                                now if seen is None else seen.heard)
 
     def tick(self, now: float) -> float:
         if self.core is not None:
--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -358,6 +358,11 @@
         assert a.canary.sums(net.now)[0][place] == 80
     assert a.canary.sums(net.now + 15)[1][place] == 0 and a.canary.sums(net.now + 15)[0][place] == 80
     assert a.canary.sums(net.now + 80)[0][place] == 0, "too old, though nothing newer came"
+    c = begun(size=1).nodes["s0"].canary
+    c.heard_state(net.now, "s1", b.canary.state.encode())
+    c.heard_counts(net.now, "s1", newer.life, newer.sequence, newer.value, net.now - 15)
+    sums = c.sums(net.now)
+    assert sums[0][place] == 80 and sums[1][place] == 0, "told by others, 15 s after their owner was heard"
     a.canary.heard_counts(net.now, "s1", 9, 1, b"\xff\x00")
     a.canary.heard_state(net.now, "s1", b"junk")
     assert a.canary.unread == 2
