--- a/rainspindle/decisions/canary/canary.py
+++ b/rainspindle/decisions/canary/canary.py
@@ -67,7 +67,7 @@
     """What outlasts the process."""
 
     state: bytes
-    others: int  # how many members it knew beside itself
+    others: bool  # whether it ever knew a member beside itself
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,7 +105,7 @@
         self.others: dict[str, Heard] = {}
         self.carried: dict[str, tuple[State, str]] = {}  # others' cells of state, each with its note
         self.note, self.told_state = "", State()
-        self.marks, self.unread, self.known_others = 0, 0, 0
+        self.marks, self.unread, self.known_others = 0, 0, False
         self.own_marks: set[bytes] = set()
         self.ticked = self.woke = now
         self.confirmed_at = self.held_until = self.told_at = -math.inf
@@ -307,9 +307,12 @@
     def confirm(self, now: float, members: list[Member]) -> None:
         """Looks who was heard lately, and whether that is enough to go by the stage that is known here."""
         counted = [m.name for m in members if m.standing is not Standing.LEFT]
-        if len(counted) > self.known_others:
-            self.known_others = len(counted)
-            self.host.keep(msgspec.msgpack.encode(Kept(self.state.encode(), self.known_others)))
+        if counted and not self.known_others:
+            self.known_others = True
+            self.host.keep(msgspec.msgpack.encode(Kept(self.state.encode(), True)))
+        if len(self.others) > 2 * len(counted) + 64:  # guards against growth: names may be ever new
+            self.others = {name: self.others[name] for name in counted if name in self.others}
+            self.carried = {name: self.carried[name] for name in counted if name in self.carried}
         # Guards against what lay in a stopped process's socket and is as old as its own word.
         since = max(now - max(self.FRESH, self.FRESH * self.interval), self.woke + self.SETTLE)
         heard = [name for name in counted if name in self.others and self.others[name].at >= since]
