--- a/rainspindle/program/fleet/canary.py
+++ b/rainspindle/program/fleet/canary.py
@@ -75,7 +75,9 @@
         """What is new, alike at every sidecar; what an edit of the file cannot change without a restart."""
         if self.setting is not None:
             return f"setting {self.setting.traffic_type} {self.setting.promised_time} {self.setting.value}"
-        return f"kind {self.kind}" if self.kind is not None else f"endpoints {' '.join(sorted(self.endpoints or ()))}"
+        if self.kind is not None:
+            return f"kind {self.kind}"
+        return f"endpoints {' '.join(sorted(self.endpoints or ()))}"
 
     def terms(self) -> Terms:
         steps = tuple(Step(s.part, s.time, s.exchanges) for s in self.stages)
