Where a sidecar draws whole forwards for a cold endpoint, only the keys of its share go there

Ruled out: the start (its CPU fell), restarts and drains (no rule, no fault). Change: Balancer.ramped: the share of keys is what the endpoint can do at least, or, where that is more, one over what this sidecar draws for a warm one.

--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -553,12 +553,13 @@
 
     def able(self, e: Endpoint, now: float) -> float:
         """The least share of its full capacity that an endpoint has by now."""
-        age = self.cold_age(e, now)
-        return 1.0 if age is None else self.budget.capacity(age)
+        return 1.0 if (age := self.cold_age(e, now)) is None else self.budget.capacity(age)
 
     def ramped(self, e: Endpoint, key: str, now: float) -> bool:
-        """Whether the key is one of those, alike at all sidecars, that a restored one takes."""
-        share = (now - e.back_at) / self.BACK_RAMP
+        """Whether the key is one of those, alike at all sidecars, that a starting or restored one takes: more
+        of them where this sidecar draws less than one forward, or few of its draws would meet their key."""
+        drawn = self.budget.MARGIN * self.budget.multiple * self.budget.window * self.warm_rate  # when warm
+        share = min(max(self.able(e, now), 1 / max(drawn, 0.01)), (now - e.back_at) / self.BACK_RAMP)
         return share >= 1.0 or zlib.crc32(f"{e.id}|{key}".encode()) / 2**32 < share
 
     def room(self, e: Endpoint, mean: float, now: float) -> bool:
@@ -746,9 +747,8 @@
         # Guards against a fleet that starts cold or is replaced: what warm ones did is forgotten slowly.
         warm = [e for e in self.ready if self.cold_age(e, now) is None and not e.breaker]
         if warm:
-            rate = sum(e.answers for e in warm) / (now - self.swept) / len(warm)
-            learn = self.LEARN if rate > self.warm_rate else self.UNLEARN
-            self.warm_rate += learn * (rate - self.warm_rate)
+            more = sum(e.answers for e in warm) / (now - self.swept) / len(warm) - self.warm_rate
+            self.warm_rate += (self.LEARN if more > 0 else self.UNLEARN) * more
         self.rate, self.came = (self.rate + self.came / (now - self.swept)) / 2, 0
         self.worths = {worth: count * 0.8 for worth, count in self.worths.items() if count > 0.5}
         if self.tells:
