--- a/rainspindle/lab/fleet/members_figures.py
+++ b/rainspindle/lab/fleet/members_figures.py
@@ -271,7 +271,7 @@
     lines = [
         "# Members: figures", "",
         "In virtual time, by `python -m rainspindle.lab.fleet.figures members FILE`: the classes that run,",
-        "on a network with 0.2 to 2 ms of delay. Crashes: seconds until a survivor holds the member for dead,",
+        "on a network of 0.2 to 2 ms of delay. Crashes: seconds until a survivor takes the member for dead,",
         "over all crashes and survivors (median / 99th), and until all do (median / worst). Wrong burials:",
         "members that were there and that at least one other took for dead, an hour over the whole fleet; a",
         "member counts again after 10 s. Stalls: each second one in a hundred members stands still for 1 to",
