--- a/rainspindle/decisions/canary/canary.py
+++ b/rainspindle/decisions/canary/canary.py
@@ -67,7 +67,7 @@
     """What outlasts the process."""
 
     state: bytes
-    others: int  # how many members it knew beside itself
+    others: bool  # whether it ever knew a member beside itself
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,7 +105,7 @@
         self.others: dict[str, Heard] = {}
         self.carried: dict[str, tuple[State, str]] = {}  # others' cells of state, each with its note
         self.note, self.told_state = "", State()
-        self.marks, self.unread, self.known_others = 0, 0, 0
+        self.marks, self.unread, self.known_others = 0, 0, False
         self.own_marks: set[bytes] = set()
         self.ticked = self.woke = now
         self.confirmed_at = self.held_until = self.told_at = -math.inf
@@ -195,7 +195,10 @@
             return
         self.learn(now, self.carried[owner][0])
 
-    def heard_counts(self, now: float, owner: str, life: int, sequence: int, value: bytes) -> None:
+    def heard_counts(self, now: float, owner: str, life: int, sequence: int, value: bytes,
+                     held: float = math.inf) -> None:
+        """`held`: when their owner is known to have told them, where that is before now."""
+        at = min(now, held)
         before = self.others.get(owner)
         # Guards against counts that come twice, late, or from a dead life.
         if before is not None and (life, sequence) <= (before.life, before.sequence):
@@ -209,12 +212,12 @@
             self.unread += 1
             return
         self.others[owner] = Heard(
-            told, now, life, sequence,
-            Window(now, told.coarse, told.unit, told.coarse_age, self.terms.long, COARSE),
-            Window(now, told.fine, told.unit, told.fine_age, self.terms.short, FINE))
-        self.hear_stamp(now, told)
+            told, at, life, sequence,
+            Window(at, told.coarse, told.unit, told.coarse_age, self.terms.long, COARSE),
+            Window(at, told.fine, told.unit, told.fine_age, self.terms.short, FINE))
+        self.hear_stamp(now, at, told)
 
-    def hear_stamp(self, now: float, told: Told) -> None:
+    def hear_stamp(self, now: float, held: float, told: Told) -> None:
         """What its counts say of the state may come before the state itself."""
         s = self.state
         if (told.run, told.digest) < (s.run, s.digest) or not told.run:
@@ -222,7 +225,7 @@
         known = State(told.run, told.digest, told.epoch, told.stage, told.aborted)
         if told.paused and not told.aborted:
             if (told.run, told.digest, told.epoch) >= (s.run, s.digest, s.epoch) and not s.paused:
-                self.held_until = now + self.HELD
+                self.held_until = max(self.held_until, held + self.HELD)
             # The stage that holds there may be lower than the one told, and its marks are not here yet.
             known = replace(known, epoch=0, stage=0)
         self.learn(now, known)
@@ -304,9 +307,12 @@
     def confirm(self, now: float, members: list[Member]) -> None:
         """Looks who was heard lately, and whether that is enough to go by the stage that is known here."""
         counted = [m.name for m in members if m.standing is not Standing.LEFT]
-        if len(counted) > self.known_others:
-            self.known_others = len(counted)
-            self.host.keep(msgspec.msgpack.encode(Kept(self.state.encode(), self.known_others)))
+        if counted and not self.known_others:
+            self.known_others = True
+            self.host.keep(msgspec.msgpack.encode(Kept(self.state.encode(), True)))
+        if len(self.others) > 2 * len(counted) + 64:  # guards against growth: names may be ever new
+            self.others = {name: self.others[name] for name in counted if name in self.others}
+            self.carried = {name: self.carried[name] for name in counted if name in self.carried}
         # Guards against what lay in a stopped process's socket and is as old as its own word.
         since = max(now - max(self.FRESH, self.FRESH * self.interval), self.woke + self.SETTLE)
         heard = [name for name in counted if name in self.others and self.others[name].at >= since]
