--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -243,7 +243,8 @@
         before = lives(fleet, "m1")
         assert fleet.upgrade("m1") == 0
         fleet.all_alive(KNOWN)
-        assert min(lives(fleet, "m1")) > max(before) and not buried(watch)
+        wait_until(lambda: min(lives(fleet, "m1")) > max(before), KNOWN, "the successor's life is known")
+        assert not buried(watch)
         assert "another process has this name" not in fleet["m1"].logged()
 
 
