--- a/rainspindle/program/fleet/config.py
+++ b/rainspindle/program/fleet/config.py
@@ -11,8 +11,11 @@
 
 from ..config import Config, ConfigFault
 from ..tables import read_toml, shape
-from . import canary, members, wallet
+from . import canary, evidence, keep, listing, members, wallet
 from .canary import CanaryPart
+from .evidence import EvidencePart
+from .keep import KeepPart
+from .listing import ListPart
 from .members import MembersPart
 from .wallet import WalletPart
 
@@ -21,6 +24,14 @@
     members: MembersPart
     wallet: list[WalletPart] = []
     canary: list[CanaryPart] = []
+    evidence: EvidencePart | None = None  # these three are off where their table is missing
+    listing: ListPart | None = msgspec.field(default=None, name="list")
+    keep: KeepPart | None = None
+
+
+SINGLE: dict[str, Any] = {"members": MembersPart, "evidence": EvidencePart, "list": ListPart,
+                          "keep": KeepPart}
+MANY: dict[str, Any] = {"wallet": WalletPart, "canary": CanaryPart}
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,34 +55,43 @@
 
 def unfit(raw: dict[str, Any], config: Config) -> Iterator[str]:
     """Every fault of form; of the tables without one, every fault between their values too."""
-    tables = {"members": MembersPart, "wallet": WalletPart, "canary": CanaryPart}
-    named = {"members": raw.get("members"), "wallet": raw.get("wallet", []), "canary": raw.get("canary", [])}
     formed = dict[str, bool]()
-    yield from shape({name: value for name, value in raw.items() if name not in named}, FleetTop, "")
-    for name, value in named.items():
-        many = name != "members"
+    yield from shape({name: value for name, value in raw.items() if name not in SINGLE | MANY}, FleetTop, "")
+    if raw.get("members") is None:
+        yield "members: missing; all else in a fleet file stands on the members"
+    for name, table in (SINGLE | MANY).items():
+        value = raw.get(name)
         if value is None:
-            yield "members: missing; wallets and canaries stand on the members"
             continue
-        if many and not isinstance(value, list):
+        if name in MANY and not isinstance(value, list):
             yield f"{name}: expected tables, [[{name}]]"
             continue
-        places = [(f"{name}[{n}]", one) for n, one in enumerate(value)] if many else [(name, value)]
-        faults = [fault for at, one in places for fault in shape(one, tables[name], at)]
+        places = [(f"{name}[{n}]", one) for n, one in enumerate(value)] if name in MANY else [(name, value)]
+        faults = [fault for at, one in places for fault in shape(one, table, at)]
         formed[name] = not faults
         yield from faults
     if formed.get("members"):
-        yield from members.unfit(msgspec.convert(named["members"], MembersPart), config)
-    if formed.get("wallet") and isinstance(named["members"], dict):
-        folder = named["members"].get("folder")
-        yield from wallet.unfit(named["wallet"], config, Path(str(folder)) if folder else None)
+        yield from members.unfit(msgspec.convert(raw["members"], MembersPart), config)
+    text = raw["members"].get("folder") if isinstance(raw.get("members"), dict) else None
+    folder = Path(str(text)) if text else None
+    if formed.get("wallet") and isinstance(raw.get("members"), dict):
+        yield from wallet.unfit(raw["wallet"], config, folder)
     if formed.get("canary"):
-        yield from canary.unfit(msgspec.convert(named["canary"], list[CanaryPart]), config)
+        yield from canary.unfit(msgspec.convert(raw["canary"], list[CanaryPart]), config)
+    if formed.get("evidence"):
+        yield from evidence.unfit(msgspec.convert(raw["evidence"], EvidencePart), config)
+    if formed.get("list"):
+        yield from listing.unfit(msgspec.convert(raw["list"], ListPart), config)
+    if formed.get("keep"):
+        yield from keep.unfit(msgspec.convert(raw["keep"], KeepPart), config, folder)
 
 
 class FleetTop(msgspec.Struct, forbid_unknown_fields=True):
     """The names at the top, for the nearest to one that is not known."""
 
-    members: dict[str, Any] = {}
-    wallet: list[Any] = []
-    canary: list[Any] = []
+    members: Any = None
+    wallet: Any = None
+    canary: Any = None
+    evidence: Any = None
+    list: Any = None
+    keep: Any = None
--- a/rainspindle/program/fleet/ground.py
+++ b/rainspindle/program/fleet/ground.py
@@ -9,7 +9,8 @@
 
 from ...decisions.members.members import Member, View
 from ...decisions.shared.cells import Cells
-from ...routing.core import Taker
+from ...routing.core import Core, Taker
+from ...routing.follow import Follower
 from ...transport.loop import Loop
 from ..config import Config
 
@@ -60,3 +61,15 @@
 
     def figures(self) -> Mapping[str, object]:
         """For the log's last line."""
+
+
+class Joined(Part, Protocol):
+    """A part that acts on the decisions or on the list: evidence, the relayed list, what is kept."""
+
+    def attach(self, core: Core, follower: Follower) -> None:
+        """Both are there, and no exchange has come yet. Called once."""
+
+    def ready_from(self, now: float) -> float:
+        """When the door may open as far as this part knows, on the loop's clock; `now` or earlier: at once.
+
+        Asked until it lies in the past, so it must be bounded."""
--- a/rainspindle/program/fleet/run.py
+++ b/rainspindle/program/fleet/run.py
@@ -12,11 +12,15 @@
 from ...errors import Trouble
 from ...protocol.console import FleetCall
 from ...routing.core import Back, Core, Directory, Taker
+from ...routing.follow import Follower
 from ...transport.loop import Coroutine, Loop
 from ..config import Config, ConfigFault
 from .canary import CanaryRun, split_core
 from .config import FleetConfig
-from .ground import Answer, Ground, Part
+from .evidence import EvidenceRun
+from .ground import Answer, Ground, Joined, Part
+from .keep import KeepRun
+from .listing import ListRun
 from .members import MembersRun
 from .wallet import WalletRun
 
@@ -42,7 +46,12 @@
         self.canaries = CanaryRun(ground, fleet.file.canary,
                                   lambda names: chance.sample(names, len(names)))
         self.wallets = WalletRun(ground, fleet.file.wallet) if fleet.file.wallet else None
-        self.parts = [self.canaries, *([self.wallets] if self.wallets else [])]
+        file = fleet.file
+        self.evidence = EvidenceRun(ground, file.evidence) if file.evidence else None
+        self.listing = ListRun(ground, file.listing) if file.listing else None
+        self.keep = KeepRun(ground, file.keep) if file.keep else None
+        self.joined: list[Joined] = [part for part in (self.evidence, self.listing, self.keep) if part]
+        self.parts = [*self.joined, self.canaries, *([self.wallets] if self.wallets else [])]
         self.ticker = loop.spawn(loop.lasting(self.ticking), urgent=True)
 
     # The exchanges' way.
@@ -65,6 +74,15 @@
             taker = part.taker(taker)
         return taker
 
+    def attach(self, core: Core, follower: Follower) -> None:
+        """All that exchanges go through is there, and none has come yet."""
+        for part in self.joined:
+            part.attach(core, follower)
+
+    def ready_from(self, now: float) -> float:
+        """When the door may open, as far as the fleet knows."""
+        return max((part.ready_from(now) for part in self.joined), default=now)
+
     def carry_words(self, core: Core, heard: Callable[[str, str], None]) -> None:
         """The pool's word goes over the members."""
         core.tell = self.members.tell
@@ -120,6 +138,12 @@
             later += self.wallets.reload(now, new.file.wallet)
         elif new.file.wallet:
             later.append("wallet")
+        for name, part in (("evidence", self.evidence), ("listing", self.listing), ("keep", self.keep)):
+            table, key = getattr(new.file, name), "list" if name == "listing" else name
+            if (part is None) != (table is None):
+                later.append(key)
+            elif part is not None:
+                later += part.reload(now, table)
         self.fleet = new
         log.info("fleet file read again", extra={"fields": {"needs_restart": ",".join(later) or "nothing"}})
 
--- a/rainspindle/program/serve.py
+++ b/rainspindle/program/serve.py
@@ -116,6 +116,11 @@
 
     def taker(self, core: Core) -> Taker: ...
 
+    def attach(self, core: Core, follower: Follower) -> None: ...
+
+    def ready_from(self, now: float) -> float:
+        """When the door may open, as far as the fleet knows."""
+
     def carry_words(self, core: Core, heard: Callable[[str, str], None]) -> None: ...
 
     def call(self, call: FleetCall) -> Any: ...
@@ -139,6 +144,7 @@
         self.config, self.load = config, load
         self.loop = Loop(self.fault)
         self.began, self.told = self.loop.now(), False
+        self.joined = False  # the fleet has told what it had to before the door opens
         self.alone_at = math.inf  # when a process beside this one is gone for certain
         self.faults = self.unread = 0
         clients, connections = caps(config)
@@ -180,6 +186,8 @@
         self.operation.look()
         self.operation.listed(list(known.addresses))
         self.follower.heard = self.heard
+        if self.fleet is not None:
+            self.fleet.attach(self.core, self.follower)
         self.signals = Signals(self.loop)
         self.signals.came = self.signalled
 
@@ -293,6 +301,7 @@
         """Opens the door once this process can serve, follows its stage, looks for orders given elsewhere."""
         while True:
             now = self.loop.now()
+            waits = self.fleet_waits(now)
             if not self.listener.open and not self.listener.closed and (
                     not self.operation.predecessor or self.can_serve(now)):
                 self.open_door()
@@ -304,7 +313,17 @@
             if self.stages.stage is not Stage.SERVING:
                 yield now + ENDING_LOOK
             else:
-                yield now + LOOK if self.operation.file is not None or not self.listener.open else math.inf
+                looks = self.operation.file is not None or not self.listener.open
+                yield now + (ENDING_LOOK if waits else LOOK) if looks or waits else math.inf
+
+    def fleet_waits(self, now: float) -> bool:
+        """Whether the door is still to be kept shut for what the fleet has to tell first."""
+        if self.fleet is None or self.joined:
+            return False
+        from_then = self.fleet.ready_from(now)
+        self.joined = now >= from_then
+        self.front.ready_from = max(self.front.ready_from, from_then)
+        return not self.joined
 
     def can_serve(self, now: float) -> bool:
         """For a successor: the list is told anew, unless nobody tells it."""
--- a/rainspindle/routing/follow.py
+++ b/rainspindle/routing/follow.py
@@ -39,6 +39,8 @@
         self.task = loop.spawn(loop.lasting(self.idle))
         self.core: Core | None = None
         self.heard: Callable[[ListChange], None] = lambda change: None  # what else is told of each change
+        # Until when another's word spares the next call; by then, or when `want` is called, it is asked.
+        self.spared: Callable[[], float] = lambda: -math.inf
 
     def want(self) -> None:
         self.wanted = True
