--- a/rainspindle/decisions/canary/counts.py
+++ b/rainspindle/decisions/canary/counts.py
@@ -100,7 +100,8 @@
         raise ValueError(f"not counts: {fault}") from None
     if told.version != VERSION or told.unit < 1 or len(told.fine) > (FINE + 1) * WIDTH \
             or len(told.coarse) > (COARSE + 1) * WIDTH or min((0, *told.fine, *told.coarse)) < 0 \
-            or not (0 <= told.fine_age < 1e6 and 0 <= told.coarse_age < 1e6):
+            or not (0 <= told.fine_age < 1e6 and 0 <= told.coarse_age < 1e6) \
+            or told.run < 0 or told.epoch < 0 or not 0 <= told.stage < 256:
         raise ValueError(f"not counts of version {VERSION}")
     return told
 
--- a/rainspindle/lab/fleet/processes.py
+++ b/rainspindle/lab/fleet/processes.py
@@ -130,6 +130,7 @@
         self.tables: dict[str, Any] | None = None
         self.process: subprocess.Popen[bytes] | None = None
         self.starts = 0
+        self.root = ROOT  # of the build that is started; `builds.py` has others
 
     def write(self, config: Mapping[str, Any], tables: Mapping[str, Any] | None) -> None:
         self.config = {**config, "name": self.name, "listen": f"127.0.0.1:{self.listen}",
@@ -152,7 +153,7 @@
         self.starts += 1
         with (self.folder / "log").open("ab") as log:
             self.process = subprocess.Popen(
-                self.line(odd), cwd=ROOT, stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL,
+                self.line(odd), cwd=self.root, stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL,
                 stderr=log, start_new_session=True,
                 env={**os.environ, "TMPDIR": str(self.folder / "tmp")})
         self.keep(self.process.pid)
--- a/rainspindle/protocol/wallet.py
+++ b/rainspindle/protocol/wallet.py
@@ -13,6 +13,7 @@
 
 VERSION = 1
 MOST_NAME = 40  # characters of a wallet's name, and of a member's in the name of a cell
+MOST_RATE = 1e12  # units a second, and seconds of a pause
 MOST_ENTRIES = 8  # accounts of one pair of members that a cell tells of, the latest
 
 
@@ -75,11 +76,14 @@
 
 
 def decode_word(value: bytes) -> Word:
-    """Raises UnreadableWord."""
+    """Raises UnreadableWord. Guards against figures that none are, by which nothing can be reckoned."""
     try:
-        return word_of.decode(value)
+        word = word_of.decode(value)
     except msgspec.MsgspecError as fault:
         raise UnreadableWord(f"a member's word of a wallet: {fault}") from None
+    if not (0.0 <= word.rate < MOST_RATE and 0.0 <= word.paused < MOST_RATE):
+        raise UnreadableWord(f"a member's word of a wallet: {word.rate} units a second, paused {word.paused}")
+    return word
 
 
 def decode_pair(value: bytes) -> Pair:
