--- a/rainspindle/lab/fleet/builds.py
+++ b/rainspindle/lab/fleet/builds.py
@@ -4,6 +4,7 @@
 
 import importlib
 import io
+import shutil
 import subprocess
 import sys
 import tarfile
@@ -44,6 +45,19 @@
 THIS = Build("new", ROOT)
 
 
+def changed(folder: Path, module: str, text: str, other: str) -> Build:
+    """This build with one text of one module replaced, laid out in `folder`: a release that was not thought
+    through. Raises ValueError where the module has no such text."""
+    skip = shutil.ignore_patterns("__pycache__")
+    shutil.copytree(ROOT / "rainspindle", folder / "rainspindle", ignore=skip)
+    path = folder / "rainspindle" / module
+    source = path.read_text()
+    if text not in source:
+        raise ValueError(f"{module} has no {text!r}")
+    path.write_text(source.replace(text, other))
+    return Build("changed", folder)
+
+
 def older(folder: Path, commit: str = OLDER, root: Path = ROOT) -> Build:
     """The package as it was at a commit of the repository at `root`, laid out in `folder`, which must be
     empty or hold just that. Raises NoBuild."""
--- a/rainspindle/lab/fleet/day.py
+++ b/rainspindle/lab/fleet/day.py
@@ -188,7 +188,12 @@
 def play(world: World, plan: Plan, folder: Path) -> Day:
     """Raises SocketsFault where the lab itself failed."""
     run = DayRun(world, folder, plan)
-    ledger = run.play_day()
+    return judged(run, run.play_day())
+
+
+def judged(run: DayRun, ledger: Ledger) -> Day:
+    """All that is judged of any day, by what its plan has."""
+    world, plan = run.world, run.plan
     excuse(ledger, run.player.away)
     found = audit(ledger, world, world.x.rules.tolerance)
     day = Day(ledger, found, {**figures(ledger, world, found)[0], **run.figures}, run.player.away, run.called)
--- a/rainspindle/lab/fleet/judge.py
+++ b/rainspindle/lab/fleet/judge.py
@@ -124,8 +124,8 @@
     return sum(PRICES.get(name, 0) for name in executed.values()) / max(topped, 1)
 
 
-def judge_canary(ledger: Ledger, called: Sequence[Called], away: Sequence[Away], schedule: Schedule
-                 ) -> Iterator[str]:
+def judge_canary(ledger: Ledger, called: Sequence[Called], away: Sequence[Away], schedule: Schedule,
+                 new: Sequence[int] = NEW) -> Iterator[str]:
     """Nothing goes to the canary's endpoints before it is started, nor once its abort is in force."""
     at: dict[str, Called] = {}
     for one in called:
@@ -136,7 +136,7 @@
     if set(at) != {"start", "abort"}:
         yield f"the canary was called to {' and '.join(sorted(at)) or 'nothing'} alone"
         return
-    came = [run for run in ledger.runs if run.endpoint in NEW]
+    came = [run for run in ledger.runs if run.endpoint in new]
     if not any(at["start"].at < run.first < at["abort"].at for run in came):
         yield "no exchange came to the canary: the day says nothing of it"
     for run in came:
@@ -163,8 +163,8 @@
     return max(missed, default=None)
 
 
-def canary_lags(ledger: Ledger, called: Sequence[Called], away: Sequence[Away], schedule: Schedule
-                ) -> Iterator[tuple[str, float]]:
+def canary_lags(ledger: Ledger, called: Sequence[Called], away: Sequence[Away], schedule: Schedule,
+                new: Sequence[int] = NEW) -> Iterator[tuple[str, float]]:
     """Seconds from the abort's answer to the last run at the canary, of those that could be reached; of the
     others from the end of what kept it from them, which is below 0 where they fell back before."""
     abort = next((c for c in called if c.call.path.endswith("/abort")), None)
@@ -172,7 +172,7 @@
         return
     last: dict[str, float] = {}
     for run in ledger.runs:
-        if run.endpoint in NEW and run.first > abort.at:
+        if run.endpoint in new and run.first > abort.at:
             over = unreached(f"s{run.sidecar}", abort, away, schedule)
             what, since = ("canary_last_s", abort.at) if over is None else (
                 "canary_cut_last_s", max(over, abort.at))
