--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import importlib
 import re
 from pathlib import Path
 
@@ -10,6 +11,7 @@
 from rainspindle.lab.fleet import rolling
 from rainspindle.lab.fleet.builds import Build, NoBuild, changed, older
 from rainspindle.lab.fleet.judge import Call, Called
+from rainspindle.lab.fleet.mixed import Mixed
 from rainspindle.lab.fleet.processes import PATIENCE, Fleet
 from rainspindle.lab.ledger import Ledger, Run
 from rainspindle.protocol import members as wire
@@ -66,3 +68,26 @@
     ledger = Ledger(runs=[run(0.5, 9), run(1.4, 9), run(1.6, 9), run(9.0, 8)])
     found = list(rolling.left_out_faults(["s0", "s1"], called, ledger))
     assert found == ["s1 was not told to leave e9 out", "x of s0 came to e9, which is left out, at 1.600 s"]
+
+
+def test_half_a_fleet_one_release_behind_in_virtual_time(old: Build) -> None:
+    """25 minutes of the day that docs/results/releases.md has whole: both builds' classes, by bytes alone."""
+    day = Mixed(old, 6, 3)
+    found = day.play(5)
+    assert not found["broken"], "\n".join(found["broken"])
+    assert found["aborts"] == 5 and found["rolled"] == 10 and found["to_new"] > 300
+    assert found["executed"] > 0.8 * found["topped"] > 0
+
+
+@pytest.mark.parametrize(("module", "name", "value", "found"), [
+    ("protocol.members", "LOWEST", 2, "a key in at"),  # read by none of the release before: no abort comes
+    ("decisions.canary.state", "VERSION", 2, "canary state unreadable"),  # comes by the counts too
+])
+def test_a_release_that_the_one_before_cannot_read_is_found(
+        old: Build, monkeypatch: pytest.MonkeyPatch, module: str, name: str, value: int, found: str) -> None:
+    there = importlib.import_module(f"rainspindle.{module}")
+    monkeypatch.setattr(there, name, value)
+    if name == "LOWEST":
+        monkeypatch.setattr(there, "VERSION", value)
+    broken = Mixed(old, 4, 3).play(2)["broken"]
+    assert any(found in line for line in broken), broken
