Golden files of what members reckon alike, each for itself

A canary's digest of its terms, the place of a key, the sums over cells and members and short names are sent by nobody, and a mixed fleet falls apart where two releases reckon them otherwise. A field more in a canary's terms now shows as a failing file.

--- a/tests/golden/forms.py
+++ b/tests/golden/forms.py
@@ -154,6 +154,48 @@
                  lambda raw: msgspec.msgpack.decode(raw, type=Kept), msgspec.MsgspecError, UnicodeDecodeError)
 
 
+# What members reckon alike, each for itself: of other releases too.
+
+
+def reckoned() -> Iterator[Form]:
+    from rainspindle.decisions.canary import terms
+    from rainspindle.decisions.members import table
+    from rainspindle.decisions.shared import cells
+    from rainspindle.host import Listed, State
+    from rainspindle.logic import Endpoint
+    from rainspindle.protocol import members as wire
+    from rainspindle.protocol import wallet as words
+
+    def digest(name: str, part: float) -> str:
+        steps = (terms.Step(part, 60.0, 200), terms.Step(0.5, 600.0, 1000))
+        return terms.Terms(name, "kind new", steps, budget=0.02).digest.hex()
+
+    def marks(*names: str) -> str:
+        made = table.Table("a", 100)
+        for n, name in enumerate(names):
+            made.add(table.Record(name, bytes(6), 7 + n, n, wire.ALIVE + n % 4, 0.0, 0.0))
+        return made.marks().hex()
+    rules: dict[str, tuple[Callable[..., Any], list[list[Any]]]] = {
+        "canary-digest": (digest, [["next", 0.05], ["next", 0.1], ["other", 0.05]]),
+        "canary-point": (terms.point, [["next", "k1"], ["next", "k2"], ["other", "k1"]]),
+        "cell-mark": (lambda owner, name, life, number: cells.Cell(owner, name, life, number, b"").mark,
+                      [["a", "wallet/north", 7, 3], ["a", "x", 7, 4]]),
+        "cell-part": (cells.part, [["wallet/north"], ["wallet/north/t/b"], [""]]),
+        "member-marks": (marks, [["b", "c", "d", "e"], ["b"]]),
+        "wallet-cells": (words.pair_cell, [["north", "b"], ["north", "b" * 60]]),
+        "endpoint-mark": (lambda id: Endpoint(Listed(id, 0, 0, 1.0, State.READY, None), 0.1).mark,
+                          [["e0"], ["e1"]])}
+    for name, (rule, given) in rules.items():
+        def write(given: list[list[Any]], rule: Callable[..., Any] = rule) -> bytes:
+            return json.dumps([[one, rule(*one)] for one in given]).encode()
+
+        def read(data: bytes, rule: Callable[..., Any] = rule) -> list[list[Any]]:
+            if wrong := [one for one, told in json.loads(data) if rule(*one) != told]:
+                raise ValueError(f"reckoned otherwise: {wrong}")
+            return [one for one, _ in json.loads(data)]
+        yield Form(f"reckoned-{name}", given, write, read, (ValueError, TypeError), grows=False)
+
+
 # The link between sites.
 
 
@@ -310,7 +352,8 @@
                module=store.__name__, grows=False)
 
 
-GROUPS: tuple[Callable[[], Iterator[Form]], ...] = (members, pool, wallet, canary, link, files, rows)
+GROUPS: tuple[Callable[[], Iterator[Form]], ...] = (
+    members, pool, wallet, canary, reckoned, link, files, rows)
 
 
 def forms(lacking: bool = False) -> dict[str, Form]:
--- a/tests/test_golden.py
+++ b/tests/test_golden.py
@@ -249,9 +249,20 @@
         return "".join(str(part.value) if isinstance(part, ast.Constant) else "*" for part in node.values)
     if isinstance(node, ast.Name) and isinstance(getattr(module, node.id, None), str):
         return str(getattr(module, node.id))
+    if isinstance(node, ast.Call) and inspect.isfunction(made := named_in(module, node.func)):
+        there = importlib.import_module(made.__module__)
+        backs = [n for n in ast.walk(ast.parse(inspect.getsource(made))) if isinstance(n, ast.Return)]
+        return pattern(there, backs[-1].value) if backs else None
     return None
 
 
+def named_in(module: ModuleType, node: ast.expr) -> Any:
+    """What a name, or a name of a module's, is there."""
+    if isinstance(node, ast.Attribute):
+        return getattr(named_in(module, node.value), node.attr, None)
+    return getattr(module, node.id, None) if isinstance(node, ast.Name) else None
+
+
 def test_each_cell_has_a_file() -> None:
     """All that is written as a cell, by the names in the source; of those handed in, what `*_cell` makes."""
     names = {pattern(module, call.args[1]) for module, call in calls("write")
@@ -312,7 +323,8 @@
     assert FORMS["link-hello"].read(NEWEST["link-hello"].data()).versions == (1,)
 
 
-BYTES = [(one.name, one.data()) for one in ALL if one.name != "stored-wallets"]  # SQLite reads that
+BYTES = [(one.name, one.data()) for one in ALL  # SQLite reads the one, nobody is sent the others
+         if one.name != "stored-wallets" and not one.name.startswith("reckoned-")]
 
 
 @st.composite
