Golden files stand ready for evidence, the list and what is kept, as they land

Forms that other parts bring would have failed the walk with nothing to copy from. Their values are in forms.py and count once their modules are there; the folder of a release that is not out yet is written anew.

--- a/tests/golden/forms.py
+++ b/tests/golden/forms.py
@@ -1,10 +1,11 @@
 """Every message, cell and stored form with a value, and the files that hold their bytes as released.
 
-    python -m tests.golden.forms add 0.3        writes what is new or other since the last release, once
+    python -m tests.golden.forms add 0.3        writes what is new or other since the last release
     PYTHONPATH=BUILD python FILE add 0.2        the same of another build's package: so 0.2 was made
 
 A folder a release: `index.json` has each form's value and the checksum of its `.hex`. What a release wrote is
-never written again; a later one that writes other bytes has a file of its own, and reads the older ones too.
+never written again once it is out (`version` in pyproject.toml); a later one that writes other bytes has a
+file of its own, and reads the older ones too.
 Run by path with an older build's package in front, `write` and `read` tell what that build makes of them.
 """
 
@@ -12,13 +13,17 @@
 
 import base64
 import contextlib
+import functools
 import hashlib
+import importlib
 import json
 import os
+import shutil
 import sqlite3
 import sys
 import tempfile
 import textwrap
+import tomllib
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from pathlib import Path
@@ -44,6 +49,7 @@
     kind: int = 0  # of a stored file: by which it tells itself
     module: str = ""  # which has the codec
     grows: bool = True  # whether a reader passes over what it does not know
+    header: int = 0  # bytes before the payload of a stored file, the last four of them its checksum
 
     def to_json(self, value: Any) -> Any:
         return msgspec.json.decode(msgspec.json.encode(value, order="sorted"))
@@ -154,6 +160,62 @@
                  lambda raw: msgspec.msgpack.decode(raw, type=Kept), msgspec.MsgspecError, UnicodeDecodeError)
 
 
+def there(name: str) -> Any:
+    """A module that not every build has. Raises ImportError."""
+    return importlib.import_module(f"rainspindle.{name}")
+
+
+def evidence() -> Iterator[Form]:
+    words = there("protocol.evidence")
+    yield struct("evidence", words.Told(
+        words.VERSION, 1_700_000_000.5, 1, 2,
+        [words.Out(1 << 63, 1_700_000_000_123, 2.5, True, 0.5, True), words.Out(7, 0, 4.0)], 400,
+        [(1 << 62, 40), (9, 8)], [(7, 3)]), words.decode_told, words.UnreadableEvidence, cell="evidence")
+
+
+def listing() -> Iterator[Form]:
+    from rainspindle.host import Listed, State
+    words = there("protocol.listing")
+    states = (State.READY, State.DRAINING)
+    lines = {f"e{n}": words.encode_line(Listed(f"e{n}", n + 1, n % 2, 0.5, states[n % 2], 1024.0 + n, 1),
+                                        ("10.0.0.1", 8000 + n), 24.0) for n in range(3)}
+    mark, (chunk,) = words.mark("10.0.0.9:80", "north"), words.split(lines)
+    head = words.Head(words.VERSION, mark, 7, 3, 41, words.digest(lines), 250, True, [(40, words.mark(40))],
+                      40, [("e1", lines["e1"]), ("e9", b"")])
+    whole = words.Set(words.VERSION, mark, 41, words.digest(lines), 1)
+    for name, value, cell in (("head", head, words.HEAD), ("set", whole, words.SET),
+                              ("chunk", words.decode(chunk, words.Chunk), "list/*"),
+                              ("line", words.decode(lines["e1"], words.Line), "")):
+        yield struct(f"list-{name}", value, functools.partial(words.decode, kind=type(value)),
+                     words.UnreadableList, cell=cell)
+
+
+def keep() -> Iterator[Form]:
+    words, run, store = (there(name) for name in ("protocol.keep", "program.fleet.keep", "store.generations"))
+    mark = words.mark("e0", 1_700_000_000_123)
+    yield Form("keep-word", words.Told(5, (mark,), {mark: 0.25}),
+               lambda told: words.encode(told.ready, told.out, [*told.slow.items()]), words.decode,
+               (words.UnreadableKept,), words.Told, words.Word, words.CELL, module=words.__name__)
+    record = words.Record("a", "lab", 7 << 12, 1_700_000_000.5, "boot", 64.5, [
+        words.OwnCell("wallet/north", 7 << 12, 3, b"word")], {"": LEARNT}, {"e0": 1_700_000_000_123})
+
+    def at(folder: str) -> Any:
+        return store.Generations(store.DiskFiles(Path(folder)), run.NAME, run.KIND, run.VERSION, run.LEAST,
+                                 run.MOST, "tag")
+
+    def write(record: Any) -> bytes:
+        with tempfile.TemporaryDirectory() as folder:
+            return Path(folder, f"{run.NAME}.{at(folder).write(words.encode_record(record))}").read_bytes()
+
+    def read(data: bytes) -> Any:
+        with tempfile.TemporaryDirectory() as folder:
+            Path(folder, f"{run.NAME}.1").write_bytes(data)
+            Path(folder, f"{run.NAME}.1").chmod(0o600)
+            return words.decode_record(at(folder).read().payload)
+    yield Form("stored-keep", record, write, read, (store.Unfit, words.UnreadableKept), words.Record,
+               kind=run.KIND, module=store.__name__, header=store.HEADER.size + store.CHECK)
+
+
 # What members reckon alike, each for itself: of other releases too.
 
 
@@ -247,7 +309,7 @@
             Path(folder, "file").chmod(0o600)
             return load(at(folder).read())
     return Form(name, value, write, read, (store.Unfit, ValueError, *refuses), kind=kind,
-                module=store.__name__, **more)
+                module=store.__name__, header=store.HEADER.size, **more)
 
 
 def files() -> Iterator[Form]:
@@ -272,12 +334,13 @@
 
 
 LEARNT: dict[str, Any] = {
-    "warm_rate": 12.5, "usual": 0.25, "slow": 0.5, "calm": 0.125, "counts": [4.0, 2.0], "counted": 8.0,
+    "warm_rate": 12.5, "usual": 0.25, "slow": 0.5, "calm": 0.125, "counts": {"k1": 4.5, "k2": 2.0},
+    "counted": 8.0,
     "times": [0.0, 2.0, 1.5] + [0.0] * 21, "put_back": {"e1": 3.5},
     "endpoints": {"e0": {
-        "credit": 1.5, "window": 8.0, "calm": 0.0625, "busy": 0.5, "row": 2, "failures": 1, "outcomes": 12.0,
-        "cold_left": 0.0, "age": 64.0, "times": [0.0] * 12 + [4.0] + [0.0] * 11, "cold_since": 32.0,
-        "out": 0.5, "back": 16.0}},
+        "credit": 1.5, "window": 8.0, "calm": 0.0625, "busy": 0.5, "row": 2.0, "failures": [1.0, 0.5],
+        "outcomes": [12, 40], "cold_left": 3, "age": 64.0, "times": [0.0] * 12 + [4.0] + [0.0] * 11,
+        "cold_since": 32.0, "out": 0.5, "back": 16.0}},
     "keys": {"k1": ["e0", "e0", ["e0"], 1, 0, 2.0, 8.0]}}
 
 
@@ -353,14 +416,14 @@
 
 
 GROUPS: tuple[Callable[[], Iterator[Form]], ...] = (
-    members, pool, wallet, canary, reckoned, link, files, rows)
+    members, pool, wallet, canary, evidence, listing, keep, reckoned, link, files, rows)
 
 
-def forms(lacking: bool = False) -> dict[str, Form]:
-    """By name. `lacking`: of an older build, without the groups whose modules it does not have."""
+def forms() -> dict[str, Form]:
+    """By name. A build has none of the groups whose modules are not there yet."""
     found: dict[str, Form] = {}
     for group in GROUPS:
-        with contextlib.suppress(*(ImportError,) if lacking else ()):
+        with contextlib.suppress(ImportError):
             found.update((form.name, form) for form in group())
     return found
 
@@ -388,7 +451,7 @@
 def releases() -> list[str]:
     """The oldest first."""
     found = [path.parent.name for path in FOLDER.glob("*/index.json")]
-    return sorted(found, key=lambda name: [int(part) for part in name.split(".")])
+    return sorted(found, key=numbers)
 
 
 def golden(release: str) -> list[Golden]:
@@ -400,8 +463,20 @@
     return {one.name: one for release in releases() for one in golden(release)}
 
 
+def is_out(release: str) -> bool:
+    project = tomllib.loads((FOLDER.parent.parent / "pyproject.toml").read_text())["project"]
+    return numbers(release) <= numbers(project["version"])
+
+
+def numbers(release: str) -> list[int]:
+    return [int(part) for part in release.split(".")]
+
+
 def add(release: str) -> list[str]:
-    """Writes what is new or other since the last release; the names. Raises FileExistsError."""
+    """Writes what is new or other since the last release; the names. That of a release that is not out yet is
+    written anew. Raises FileExistsError."""
+    if not is_out(release):
+        shutil.rmtree(FOLDER / release, ignore_errors=True)
     known, made = newest(), list[dict[str, Any]]()
     here = forms()
     written = {name: form.write(form.value) for name, form in here.items()}
@@ -422,9 +497,9 @@
     if arguments[:1] == ["add"] and len(arguments) == 2:
         print("\n".join(add(arguments[1])))
     elif arguments == ["write"]:  # what the build in front writes, by form
-        print(json.dumps({name: form.write(form.value).hex() for name, form in forms(True).items()}))
+        print(json.dumps({name: form.write(form.value).hex() for name, form in forms().items()}))
     elif arguments == ["read"]:  # what it makes of the bytes on its standard input, by form
-        known = forms(True)
+        known = forms()
         print(json.dumps({name: known[name].to_json(known[name].read(bytes.fromhex(data)))
                           for name, data in json.load(sys.stdin).items() if name in known}))
     else:
--- a/tests/test_golden.py
+++ b/tests/test_golden.py
@@ -11,7 +11,6 @@
 import math
 import pkgutil
 import random
-import struct
 import subprocess
 import sys
 import typing
@@ -38,7 +37,6 @@
 from rainspindle.program.fleet.config import FleetFile
 from rainspindle.protocol import members as wire
 from rainspindle.protocol import wallet as words
-from rainspindle.store import file as store
 from tests.golden import forms as kept
 from tests.golden.forms import FOLDER, Form, Golden, forms, golden, newest, releases
 
@@ -71,12 +69,17 @@
         assert files == {path.name: hashlib.sha256(path.read_bytes()).hexdigest()
                          for path in (FOLDER / release).glob("*.hex")}
     with pytest.raises(FileExistsError):
-        kept.add(releases()[-1])
-    monkeypatch.setattr(kept, "FOLDER", tmp_path)
-    (tmp_path / "0.9").mkdir()
-    (tmp_path / "0.9" / "index.json").write_text("[]")
+        kept.add(releases()[0])
+    place = tmp_path / "tests" / "golden"
+    (place / "0.9").mkdir(parents=True)
+    (place / "0.9" / "index.json").write_text("[]")
+    (tmp_path / "pyproject.toml").write_text('[project]\nversion = "0.10.0"\n')
+    monkeypatch.setattr(kept, "FOLDER", place)
     assert set(kept.add("0.10")) == set(FORMS) and kept.releases() == ["0.9", "0.10"]
     assert kept.add("0.11") == [], "what has not changed has no new file"
+    assert kept.add("0.11") == [], "it is not out yet"
+    with pytest.raises(FileExistsError):
+        kept.add("0.10")
 
 
 def build(folder: Path, act: str, stdin: str = "") -> dict[str, Any]:
@@ -232,13 +235,16 @@
 
 
 def test_each_stored_file_has_one_here() -> None:
+    stores = [module for module in modules() if module.__name__.startswith("rainspindle.store.")]
+    assert {module.__name__ for module in stores} <= {form.module for form in FORMS.values()}
     used: set[Any] = set()
-    for module, call in calls("StoredFile"):
-        kind = ast.unparse(call.args[1])
-        used.add(getattr(module, kind, f"{module.__name__}: {kind}"))
+    for kept_by in {one for module in stores for one in vars(module).values()
+                    if inspect.isclass(one) and one.__module__ == module.__name__}:
+        names = list(getattr(kept_by, "__match_args__", ()) or inspect.signature(kept_by).parameters)
+        for module, call in calls(kept_by.__name__) if "kind" in names else ():
+            kind = ast.unparse(call.args[names.index("kind")])
+            used.add(getattr(module, kind, f"{module.__name__}: {kind}"))
     assert len(used) >= 4 and used <= {form.kind for form in FORMS.values()}
-    writers = {module.__name__ for module in modules() if module.__name__.startswith("rainspindle.store.")}
-    assert writers <= {form.module for form in FORMS.values()}
 
 
 def pattern(module: ModuleType, node: ast.expr | None) -> str | None:
@@ -281,9 +287,8 @@
 
 
 def resealed(form: Form, data: bytes, payload: bytes) -> bytes:
-    """A stored file with another payload, and a header that fits it."""
-    magic, version, kind, _, _ = store.HEADER.unpack_from(data)
-    head = struct.pack(">8sHIQ", magic, version, kind, len(payload))
+    """A stored file with another payload, and a header that fits it: length and checksum end it."""
+    head = data[:form.header - 12] + len(payload).to_bytes(8, "big")
     return head + zlib.crc32(payload, zlib.crc32(head)).to_bytes(4, "big") + payload
 
 
@@ -293,7 +298,7 @@
 
 def with_more(form: Form, data: bytes) -> bytes | None:
     """With a key or an item that this release does not know; None for a bare number."""
-    payload = data[store.HEADER.size:] if form.kind else data
+    payload = data[form.header:]
     try:
         value = json.loads(payload) if payload[:1] == b"{" else msgspec.msgpack.decode(payload)
     except ValueError:
@@ -332,7 +337,7 @@
     """Golden bytes with some of them changed, cut, doubled or put into others; of forms that begin so."""
     name, whole = draw(st.sampled_from([one for one in BYTES if one[0].startswith(of)]))
     form = FORMS[name]
-    data = bytearray(whole[store.HEADER.size:] if form.kind else whole)
+    data = bytearray(whole[form.header:])
     if form.shape or form.cell:  # an item that is none, though its type is
         items = msgspec.msgpack.decode(data)
         at = draw(st.integers(0, len(items) - 1))
