--- a/rainspindle/lab/fleet/rolling.py
+++ b/rainspindle/lab/fleet/rolling.py
@@ -101,7 +101,7 @@
             "short": 2.0, "stages": [{"part": 0.1, "time": 1.0, "exchanges": 10},
                                      {"part": 0.4, "time": 3600.0, "exchanges": 50}]}
             for canary, endpoints in CANARIES.items()]
-        more = new_tables() if self.builds[name] is self.new else {}
+        more = new_tables() if self.builds[name] is not self.old else {}
         return {"wallet": [wallet], "canary": canaries, **more}
 
     # The run.
@@ -335,6 +335,7 @@
     parser.add_argument("--members", type=int, default=5)
     parser.add_argument("--length", type=float, default=0.0, help="of the traffic in seconds")
     parser.add_argument("--half", type=float, default=0.0, help="seconds for which the fleet stays mixed")
+    parser.add_argument("--same", action="store_true", help="roll to the older build itself, to compare with")
     parser.add_argument("--folder", type=Path, help="where files and logs are kept; default: nowhere")
     options = parser.parse_args(arguments)
     size = Size(options.members, 12.0 * options.members, options.length or 25.0 + 4.0 * options.members
@@ -342,9 +343,10 @@
     with tempfile.TemporaryDirectory(prefix="rainspindle-rolling-") as folder:
         place = options.folder or Path(folder)
         build = older(place / "build")
-        day, run = play(size.world(options.seed), place, build, options.half)
+        day, run = play(size.world(options.seed), place, build, options.half, build if options.same else THIS)
     print(json.dumps({
-        "seed": options.seed, "members": options.members, "half": options.half, "broken": day.broken[:20],
+        "seed": options.seed, "members": options.members, "half": options.half, "same": options.same,
+        "broken": day.broken[:20],
         "schedule": faults.to_values(run.plan.schedule), "figures": day.figures, "cells": sorted(run.cells),
         "kinds": sorted(run.kinds)}))
     return 3 if day.broken else 0
--- a/tests/golden/forms.py
+++ b/tests/golden/forms.py
@@ -52,7 +52,10 @@
     header: int = 0  # bytes before the payload of a stored file, the last four of them its checksum
 
     def to_json(self, value: Any) -> Any:
-        return msgspec.json.decode(msgspec.json.encode(value, order="sorted"))
+        try:
+            return msgspec.json.decode(msgspec.json.encode(value, order="sorted"))
+        except TypeError:  # keys of maps that are no text
+            return msgspec.json.decode(msgspec.json.encode(value))
 
     def of_json(self, plain: Any) -> Any:
         return plain if self.type is None else msgspec.json.decode(msgspec.json.encode(plain), type=self.type)
@@ -197,7 +200,8 @@
                lambda told: words.encode(told.ready, told.out, [*told.slow.items()]), words.decode,
                (words.UnreadableKept,), words.Told, words.Word, words.CELL, module=words.__name__)
     record = words.Record("a", "lab", 7 << 12, 1_700_000_000.5, "boot", 64.5, [
-        words.OwnCell("wallet/north", 7 << 12, 3, b"word")], {"": LEARNT}, {"e0": 1_700_000_000_123})
+        words.OwnCell("wallet/north", 7 << 12, 3, b"word")],
+        {"": json.loads(json.dumps(LEARNT, sort_keys=True))}, {"e0": 1_700_000_000_123})
 
     def at(folder: str) -> Any:
         return store.Generations(store.DiskFiles(Path(folder)), run.NAME, run.KIND, run.VERSION, run.LEAST,
