--- /dev/null
+++ b/rainspindle/lab/fleet/restarts.py
@@ -0,0 +1,236 @@
+"""Failures and late answers that clients meet in the first 10 s after a sidecar's restart:
+docs/results/keep.md.
+
+Real processes: some members with clients of their own and twelve endpoints, of which one is silent, one fails
+and one is slow. All learn; then one member is ended and started anew, in each way: with its folder, with the
+other members' word alone, with neither. Counted are exchanges sent in the first 10 s after it can serve.
+
+    python -m rainspindle.lab.fleet.restarts --repeats 5
+"""
+
+from __future__ import annotations
+
+import argparse
+import contextlib
+import json
+import shutil
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from http.client import HTTPConnection, HTTPException
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from statistics import median
+from typing import Any
+
+from .processes import Fleet, quiet_config, reserve_port, wait_until
+
+WAYS = ("folder", "members", "neither")
+ENDS = ("SIGTERM", "SIGKILL")
+NAMES = ("a", "b", "c")  # `a` is restarted
+BAD = {"e0": "silent", "e1": "failing", "e2": "slow"}
+ENDPOINTS = 12
+PROMISED, EXPIRY = 0.3, 1.5
+TYPES = ({"name": "read", "effect": "read_like", "promised-time": PROMISED * 1000, "expiry": EXPIRY * 1000},
+         {"name": "submit", "effect": "non_idempotent", "promised-time": PROMISED * 1000,
+          "expiry": EXPIRY * 1000})
+WARM, LOOKED_AT = 12.0, 10.0  # seconds
+KEYS = 4000
+
+
+class Endpoint(ThreadingHTTPServer):
+    daemon_threads = True
+    allow_reuse_address = True
+    request_queue_size = 128
+
+    def __init__(self, name: str, port: int) -> None:
+        self.name, self.how = name, BAD.get(name, "sound")
+        self.over = threading.Event()
+        super().__init__(("127.0.0.1", port), Handler)
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """A sidecar that is killed leaves broken connections."""
+
+
+class Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    server: Endpoint
+
+    def do_GET(self) -> None:
+        server = self.server
+        if server.how == "silent":
+            server.over.wait(EXPIRY * 2)
+            self.close_connection = True
+            return
+        time.sleep(0.5 if server.how == "slow" else 0.004)
+        status = 500 if server.how == "failing" else 200
+        body = server.name.encode()
+        self.wfile.write(b"HTTP/1.1 %d Told\r\nContent-Length: %d\r\n\r\n%b" % (status, len(body), body))
+
+    def log_message(self, format: str, *args: Any) -> None:
+        """What clients met is what counts."""
+
+
+@contextlib.contextmanager
+def endpoints() -> Iterator[dict[str, Endpoint]]:
+    servers = {f"e{n}": Endpoint(f"e{n}", reserve_port()) for n in range(ENDPOINTS)}
+    for server in servers.values():
+        threading.Thread(target=server.serve_forever, args=(0.05,), daemon=True).start()
+    try:
+        yield servers
+    finally:
+        for server in servers.values():
+            server.over.set()
+            server.shutdown()
+            server.server_close()
+
+
+def config(servers: dict[str, Endpoint]) -> dict[str, Any]:
+    base = quiet_config()
+    lines = [{"instanceId": name, "hostPort": f"127.0.0.1:{server.server_address[1]}", "zone": None,
+              "machineType": "", "cell": 0, "lifecycle": "SERVING", "weight": 1.0, "startedAtMs": 1000}
+             for name, server in servers.items()]
+    return {**base, "settings": {**base["settings"], "traffic-types": list(TYPES)},
+            "known": {"generation": 1, "reset": True, "instances": lines}}
+
+
+@dataclass
+class Clients:
+    """Clients of one sidecar on an open schedule: late answers hold up none but their own thread."""
+
+    port: int
+    rate: float
+    threads_of: int = 24
+    asked: list[tuple[float, float, int, str]] = field(default_factory=list)  # sent, ended, status, type
+    over: threading.Event = field(default_factory=threading.Event)
+    threads: list[threading.Thread] = field(default_factory=list)
+
+    def start(self) -> None:
+        begun = time.monotonic()
+        for n in range(self.threads_of):
+            self.threads.append(threading.Thread(target=self.run, args=(n, begun), daemon=True))
+            self.threads[-1].start()
+
+    def stop(self) -> None:
+        self.over.set()
+        for thread in self.threads:
+            thread.join()
+
+    def run(self, thread: int, begun: float) -> None:
+        connection, n = HTTPConnection("127.0.0.1", self.port, timeout=EXPIRY * 2), thread
+        while not self.over.wait(max(0.0, begun + n / self.rate - time.monotonic())):
+            sent, status, kind = time.monotonic(), 0, "submit" if n % 3 == 0 else "read"
+            try:
+                connection.request("GET", "/", headers={
+                    "X-Request-ID": f"{self.port}-{n}", "X-Priority-Class": kind,
+                    "Cookie": f"user=k{n * 7919 % KEYS}"})
+                answer = connection.getresponse()
+                answer.read()
+                status = answer.status
+            except (OSError, HTTPException):
+                connection.close()
+            self.asked.append((sent, time.monotonic(), status, kind))
+            n += self.threads_of
+            behind = time.monotonic() - begun - n / self.rate
+            if behind > 0:
+                n += self.threads_of * int(behind * self.rate / self.threads_of)
+        connection.close()
+
+
+@dataclass
+class Met:
+    """What clients met after one restart."""
+
+    way: str
+    end: str
+    asked: int
+    failed: int
+    late: int
+    shut: float  # seconds from the start of the process until it could serve
+    taken: dict[str, int]
+    beside: float  # failed or late of 1,000 at the members that were not restarted
+
+    @property
+    def bad(self) -> int:
+        return self.failed + self.late
+
+
+def tables(way: str) -> Callable[[str], dict[str, Any]]:
+    return lambda name: {} if way == "neither" else {"keep": {"every": 2.0}}
+
+
+def once(way: str, end: str, rate: float, say: Callable[[str], None] = lambda text: None) -> Met:
+    with tempfile.TemporaryDirectory() as folder, endpoints() as servers, \
+            Fleet(Path(folder), NAMES, 1, config(servers), tables(way)) as fleet:
+        fleet.start()
+        fleet.all_alive()
+        clients = {name: Clients(s.listen, rate if name == "a" else rate / 2)
+                   for name, s in fleet.sidecars.items()}
+        for each in clients.values():
+            each.start()
+        try:
+            time.sleep(WARM)
+            a = fleet["a"]
+            if end == "SIGTERM":
+                a.leave()
+                a.gone()
+            else:
+                a.kill()
+            if way != "folder":
+                shutil.rmtree(a.folder / "kept")
+                (a.folder / "kept").mkdir()
+            begun = time.monotonic()
+            a.start()
+            wait_until(a.ready, 20.0, "ready")
+            time.sleep(LOOKED_AT + 2 * EXPIRY)
+            taken = a.call("GET", "/-/keep").body["start"] if way != "neither" else {}
+        finally:
+            for each in clients.values():
+                each.stop()
+        opened = min(sent for sent, _, status, _ in clients["a"].asked if sent >= begun and status)
+
+        def met_at(name: str) -> tuple[int, int, int]:
+            """Asked, failed, late, from the first exchange on that found the door open."""
+            mine = [x for x in clients[name].asked if opened <= x[0] < opened + LOOKED_AT]
+            return (len(mine), sum(s != 200 for _, _, s, _ in mine),
+                    sum(s == 200 and e - b > PROMISED for b, e, s, _ in mine))
+        others = [met_at(name) for name in NAMES[1:]]
+        met = Met(way, end, *met_at("a"), opened - begun,
+                  {k: len(taken[k]) for k in ("folder", "members") if k in taken},
+                  1000 * sum(failed + late for _, failed, late in others) / sum(n for n, _, _ in others))
+        faults = [line for s in fleet.sidecars.values() for line in s.faults()]
+        if faults:
+            raise AssertionError(faults[:3])
+        say(json.dumps(met.__dict__))
+        return met
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="python -m rainspindle.lab.fleet.restarts", description=__doc__,
+                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--repeats", type=int, default=5, help="of each way (default 5)")
+    parser.add_argument("--rate", type=float, default=100.0,
+                        help="exchanges a second at the one that is restarted; half of it at the others")
+    parser.add_argument("--ways", default=",".join(WAYS))
+    parser.add_argument("--ends", default=",".join(ENDS))
+    given = parser.parse_args()
+    met = [once(way, end, given.rate, lambda text: print(text, file=sys.stderr, flush=True))
+           for _ in range(given.repeats) for end in given.ends.split(",") for way in given.ways.split(",")]
+    print("| ended by | way | failed or late of 1,000 | spread | failed | late | at the others | "
+          "s until it could serve |")
+    print("| --- | --- | --- | --- | --- | --- | --- | --- |")
+    for end in given.ends.split(","):
+        for way in given.ways.split(","):
+            rows = [m for m in met if (m.way, m.end) == (way, end)]
+            parts = sorted(1000 * m.bad / max(1, m.asked) for m in rows)
+            print(f"| {end} | {way} | {median(parts):.1f} | {parts[0]:.1f} to {parts[-1]:.1f} | "
+                  f"{median(m.failed for m in rows)} | {median(m.late for m in rows)} | "
+                  f"{median(m.beside for m in rows):.1f} | {median(m.shut for m in rows):.2f} |")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/rainspindle/program/fleet/members.py
+++ b/rainspindle/program/fleet/members.py
@@ -94,9 +94,10 @@
     def __init__(self, loop: Loop, table: MembersPart, config: Config,
                  changed: Callable[[float, Member | None, Member], None] = lambda now, before, after: None,
                  successor: Callable[[], bool] = lambda: False, shared: bool = False,
-                 tuning: Tuning | None = None, seed: int | None = None) -> None:
+                 tuning: Tuning | None = None, seed: int | None = None, above: int = 0) -> None:
         """`changed` is told of each change of a member; `successor` whether a later process of this sidecar
-        runs beside this one, which needs `shared`: both listen at one address then. Raises Unbound."""
+        runs beside this one, which needs `shared`: both listen at one address then. The life is `above` that
+        one, kept elsewhere. Raises Unbound."""
         self.next, self.closed = -math.inf, False
         self.loop, self.table, self.on_changed = loop, table, changed
         self.own = table.name or config.name
@@ -108,7 +109,7 @@
         self.wire = self.bound()
         advertise = parse_address(table.advertise) if table.advertise else self.wire.address
         chance = random.Random(seed if seed is not None else secrets.randbits(64))
-        life = self.new_life()
+        life = self.new_life(above)
         self.cells = Cells(self.own, life)
         self.members = Members(self.own, life, advertise, table.fleet, self.seeds(table), self, chance, now,
                                self.cells, tuning, successor)
@@ -129,9 +130,9 @@
 
     # The own life.
 
-    def new_life(self) -> int:
+    def new_life(self, above: int = 0) -> int:
         """After every earlier one: by the folder, where there is one, and by the clock."""
-        life = time.time_ns() // 1_000_000 << SPARE | secrets.randbits(SPARE)
+        life = max(time.time_ns() // 1_000_000 << SPARE | secrets.randbits(SPARE), above + 1)
         if self.file is None:
             return life
         try:
--- a/rainspindle/program/fleet/run.py
+++ b/rainspindle/program/fleet/run.py
@@ -19,7 +19,7 @@
 from .config import FleetConfig
 from .evidence import EvidenceRun
 from .ground import Answer, Ground, Joined, Part
-from .keep import KeepRun
+from .keep import KeepRun, Lasting
 from .listing import ListRun
 from .members import MembersRun
 from .wallet import WalletRun
@@ -39,8 +39,12 @@
         self.parts: list[Part] = []
         self.core: Core | None = None
         self.leaving_at = math.inf
-        self.members = MembersRun(loop, fleet.file.members, config, self.member_changed, successor,
-                                  shared=config.console is not None)
+        table = fleet.file.members
+        kept = Lasting(fleet.folder, table.name or config.name, table.fleet) if fleet.file.keep else None
+        self.members = MembersRun(loop, table, config, self.member_changed, successor,
+                                  shared=config.console is not None, above=kept.life if kept else 0)
+        if kept is not None:
+            kept.give_cells(self.members.cells, loop.now())
         ground = Ground(loop, config, self.members.view(), self.members.cells, fleet.folder)
         chance = random.Random(secrets.randbits(64))
         self.canaries = CanaryRun(ground, fleet.file.canary,
@@ -49,7 +53,7 @@
         file = fleet.file
         self.evidence = EvidenceRun(ground, file.evidence) if file.evidence else None
         self.listing = ListRun(ground, file.listing) if file.listing else None
-        self.keep = KeepRun(ground, file.keep) if file.keep else None
+        self.keep = KeepRun(ground, file.keep, kept, bool(table.seeds)) if file.keep else None
         self.joined: list[Joined] = [part for part in (self.evidence, self.listing, self.keep) if part]
         self.parts = [*self.joined, self.canaries, *([self.wallets] if self.wallets else [])]
         self.ticker = loop.spawn(loop.lasting(self.ticking), urgent=True)
--- a/rainspindle/program/serve.py
+++ b/rainspindle/program/serve.py
@@ -302,7 +302,7 @@
         while True:
             now = self.loop.now()
             waits = self.fleet_waits(now)
-            if not self.listener.open and not self.listener.closed and (
+            if not self.listener.open and not self.listener.closed and not waits and (
                     not self.operation.predecessor or self.can_serve(now)):
                 self.open_door()
             self.operation.look()
