--- a/rainspindle/program/fleet/keep.py
+++ b/rainspindle/program/fleet/keep.py
@@ -39,6 +39,8 @@
 FRESH_RECORD = 60.0  # seconds up to which a record needs no word of others beside it
 FRESH_WORD = 20.0  # seconds since a teller is known to have held its word
 ENOUGH, LOOK = 3, 0.02  # words that are enough; seconds between looks whether they are there
+KNOWS_AFTER = 10.0  # seconds in service after which a member has something to tell
+MOST_TOWARD = 50  # newcomers that are told at once by one writing of the word
 LASTS = 30.0  # seconds after the start in which endpoints that are listed late get what was kept of them
 STALLED = 2.0  # seconds after which a writing is told to be stalled
 # The age that a kept cell is given at most: what it says is true at any age, or overtaken.
@@ -170,8 +172,9 @@
         self.taken: dict[str, list[str]] = {"folder": [], "members": []}
         self.words = self.unread = 0
         self.written_mark: object = None
-        self.write_at = self.tell_at = self.begun
+        self.write_at, self.tell_at, self.told_at = self.begun, self.begun + KNOWS_AFTER, -math.inf
         self.last_word = b""
+        self.newcomers: list[str] = []
         self.trouble = ""
         self.left = False
 
@@ -264,7 +267,7 @@
         over = (not self.seeds or not self.table.wait or self.lasting.age <= FRESH_RECORD
                 or now >= self.asked_at + self.table.wait
                 or len(words) >= min(ENOUGH, len(others)) > 0
-                or (not words and now >= min(self.met_at, self.asked_at) + half))
+                or (not words and now >= (self.met_at if others else self.asked_at) + half))
         if not over:
             return now + LOOK
         self.opened_at = now
@@ -304,15 +307,18 @@
     def tick(self, now: float) -> float:
         if not hasattr(self, "core"):
             return now + LOOK
-        if now >= self.tell_at:
-            self.tell_at = now + max(self.table.every, 1.0)
-            self.tell(now)
+        self.tell_due(now)
         if now >= self.write_at and not self.left:
             self.write_at = now + self.table.every
             self.write(now)
         self.look()
         return min(self.tell_at, self.write_at, now + 1.0)
 
+    def tell_due(self, now: float) -> None:
+        if now >= self.tell_at:
+            self.tell_at, self.told_at = now + max(self.table.every, 1.0), now
+            self.tell(now)
+
     def tell(self, now: float) -> None:
         """Few members tell, and only what has changed."""
         alive = [m.name for m in self.ground.members.members() if m.standing is Standing.ALIVE]
@@ -321,9 +327,10 @@
             word = b""
         else:
             word = forms.encode(*beginning.told(self.sides().values(), self.mark_of))
-        if word != self.last_word:
+        if word != self.last_word or (word and self.newcomers):
             self.last_word = word
-            self.ground.cells.write(now, forms.CELL, word)
+            self.ground.cells.write(now, forms.CELL, word, self.newcomers[:MOST_TOWARD])
+        self.newcomers.clear()
 
     def record(self, now: float) -> forms.Record:
         boot, at = self.lasting.clocks.boot()
@@ -371,7 +378,13 @@
                 "generation": writer.outcome.generation}})
         self.trouble = fault
 
-    def member_changed(self, now: float, before: Member | None, after: Member) -> None: ...
+    def member_changed(self, now: float, before: Member | None, after: Member) -> None:
+        """One that starts is told at once, and not when states are next compared; once a second at most."""
+        if after.standing is Standing.ALIVE and after.name != self.ground.members.own_name \
+                and now >= self.begun + KNOWS_AFTER and (before is None or before.life != after.life):
+            self.newcomers.append(after.name)
+            self.tell_at = min(self.tell_at, self.told_at + 1.0)
+            self.tell_due(now)
 
     def call(self, now: float, method: str, path: tuple[str, ...], query: Mapping[str, str]) -> Answer | None:
         if path != ("keep",):
--- /dev/null
+++ b/tests/test_keep_processes.py
@@ -0,0 +1,188 @@
+"""What outlasts a process, on several real processes: killed in the midst of writes, with folders lost and
+mixed up."""
+
+from __future__ import annotations
+
+import shutil
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from rainspindle.lab.fleet import restarts
+from rainspindle.lab.fleet.processes import Fleet, Sidecar, quiet_config, wait_until
+from rainspindle.lab.fleet.schedule import Split
+from rainspindle.program.fleet.keep import KIND, LEAST, MOST, NAME, VERSION, Lasting
+from rainspindle.protocol import keep as forms
+from rainspindle.store.generations import DiskFiles, Generations
+
+pytestmark = pytest.mark.timeout(150)
+NAMES = ("a", "b", "c")
+BAD = {"e0", "e1", "e2"}
+
+
+@contextmanager
+def serving(folder: Path, every: float = 0.2) -> Iterator[tuple[Fleet, dict[str, restarts.Clients]]]:
+    """Three members under load, with twelve endpoints of which three are bad."""
+    with restarts.endpoints() as servers, Fleet(folder, NAMES, 1, restarts.config(servers),
+                                                lambda name: {"keep": {"every": every}}) as fleet:
+        fleet.start()
+        fleet.all_alive()
+        clients = {name: restarts.Clients(s.listen, 60.0) for name, s in fleet.sidecars.items()}
+        for each in clients.values():
+            each.start()
+        try:
+            yield fleet, clients
+        finally:
+            for each in clients.values():
+                each.stop()
+        assert not [line for s in fleet.sidecars.values() for line in s.faults()]
+
+
+def body(sidecar: Sidecar) -> dict[str, Any]:
+    found: dict[str, Any] = sidecar.call("GET", "/-/keep").body
+    return found
+
+
+def out(sidecar: Sidecar) -> set[str]:
+    """The endpoints that its own record has as out."""
+    record = Lasting(sidecar.folder / "kept", sidecar.name, "lab").record
+    assert record is not None
+    return {id for id, of in record.sides[""]["endpoints"].items() if of["out"] is not None}
+
+
+def knows(sidecar: Sidecar) -> bool:
+    """Whether it has found out all bad ones, and tells."""
+    return bool(body(sidecar)["tells"]) and out(sidecar) >= BAD
+
+
+def disk(sidecar: Sidecar) -> Generations:
+    return Generations(DiskFiles(sidecar.folder / "kept"), NAME, KIND, VERSION, LEAST, MOST, "test")
+
+
+def test_killed_in_the_midst_of_writes_it_goes_on_from_the_last_acknowledged_one(tmp_path: Path) -> None:
+    with serving(tmp_path, every=0.1) as (fleet, _):
+        a = fleet["a"]
+        wait_until(lambda: out(a) >= BAD if list((a.folder / "kept").glob("keep.[0-9]*")) else None, 30.0,
+                   "all bad ones are out")
+        for _ in range(4):
+            wait_until(lambda: body(a)["writes"] > 2, 20.0, "it writes")
+            acknowledged = body(a)["generation"]
+            a.kill()
+            kept = disk(a).read()
+            assert kept.generation >= acknowledged and not kept.refused
+            a.start()
+            fleet.await_ready("a")
+            start = body(a)["start"]
+            assert start["generation"] == kept.generation and start["age"] < 20 and start["waited"] == 0.0
+            assert set(start["folder"]) >= BAD
+
+
+def test_with_no_folder_the_others_tell_and_with_links_cut_it_begins_anew_in_time(tmp_path: Path) -> None:
+    with serving(tmp_path) as (fleet, _):
+        for other in (fleet["b"], fleet["c"]):
+            wait_until(partial(knows, other), 40.0, "others know")
+        a = fleet["a"]
+        a.kill()
+        shutil.rmtree(a.folder / "kept")  # and there is none while it lasts
+        a.write(a.config, {**fleet.file("a", folder=""), "keep": {"wait": 5.0}})
+        a.start()
+        fleet.await_ready("a")
+        start = body(a)["start"]
+        assert start["words"] == 2 and set(start["members"]) == BAD and start["folder"] == []
+        assert 'event="begins with what was learnt" folder=0 members=3' in a.logged()
+        a.kill()
+        cut = fleet.network.begin(Split(0.0, (("a",), ("b", "c"))))
+        a.write(a.config, {**fleet.file("a", folder=""), "keep": {"wait": 1.0}})
+        a.start()
+        fleet.await_ready("a")
+        start = body(a)["start"]
+        assert start["words"] == 0 and start["members"] == [] and start["waited"] < 1.5
+        fleet.network.end(cut)
+
+
+def test_folders_of_last_week_of_another_member_spoilt_and_gone(tmp_path: Path) -> None:
+    with serving(tmp_path) as (fleet, _):
+        a, b = fleet["a"], fleet["b"]
+        kept = a.folder / "kept"
+        wait_until(lambda: body(a)["writes"] > 3 and body(b)["writes"] > 3, 20.0, "records")
+        a.leave()
+        a.gone()
+        # Last week's: as it is, but for when it was written.
+        record = forms.decode_record(disk(a).read().payload)
+        week = 7 * 86400.0
+        old = msgspec.structs.replace(record, wall=record.wall - week, boot_at=record.boot_at - week)
+        shutil.rmtree(kept)
+        kept.mkdir()
+        disk(a).write(forms.encode_record(old))
+        a.start()
+        fleet.await_ready("a")
+        start = body(a)["start"]
+        assert start["folder"] == [] and start["age"] > week - 60
+        lives = {name: member["life"] for name, member in b.members().items()}
+        a.kill()
+        # Another member's: its record is not taken, nor its life.
+        shutil.rmtree(kept)
+        shutil.copytree(b.folder / "kept", kept)
+        a.start()
+        fleet.await_ready("a")
+        start = body(a)["start"]
+        assert "member 'b'" in start["refused"] and start["folder"] == []
+        wait_until(lambda: b.members()["a"]["life"] > lives["a"], 10.0, "it is a later start of its own name")
+        wait_until(lambda: body(a)["writes"] > 1, 20.0, "it keeps its own")
+        a.kill()
+        # The newest half written: the one before it. Both spoilt: nothing, and it goes on.
+        newest = max(kept.glob("keep.[0-9]*"), key=lambda path: int(path.suffix[1:]))
+        newest.write_bytes(newest.read_bytes()[:100])
+        a.start()
+        fleet.await_ready("a")
+        start = body(a)["start"]
+        assert newest.name in start["refused"] and start["generation"] == int(newest.suffix[1:]) - 1
+        a.kill()
+        for path in kept.glob("keep.[0-9]*"):
+            path.write_bytes(b"rainkeep, but not much of it")
+        a.start()
+        fleet.await_ready("a")
+        assert body(a)["start"]["generation"] == 0
+        wait_until(lambda: body(a)["writes"] > 0, 20.0, "it keeps again")
+        # Gone under its feet: told once, exchanges go on, and it is well when the folder is back.
+        shutil.rmtree(kept)
+        wait_until(lambda: body(a)["trouble"], 20.0, "trouble")
+        before = time.monotonic()
+        wait_until(lambda: body(a)["trouble"] and time.monotonic() > before + 1.0, 20.0, "it stays")
+        kept.mkdir()
+        wait_until(lambda: body(a)["trouble"] is None, 20.0, "it keeps again")
+        assert a.logged().count('event="what was learnt cannot be kept"') == 1
+        assert a.logged().count('event="what was learnt is kept again"') == 1
+
+
+def test_an_abort_outlasts_the_loss_of_the_canarys_own_file_at_all(tmp_path: Path) -> None:
+    table: dict[str, Any] = {"keep": {"every": 0.2}, "canary": [
+        {"name": "next", "kind": "new", "stages": [{"part": 0.5, "time": 600.0, "exchanges": 20}]}]}
+    base = quiet_config()
+    config = {**base, "settings": {**base["settings"], "kinds": ["old", "new"]}}
+    with Fleet(tmp_path, NAMES, 1, config, lambda name: table) as fleet:
+        fleet.start()
+        fleet.all_alive()
+
+        def aborted(name: str) -> bool:
+            return bool(fleet[name].call("GET", "/-/canaries").body["canaries"][0]["state"] == "aborted")
+
+        def kept(name: str) -> bool:
+            record = Lasting(fleet[name].folder / "kept", name, "lab").record
+            return record is not None and any(cell.name == "canary/next/state" for cell in record.cells)
+        assert fleet["a"].call("POST", "/-/canaries/next/start").status == 200
+        assert fleet["a"].call("POST", "/-/canaries/next/abort").status == 200
+        wait_until(lambda: all(aborted(name) for name in NAMES), 20.0, "the abort is everywhere")
+        wait_until(lambda: kept("a"), 20.0, "it is kept")
+        for name in NAMES:
+            fleet[name].kill()
+        for name in NAMES:
+            (fleet[name].folder / "kept" / "canary-next.state").unlink(missing_ok=True)
+        fleet.start("a")
+        wait_until(lambda: aborted("a"), 10.0, "it has not forgotten")
