--- a/rainspindle/decisions/operation/beginning.py
+++ b/rainspindle/decisions/operation/beginning.py
@@ -10,7 +10,6 @@
 import hashlib
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from statistics import median
 
 from ...host import State
 from ...logic import Balancer, Breaker, Endpoint
@@ -71,8 +70,8 @@
         return sorted((m for m, n in counts.items() if n >= enough), key=lambda m: (-counts[m], m))[:room]
     out = most(outs, room)
     slow = most(Counter({m: n for m, n in slows.items() if m not in out}), room - len(out))
-    return Judged(tuple(ready[m] for m in out),
-                  {ready[m]: median(w.slow[m] for w in heard if m in w.slow) for m in slow})
+    times = {m: sorted(w.slow[m] for w in heard if m in w.slow) for m in slow}
+    return Judged(tuple(ready[m] for m in out), {ready[m]: t[len(t) // 2] for m, t in times.items()})
 
 
 def apply(balancer: Balancer, now: float, judged: Judged) -> list[str]:
