--- a/rainspindle/protocol/keep.py
+++ b/rainspindle/protocol/keep.py
@@ -88,7 +88,7 @@
 
 
 def encode_record(record: Record) -> bytes:
-    return msgspec.msgpack.encode(record)
+    return msgspec.msgpack.encode(record, order="deterministic")
 
 
 def decode_record(raw: bytes) -> Record:
--- a/tests/golden/forms.py
+++ b/tests/golden/forms.py
@@ -193,9 +193,13 @@
 def keep() -> Iterator[Form]:
     words, run, store = (there(name) for name in ("protocol.keep", "program.fleet.keep", "store.generations"))
     mark = words.mark("e0", 1_700_000_000_123)
-    yield Form("keep-word", words.Told(5, (mark,), {mark: 0.25}),
-               lambda told: words.encode(told.ready, told.out, [*told.slow.items()]), words.decode,
-               (words.UnreadableKept,), words.Told, words.Word, words.CELL, module=words.__name__)
+
+    def told(raw: bytes) -> tuple[int, list[bytes], list[tuple[bytes, float]]]:
+        found = words.decode(raw)
+        return found.ready, list(found.out), list(found.slow.items())
+    yield Form("keep-word", (5, [mark], [(mark, 0.25)]), lambda word: words.encode(*word), told,
+               (words.UnreadableKept,), tuple[int, list[bytes], list[tuple[bytes, float]]], words.Word,
+               words.CELL, module=words.__name__)
     record = words.Record("a", "lab", 7 << 12, 1_700_000_000.5, "boot", 64.5, [
         words.OwnCell("wallet/north", 7 << 12, 3, b"word")], {"": LEARNT}, {"e0": 1_700_000_000_123})
 
