--- a/tests/test_keep_processes.py
+++ b/tests/test_keep_processes.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import shutil
+import socket
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -61,6 +62,14 @@
     return bool(body(sidecar)["tells"]) and out(sidecar) >= BAD
 
 
+def open_door(sidecar: Sidecar) -> bool:
+    try:
+        socket.create_connection(("127.0.0.1", sidecar.listen), 1.0).close()
+    except OSError:
+        return False
+    return True
+
+
 def disk(sidecar: Sidecar) -> Generations:
     return Generations(DiskFiles(sidecar.folder / "kept"), NAME, KIND, VERSION, LEAST, MOST, "test")
 
@@ -99,7 +108,10 @@
         a.kill()
         cut = fleet.network.begin(Split(0.0, (("a",), ("b", "c"))))
         a.write(a.config, {**fleet.file("a", folder=""), "keep": {"wait": 1.0}})
+        before = a.logged().count('event="begins anew"')
         a.start()
+        wait_until(lambda: open_door(a), 20.0, "the door is open")
+        assert a.logged().count('event="begins anew"') == before + 1, "and not sooner"
         fleet.await_ready("a")
         start = body(a)["start"]
         assert start["words"] == 0 and start["members"] == [] and start["waited"] < 1.5
