Evidence shared: word of endpoints and hot keys that warns, spares and spreads

Small sidecars know too little: at 2,000 hot keys all go to one endpoint, and trials at a dead one grow with the fleet. With `[evidence]` each tells in one cell what is out at it, its trials and its busiest keys, and goes by the others' word within bounds: several tellers and one own failure for a trip, one teller's trials putting off two of one's own at most.

--- /dev/null
+++ b/rainspindle/decisions/evidence/watch.py
@@ -0,0 +1,154 @@
+"""What one module meets, told to the evidence, and what the evidence says, put into the module's own state.
+
+It acts from outside as an order of the staff does: the module decides as before. A trial put off or made due
+is the moment from which the module counts its delay; a warning is a lower bar for this endpoint's own trip; a
+hot key is turned among endpoints by its told share where the own one is smaller.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ...logic import Balancer, Breaker, Endpoint, FailoverTable
+from ...protocol.evidence import MOST_HELD, MOST_KEYS, mark_of
+from .evidence import Evidence
+
+WIDER = 2.0
+HARD_ROW = 2  # failures in a row, with no answer between, by which a trip tells of an endpoint that is dead
+
+
+@dataclass(slots=True)
+class Seen:
+    """An endpoint that was out at the last look."""
+
+    breaker: Breaker
+    mark: int
+    start: int
+    at: float  # its trip
+    since: float
+    on_trial: bool
+
+
+class Watch:
+    """One module."""
+
+    def __init__(self, balancer: Balancer, evidence: Evidence, offset: float) -> None:
+        """`offset`: what the list's Unix times were moved by to give the module's."""
+        self.balancer, self.evidence, self.offset = balancer, evidence, offset
+        self.marks: dict[int, Endpoint] = {}
+        self.known: dict[str, Endpoint] = {}
+        self.mark_by_id: dict[str, int] = {}
+        self.out: dict[Endpoint, Seen] = {}
+        self.spread: Callable[[str, list[Endpoint]], list[Endpoint]] = balancer.spread
+        balancer.spread = self.spread_told  # type: ignore[method-assign]
+
+    def endpoints(self) -> dict[int, Endpoint]:
+        if self.known is not self.balancer.endpoints:
+            self.known = self.balancer.endpoints
+            self.mark_by_id = {id: self.mark_by_id.get(id) or mark_of(id) for id in self.known}
+            self.marks = {self.mark_by_id[id]: e for id, e in self.known.items()}
+        return self.marks
+
+    def start(self, e: Endpoint) -> int:
+        return round((e.line.started - self.offset) * 1000) if e.line.started is not None else 0
+
+    # What the module met.
+
+    def look(self, now: float) -> bool:
+        """Whether anything is out."""
+        self.endpoints()
+        for e in self.balancer.touched:
+            b = e.breaker
+            if b is not None:
+                self.look_at(now, e, b)
+        for e, seen in list(self.out.items()):
+            if e.breaker is None or self.known.get(e.id) is not e:
+                del self.out[e]
+                if e.breaker is None and self.start(e) == seen.start and e.back_at >= seen.at:
+                    self.evidence.served(now, seen.mark)
+                else:
+                    self.evidence.gone(now, seen.mark)
+        return bool(self.out)
+
+    def look_at(self, now: float, e: Endpoint, b: Breaker) -> None:
+        seen = self.out.get(e)
+        if seen is None or seen.breaker is not b:
+            mark = self.mark_by_id.get(e.id)
+            if mark is None:
+                return
+            seen = self.out[e] = Seen(b, mark, self.start(e), b.since, b.since, False)
+            self.evidence.tripped(now, mark, seen.start, e.row >= HARD_ROW)
+        if b.on_trial and not seen.on_trial:
+            self.evidence.trying(now, seen.mark)
+        elif not b.on_trial and b.since != seen.since:
+            self.evidence.failed(now, seen.mark)
+        seen.since, seen.on_trial = b.since, b.on_trial
+
+    # What the evidence says.
+
+    def plan(self, now: float, e: Endpoint, due: float) -> None:
+        b = e.breaker
+        if b is not None and not b.on_trial:
+            b.since, b.due = due - FailoverTable.TRIAL_DELAY, now > due
+            if e in self.out:
+                self.out[e].since = b.since
+
+    def warn(self, e: Endpoint, on: bool) -> None:
+        if on:
+            e.FAILURES, e.ROW = 0, 1
+        else:
+            e.__dict__.pop("FAILURES", None)
+            e.__dict__.pop("ROW", None)
+
+    def spread_told(self, key: str, ranked: list[Endpoint]) -> list[Endpoint]:
+        """Guards against a key that is hot in the fleet while no sidecar meets it twice. May hurt where the
+        tellers' traffic is unlike that of this one."""
+        shares = self.evidence.shares
+        told = shares.get(mark_of(key), 0.0) if shares else 0.0
+        b = self.balancer
+        if told <= (b.counts.get(key, 1.0) - 1) / max(b.counted, b.FEW):
+            return self.spread(key, ranked)
+        first = int(b.chance() * min(told * WIDER, 1.0) * len(ranked) / b.SKIP_FACTOR)
+        return ranked[first:] + ranked[:first]
+
+
+class Watches:
+    """The modules of one sidecar, as the evidence sees them: one, or one for each side of a canary."""
+
+    def __init__(self) -> None:
+        self.all: list[Watch] = []
+
+    def look(self, now: float) -> bool:
+        return any([watch.look(now) for watch in self.all])
+
+    def find(self, mark: int) -> tuple[Watch, Endpoint] | None:
+        return next(((w, e) for w in self.all if (e := w.endpoints().get(mark)) is not None), None)
+
+    def ready(self) -> int:
+        return sum(len(w.balancer.ready) for w in self.all)
+
+    def start_of(self, mark: int) -> int | None:
+        found = self.find(mark)
+        return None if found is None else found[0].start(found[1])
+
+    def plan(self, now: float, mark: int, due: float) -> None:
+        if found := self.find(mark):
+            found[0].plan(now, found[1], due)
+
+    def warn(self, now: float, mark: int, on: bool) -> None:
+        if found := self.find(mark):
+            found[0].warn(found[1], on)
+
+    def counted(self) -> tuple[int, list[tuple[int, int]]]:
+        counts: dict[str, float] = {}
+        for w in self.all:
+            for key, n in w.balancer.counts.items():
+                counts[key] = counts.get(key, 0.0) + n
+        busiest = sorted(counts, key=lambda key: (-counts[key], key))[:MOST_KEYS]
+        total = round(sum(w.balancer.counted for w in self.all))
+        return total, [(mark_of(key), round(counts[key])) for key in busiest]
+
+    def held(self) -> list[tuple[int, int]]:
+        out = [(len(e.out), e.id) for w in self.all for e in w.balancer.touched if e.out]
+        return [(mark_of(id), n) for n, id in sorted(out, reverse=True)[:MOST_HELD]]
--- a/rainspindle/lab/figures.py
+++ b/rainspindle/lab/figures.py
@@ -113,7 +113,7 @@
         cells = Counter((endpoint, math.floor(at)) for endpoint, at in met)
         return float(max(cells.values(), default=0))
 
-    by_what: dict[str, list[Met]] = {"call": [], "handshake": [], "trial": []}
+    by_what: dict[str, list[Met]] = {"call": [], "handshake": [], "trial": [], "cell": []}
     for m in ledger.met:
         by_what[m.what].append(m)
     calls, hands = by_what["call"], by_what["handshake"]
@@ -125,7 +125,10 @@
             "handshakes": len(hands) / max(len(ledger.runs), 1),
             "handshakes_most": most([(m.endpoint, m.at) for m in hands]),
             "handshakes_refused": sum(m.refused for m in hands) / max(len(hands), 1),
-            "trials_most": most([(m.endpoint, m.at) for m in by_what["trial"]]), "cold_most": most(cold)}
+            "trials": float(len(by_what["trial"])),
+            "trials_vain": float(sum(m.refused for m in by_what["trial"])),
+            "trials_most": most([(m.endpoint, m.at) for m in by_what["trial"]]), "cold_most": most(cold),
+            "cells": len(by_what["cell"]) / (world.end + 1.0)}
 
 
 def sites(world: World, by_zone: np.ndarray) -> Figures:
--- a/rainspindle/lab/ledger.py
+++ b/rainspindle/lab/ledger.py
@@ -69,13 +69,14 @@
 
 @dataclass(slots=True)
 class Met:
-    """What a sidecar met: a call to the list service, a handshake with an endpoint, a trial sent to one."""
+    """What a sidecar met: a call to the list service, a handshake with an endpoint, a trial sent to one; or a
+    cell that it wrote."""
 
-    what: str  # call, handshake, trial
+    what: str  # call, handshake, trial, cell
     sidecar: int
     endpoint: int  # -1: the list service
     at: float
-    refused: bool = False  # turned away, as there was no place
+    refused: bool = False  # turned away, as there was no place; of a trial: the endpoint could not serve it
 
 
 @dataclass(slots=True)
--- a/rainspindle/lab/virtual.py
+++ b/rainspindle/lab/virtual.py
@@ -19,6 +19,7 @@
 from .models.endpoint import EndpointModel, Job
 from .models.link import LinkModel
 from .models.registry import Gate
+from .word import Words
 from .world import Act, World, play
 
 START = -1.0  # sidecars start within this last second before the first exchange
@@ -143,6 +144,7 @@
         did = self.facade.taken()
         self.apply(self.facade.list_changed(now, known, whole=True, stale=True))
         self.apply(did)
+        self.informed = self.run.words.join(self) if self.run.words is not None else None
 
     def die(self) -> None:
         self.up = False
@@ -257,7 +259,9 @@
         module = self.facade.balancer
         forward = module.forwards[exchange, step.number] if isinstance(module, Balancer) else None
         if forward is not None and forward.trial is not None and forward.trial is forward.endpoint.breaker:
-            self.run.ledger.met.append(Met("trial", self.number, node.model.number, now))
+            model = node.model
+            vain = model.silent or model.hanging or not model.up or model.err >= 1.0
+            self.run.ledger.met.append(Met("trial", self.number, model.number, now, vain))
         line = self.idle_line(node)
         if line is not None:
             self.write(flight, line, new=False)
@@ -266,7 +270,8 @@
         there, back = self.run.ways(self.zone, model.zone)
         promised = self.run.types[holding.op.type].promised
         until = min(flight.until, now + min(limits.connect_time, 0.25 * promised))
-        if model.silent or not (there.whole(now) and back.whole(now)):
+        if model.silent or not (there.whole(now) and back.whole(now)) \
+                or (self.number == 0 and model.number in self.run.beyond):
             self.clock.at(until, self.living(partial(self.end, flight, Outcome.UNCONNECTED)))
             return
         up_at = back.arrival(there.arrival(now, 60), 60)
@@ -389,6 +394,8 @@
         self.world, self.clock, self.ledger = world, Clock(), Ledger()
         self.types = world.x.traffic
         self.gate = Gate(world.x.registry.calls)
+        self.words = Words(self) if world.variant.word else None
+        self.beyond: frozenset[int] = frozenset()  # endpoints that the first sidecar cannot reach
         self.links = world.links()
         self.endpoints = [EndpointNode(self.clock, world.endpoint(n)) for n in range(len(world.kinds))]
         self.sidecars = [self.sidecar(n) for n in range(world.x.sidecars.count)]
@@ -405,6 +412,8 @@
             count = len(self.sidecars)
             for n, sidecar in enumerate(self.sidecars):
                 self.clock.at(START * (1 - n / count), sidecar.start)
+            if self.world.variant.cut_part:
+                self.clock.at(min((f.at for f in self.world.x.faults), default=0.0), self.cut)
             for act in self.world.acts:
                 self.clock.at(act.at, partial(self.befall, act))
             self.operations = iter(self.world.schedule)
@@ -418,6 +427,13 @@
             self.ledger.starts += node.model.starts
         return self.ledger
 
+    def cut(self) -> None:
+        """The first sidecar's own way is bad from now on."""
+        some = round(self.world.variant.cut_part * len(self.endpoints))
+        self.beyond = frozenset(range(some))
+        for number in self.beyond:
+            self.sidecars[0].drop_idle(number)
+
     def befall(self, act: Act) -> None:
         if act.what in ("sidecar_down", "sidecar_freeze"):
             if self.sidecars[act.target].up:
--- a/rainspindle/program/fleet/evidence.py
+++ b/rainspindle/program/fleet/evidence.py
@@ -2,31 +2,65 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
+import logging
+import random
+import secrets
+import time
+import zlib
+from collections.abc import Callable, Iterator, Mapping
 
 import msgspec
 
-from ...decisions.members.members import Member
+from ...decisions.evidence.evidence import Evidence
+from ...decisions.evidence.watch import Watches
+from ...decisions.members.members import Member, Standing
+from ...decisions.shared.cells import Cell
+from ...protocol.evidence import CELL, Told, UnreadableEvidence, decode_told, encode_told
 from ...routing.core import Core, Taker
+from ...routing.evidence import watch
 from ...routing.follow import Follower
 from ..config import Config
 from .ground import Answer, Ground
 
+log = logging.getLogger("rainspindle.evidence")
+
+LOOK, LOOK_OUT = 0.25, 0.1  # seconds between two looks at the module: at rest, and while anything is out
+COUNT_GAP = 5.0  # seconds between two countings of the members
+MOST_SHOWN = 50  # endpoints in an answer
+
 
 class EvidencePart(msgspec.Struct, forbid_unknown_fields=True):
     """`[evidence]` of the fleet file."""
 
+    tellers: int = 3  # whose words together warn, and make a key hot
+    lasts: float = 15.0  # seconds for which word counts
+
 
 def unfit(table: EvidencePart, config: Config) -> Iterator[str]:
     """Each fault between values that are well formed, with its path."""
-    yield from ()
-
-
-class EvidenceRun:
-    def __init__(self, ground: Ground, table: EvidencePart) -> None:
-        self.ground, self.table = ground, table
-
-    def attach(self, core: Core, follower: Follower) -> None: ...
+    if not 2 <= table.tellers <= 50:
+        yield (f"evidence.tellers: {table.tellers} is not from 2 to 50: word of one alone must warn of "
+               "nothing")
+    if not 5.0 <= table.lasts <= 120.0:
+        yield f"evidence.lasts: {table.lasts:g} s is not from 5 to 120: a trial comes each 5 s"
+
+
+class EvidenceRun(Watches):
+    """The evidence's host: it has the modules, the members and the cell."""
+
+    def __init__(self, ground: Ground, table: EvidencePart, wall: Callable[[], float] = time.time) -> None:
+        super().__init__()
+        self.ground, self.table, self.clock = ground, table, wall
+        self.members, self.place, self.counted_at = 1, 0, -COUNT_GAP
+        self.unread = 0
+        self.evidence = Evidence(ground.loop.now(), ground.config.raw_settings["zone"], self,
+                                 random.Random(secrets.randbits(64)), table.tellers, table.lasts)
+
+    def attach(self, core: Core, follower: Follower) -> None:
+        watch(core, self, self.evidence, self.ground.config.decoder.clock_offset)
+        self.ground.cells.on_change(CELL, self.heard)
+        for seen in list(self.ground.cells.named(CELL).values()):
+            self.heard(self.ground.loop.now(), seen.cell)
 
     def ready_from(self, now: float) -> float:
         return now
@@ -34,20 +68,91 @@
     def taker(self, inner: Taker) -> Taker:
         return inner
 
-    def tick(self, now: float) -> float:
-        return now + 1.0
+    def heard(self, now: float, cell: Cell) -> None:
+        if cell.name != CELL or cell.owner == self.ground.members.own_name:
+            return
+        if not cell.value:
+            self.evidence.forget(now, cell.owner)
+            return
+        try:
+            told = decode_told(cell.value)
+        except UnreadableEvidence as fault:
+            self.unread += 1
+            log.debug("unreadable evidence", extra={"fields": {"from": cell.owner, "why": fault}})
+        else:
+            self.evidence.heard(now, cell.owner, told)
 
-    def member_changed(self, now: float, before: Member | None, after: Member) -> None: ...
+    def tick(self, now: float) -> float:
+        if now - self.counted_at >= COUNT_GAP:
+            self.counted_at = now
+            own = self.ground.members.own_name
+            names = [m.name for m in self.ground.members.members()
+                     if m.standing in (Standing.ALIVE, Standing.SUSPECT) or m.name == own]
+            first = chance_of(own)
+            self.members, self.place = len(names), sum(chance_of(name) < first for name in names)
+        out = self.look(now)
+        return min(self.evidence.tick(now), now + (LOOK_OUT if out else LOOK))
+
+    def member_changed(self, now: float, before: Member | None, after: Member) -> None:
+        if after.standing in (Standing.DEAD, Standing.LEFT):
+            self.evidence.forget(now, after.name)
 
     def call(self, now: float, method: str, path: tuple[str, ...], query: Mapping[str, str]) -> Answer | None:
-        return None
+        if path[:1] != ("evidence",):
+            return None
+        if len(path) > 1:
+            return Answer(404, {"error": "no such call", "remedy": "ask GET /-/evidence"})
+        if method not in ("GET", "HEAD"):
+            return Answer(405, {"error": f"/-/evidence wants GET, not {method}", "remedy": "ask with GET"})
+        return Answer(200, {**self.evidence.report(now), "unread": self.unread, "endpoints": self.shown(now)})
+
+    def shown(self, now: float) -> list[dict[str, object]]:
+        """What is told of endpoints, those that are out here or told as out by any."""
+        evidence, found = self.evidence, list[dict[str, object]]()
+        held = evidence.summed_held(now)
+        for mark in [*evidence.own, *(m for m in evidence.by_mark if m not in evidence.own)]:
+            where, own = self.find(mark), evidence.own.get(mark)
+            if where is None or len(found) >= MOST_SHOWN:
+                continue
+            watched, e = where
+            start, words = watched.start(e), evidence.by_mark.get(mark, {})
+            found.append({"id": e.id, "out": own is not None, "warned": mark in evidence.warned,
+                          "trial_in_s": round(max(0.0, own.due - now), 1) if own else None,
+                          "told_by": sum(evidence.counts_for(now, o, h, start) for o, h in words.items()),
+                          "held_elsewhere": held.get(mark, 0)})
+        return found
 
     def reload(self, now: float, tables: EvidencePart) -> list[str]:
+        self.table = tables
+        self.evidence.tellers, self.evidence.lasts = tables.tellers, tables.lasts
         return []
 
-    def leave(self, now: float) -> None: ...
+    def leave(self, now: float) -> None:
+        """What it told ages at the others."""
 
-    def close(self) -> None: ...
+    def close(self) -> None:
+        """Nothing is open."""
 
     def figures(self) -> Mapping[str, object]:
-        return {}
+        counts = self.evidence.counts
+        return {f"evidence_{name}": counts[name] for name in
+                ("told", "words", "discounted", "warnings", "spared", "hastened")}
+
+    # The evidence's side.
+
+    def wall(self, now: float) -> float:
+        return self.clock()
+
+    def size(self) -> int:
+        return self.members
+
+    def rank(self) -> int:
+        return self.place
+
+    def tell(self, now: float, told: Told) -> None:
+        self.ground.cells.write(now, CELL, encode_told(told))
+
+
+def chance_of(name: str) -> int:
+    """By which members are ordered, alike at all."""
+    return zlib.crc32(name.encode())
--- /dev/null
+++ b/rainspindle/routing/evidence.py
@@ -0,0 +1,16 @@
+"""The modules of one sidecar's core, watched for the evidence: one, or one for each side of a canary."""
+
+from __future__ import annotations
+
+from ..decisions.evidence.evidence import Evidence
+from ..decisions.evidence.watch import Watch, Watches
+from .canary import SplitCore, side_balancer
+from .core import Core
+
+
+def watch(core: Core, watches: Watches, evidence: Evidence, offset: float) -> None:
+    """`offset`: what the list's Unix times were moved by to give the loop's."""
+    for side in core.cores.values() if isinstance(core, SplitCore) else (core,):
+        balancer = side_balancer(side)
+        if balancer is not None:
+            watches.all.append(Watch(balancer, evidence, offset))
