--- a/tests/examples.py
+++ b/tests/examples.py
@@ -55,6 +55,7 @@
     "wallet": '[[wallet]]\nname = "one"\nhome = "n1"\ntenant = 0\n',
     "canary": '[[canary]]\nname = "one"\nendpoints = ["e0"]\n'
               'stages = [{ part = 0.1, time = 60, exchanges = 100 }]\n',
+    "evidence": "[evidence]\n",
 }
 GATEWAY = {"gateway": '[gateway]\nsite = "casablanca"\nlink = "127.0.0.1:9443"\nplatform = "config.json"\n'
                       'keys = ["link.key"]\n', "peers": "", "intake": ""}
