--- a/rainspindle/decisions/members/swim.py
+++ b/rainspindle/decisions/members/swim.py
@@ -25,7 +25,7 @@
 
 PINGS = 3  # to the probed member itself before others are asked
 LOOK = 0.25  # seconds between two ticks at most, so that a stop of the process is seen
-SOON, AGAIN = 0.02, 0.4  # seconds until news go out; until they are told again
+SOON, ENCORE, AGAIN = 0.02, 0.08, 0.4  # seconds until news go out; to a few more; until they are told again
 FANOUT = 3  # members that a news is told at once
 FIRST = 8  # members that a cell may be told first
 PAGES = 6  # datagrams of members that answer one exchange
@@ -75,6 +75,7 @@
     number: int
     factor: float  # by which its time limits grow
     due: float  # its next step
+    alone: bool = False  # without helpers
     step: int = 0
     helpers: int = 0
     nacks: int = 0
@@ -144,6 +145,7 @@
         self.next_clean = now + 10.0
         self.next_name = self.next_suspects = now
         self.gossip_at, self.gossiped = math.inf, -math.inf
+        self.encore = False  # whether urgent news have gone to a few, and are to go to a few more
         self.filled = -math.inf  # when news last went along with a message
         self.doubt_until = -math.inf
         self.settled = math.inf
@@ -418,7 +420,7 @@
             self.settled = now + SETTLE
         self.look_at_probes(now)
         if now >= self.next_suspects:
-            self.next_suspects = now + 0.1
+            self.next_suspects = now + 0.05
             self.look_at_suspects(now)
         if not self.leaving:
             if now >= self.next_probe:
@@ -436,6 +438,8 @@
         if now >= self.next_clean:
             self.clean(now)
         due = min(now + LOOK, self.next_probe, self.gossip_at)
+        if self.suspects:
+            due = min(due, self.next_suspects)
         for probe in self.probes.values():
             due = min(due, probe.due)
         for relay in self.relays.values():
@@ -471,13 +475,14 @@
                 self.probe(now, record)
                 return
 
-    def probe(self, now: float, record: Record) -> None:
+    def probe(self, now: float, record: Record, alone: bool = False) -> None:
+        """`alone`: no helpers are asked, since others have tried already."""
         self.will.take(now)
         data = self.compose(now, wire.PING, target=record.name, news=self.of(now, record),
                             fill=record.standing == wire.ALIVE)
         factor = self.health.factor
         self.probes[self.number] = Probe(record.name, record.life, self.number, factor,
-                                         now + self.tuning.direct * factor / PINGS)
+                                         now + self.tuning.direct * factor / PINGS, alone)
         self.post(record.packed, data)
 
     def go_on(self, now: float, probe: Probe) -> None:
@@ -488,7 +493,8 @@
         if probe.step > PINGS + 1:
             self.failed(now, probe)
             return
-        if probe.step == PINGS or (probe.step == PINGS + 1 and self.tuning.lifeguard):
+        if not probe.alone and (probe.step == PINGS or (
+                probe.step == PINGS + 1 and self.tuning.lifeguard)):
             self.ask_others(now, probe)
         self.ping_again(now, probe)
         probe.due = now + length * probe.factor
@@ -711,7 +717,7 @@
                 if record.suspicion is not None and not record.suspicion.verdict:
                     record.suspicion.verdict = True
                     if self.will.look(now) > 5.0:
-                        self.probe(now, record)
+                        self.probe(now, record, alone=True)
             else:
                 self.stand(now, record, wire.DEAD, news.incarnation, age)
 
@@ -832,7 +838,8 @@
                 if record is not None and record.living and record is not self.own and self.will.take(now):
                     self.send(now, record, wire.NEWS, free=True)
         cells = spread is not None and spread.queue.untold
-        fresh = cells or self.news.untold
+        once_more, self.encore = self.encore, bool(self.news.untold)
+        fresh = cells or self.news.untold or once_more
         if not fresh and self.waiting and now < self.filled + AGAIN:
             self.gossip_at = self.filled + AGAIN  # what has gone out meanwhile had it along
             return
@@ -851,7 +858,7 @@
             self.gossip_at = math.inf
         else:
             fresh = self.news.untold or (spread is not None and spread.queue.untold)
-            pause = SOON if fresh else AGAIN
+            pause = SOON if fresh else ENCORE if self.encore else AGAIN
             pause = max(pause, 0.1 if self.will.level < 4.0 or self.urgent.level < 1.0 else 0.0)
             self.gossip_at = now + pause * (0.8 + 0.4 * self.chance.random())
 
