--- a/rainspindle/decisions/members/swim.py
+++ b/rainspindle/decisions/members/swim.py
@@ -840,7 +840,8 @@
         cells = spread is not None and spread.queue.untold
         once_more, self.encore = self.encore, bool(self.news.untold)
         fresh = cells or self.news.untold or once_more
-        if not fresh and self.waiting and now < self.filled + AGAIN:
+        if not fresh and self.news and not (spread is not None and spread.queue) and (
+                now < self.filled + AGAIN):
             self.gossip_at = self.filled + AGAIN  # what has gone out meanwhile had it along
             return
         level = self.will.look(now)
