A new member compares whole states each half second from its first other on

Its first comparison came 5 s after its start, and where the one at the first meeting was lost it knew one or two members only until then. The time between them is that of a young member from the start.

--- a/rainspindle/decisions/members/swim.py
+++ b/rainspindle/decisions/members/swim.py
@@ -869,7 +869,7 @@
 
     def reach_whole(self, now: float) -> None:
         """Compares all that is known with one member."""
-        pause = 0.5 if self.young(now) and self.settled != math.inf else self.tuning.whole
+        pause = 0.5 if self.young(now) else self.tuning.whole
         self.next_whole = now + pause * (0.8 + 0.4 * self.chance.random())
         for record in self.sample(1):
             self.exchange(now, record.packed)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -196,6 +196,16 @@
         assert table.next() is min(alive, key=table.way, default=None)
 
 
+def test_one_that_is_back_knows_all_soon_though_first_exchanges_are_lost() -> None:
+    for seed in range(10):
+        world = ready(12, seed)
+        world.loss = 0.3
+        world.kill("m4")
+        world.run(world.now + 8)
+        world.start("m4")
+        assert world.run_until(world.agreed, 3.0), seed
+
+
 def test_one_hears_another_but_not_the_reverse() -> None:
     world = settled(30)
     wrong = buried(world)
