Relayed list: a few sidecars ask the service, the others go by the word of two

Calls to the list service grow with the fleet, 143 a second at 1,000 sidecars with nothing to tell. Askers chosen alike everywhere tell version, digest and changes in cells, two that tell the same are believed and spare a sidecar its call within the contract's time.

--- /dev/null
+++ b/rainspindle/decisions/listing/relay.py
@@ -0,0 +1,535 @@
+"""Who of a fleet asks the list service, what of its word the others go by, and until when they are spared.
+
+No I/O, no clock. A few members, alike wherever views agree, ask as alone but more often, and tell in their
+head which version they were told, its digest and what changed last. The others take a list that two of them
+tell alike, and are spared their own call while two have confirmed it lately enough.
+
+How old a confirmation is rests on nobody's clock: a head was written after its writer was known to hold the
+one before, so what it tells is no older than that one's arrival, less the age that the head gives itself.
+"""
+
+from __future__ import annotations
+
+import functools
+import heapq
+import math
+import random
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import Protocol
+
+from ...protocol import listing as words
+from ...protocol.listing import Head, Lines, Set, TooLarge, UnreadableList
+
+AGREE = 2  # who must tell the same before it is taken, or spares a call
+CARRIERS = 2  # askers that write the whole list too
+SPREAD = 4  # times the askers: so many members by rank may ask in all, where those before them fail
+BEAT_PART, LEAST_BEAT = 0.2, 1.0  # of the asking period, and seconds, between two answers of an asker's watch
+SILENT_PART = 0.3  # of the asking period: an asker not heard for this long is passed over
+FIRST_PART, LAST_PART = 0.62, 0.78  # the same, after a confirmation: when the own call is drawn to come
+FAILING_PART = 0.45  # FIRST_PART where two tell that their calls fail: more time to draw from
+LEAST_ASK_WITHIN = 5.0  # seconds; where it is less, two beats and their way take too much of it
+LAG, LAG_PART = 1.0, 0.3  # seconds and part by which a newer list, of which is told, must be here
+WRITE = 0.5  # seconds between heads at least
+SET_EVERY = 3.0  # seconds between whole lists told, unless the head can't carry the change
+PAUSE, JOINING = 0.3, 100.0  # seconds before a newcomer asks, and how many do so a second
+JOIN_PART, LONELY_PART = 0.5, 0.3  # of the asking period: how long it waits at most; while it knows nobody
+AUDITS, LEAST_AUDIT = 1.0, 60.0  # calls a second over the fleet; seconds at one sidecar at least
+RETRIES = 25.0  # calls a second over the fleet, of those whose own call fails where askers' calls fail too
+DOUBT, MOST_DOUBT = 60.0, 3600.0  # seconds in which one that told too much is not believed; doubled
+STOP, SETTLE = 1.0, 2.0  # seconds between looks that are a stop of this process; after it word may be old
+RANK = 0.5  # seconds between two looks at who is there
+FAILS = 2  # calls in a row that fail before an asker says so: a busy service turns some away
+MOST_STEPS = 64  # changes of the list that are remembered for heads
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    askers: int
+    ask_within: float  # seconds; 0: there is no such time, and nobody is spared
+
+
+class RelayHost(Protocol):
+    """All that the relay can do."""
+
+    def alive(self) -> Sequence[str]:
+        """The members that are there, the own one among them."""
+
+    def write(self, now: float, name: str, value: bytes) -> None:
+        """The own cell; b"" takes it away."""
+
+    def cell(self, owner: str, name: str) -> bytes:
+        """b"" where there is none."""
+
+    def take(self, now: float, version: int, lines: Lines, delta: Lines) -> bool:
+        """Goes by this list, in which `delta` is new; False where it cannot be read."""
+
+    def urge(self) -> None:
+        """`spared` may tell an earlier time now, or this member has become an asker."""
+
+    def log(self, event: str, **fields: object) -> None: ...
+
+
+@dataclass(slots=True)
+class Word:
+    """The head of one asker."""
+
+    head: Head
+    at: float  # when it came, or was told on by one who had it: it was written before
+    confirmed: float  # when the service had no later version than this; -inf: not known
+    ahead: int = 0  # the first version that it told which is still later than the one here
+    ahead_at: float = math.inf  # and when that came
+
+
+@dataclass(slots=True)
+class Doubt:
+    until: float
+    version: int
+    times: int = 1
+
+
+class Relay:
+    def __init__(self, now: float, own: str, run: int, terms: Terms, at: bytes, host: RelayHost,
+                 chance: random.Random) -> None:
+        """`run` is another in each process of this name, `at` the mark of the service that it asks."""
+        self.own, self.run, self.terms, self.at, self.host, self.chance = own, run, terms, at, host, chance
+        self.began = self.looked = now
+        self.stop = (-math.inf, -math.inf)  # the last stop of this process
+        self.version: int | None = None
+        self.lines: dict[str, bytes] = {}
+        self.digest = b""
+        self.steps: deque[tuple[int, int, bytes, tuple[str, ...]]] = deque(maxlen=MOST_STEPS)
+        self.words: dict[str, Word] = {}
+        self.doubts: dict[str, Doubt] = {}
+        self.ranked: list[str] = [own]
+        self.size, self.stirred, self.ranked_at = 1, True, -math.inf
+        self.expected: dict[str, float] = {}  # since when a head is waited for, of those to write one
+        self.there: set[str] = {own}
+        self.asker = self.carrier = self.large = self.telling = False
+        self.retired_at = math.inf
+        self.beat, self.wrote_at, self.set_at, self.due = 0, -math.inf, -math.inf, False
+        self.set_digest, self.chunks = b"", list[bytes]()
+        self.confirmed = -math.inf  # when two told that the service had the list that is here
+        self.own_at = self.failed_at = self.changed_at = -math.inf  # of own calls, and of the list here
+        self.lag_at = math.inf  # since when a newer list is told of
+        self.failing_at = math.inf  # since when two tell that their calls fail
+        self.vouched = False  # whether two tell of the list that is here
+        self.calls = self.failures = self.takes = 0
+        self.row = 0  # own calls that failed since the last answer
+        self.mode = ""
+        self.draw(now)
+
+    @property
+    def on(self) -> bool:
+        return self.terms.ask_within >= LEAST_ASK_WITHIN and not self.large
+
+    @property
+    def period(self) -> float:
+        """Seconds that an asker's watch waits."""
+        return max(BEAT_PART * self.terms.ask_within, LEAST_BEAT)
+
+    def draw(self, now: float) -> None:
+        """Anew for each own call, so that sidecars do not fall into step."""
+        self.part, self.audit = self.chance.random(), 0.5 + self.chance.random()
+        self.drawn_at = now
+
+    # What happens.
+
+    def start(self, version: int, lines: Lines) -> None:
+        """The list that was here before any call."""
+        self.version, self.lines = version, dict(lines)
+        self.digest = words.digest(self.lines)
+
+    def told(self, now: float, version: int, whole: bool, lines: Lines) -> None:
+        """The own call was answered."""
+        self.calls, self.row = self.calls + 1, 0
+        before, known = self.version, self.lines
+        new = words.changed({} if whole else known, list(lines.items()))
+        if version != before or new != known:
+            self.step(now, version, new)
+        if whole:
+            self.examine(now, version)
+        self.own_at, self.lag_at = now, math.inf
+        self.draw(now)
+        self.due = True
+        self.look(now)
+
+    def failed(self, now: float) -> None:
+        """The own call failed."""
+        self.failures += 1
+        self.row += 1
+        self.due = self.due or self.row == FAILS
+        self.failed_at = now
+        self.draw(now)
+        self.look(now)
+
+    def unfit(self, why: str) -> None:
+        """The list is one that cells cannot carry: each asks for itself."""
+        if not self.large:
+            self.host.log("list: too large to be told on", why=why, remedy=TooLarge.remedy)
+        self.large = True
+
+    def moved(self, now: float, at: bytes) -> None:
+        """Another service is asked: word of the last one counts for nothing, nor does what it told."""
+        self.at, self.version, self.lines, self.digest = at, None, {}, b""
+        self.confirmed = self.own_at = self.failed_at = -math.inf
+        self.lag_at, self.vouched, self.began, self.large = math.inf, False, -math.inf, False
+        self.failing_at = math.inf
+        self.steps.clear()
+        self.doubts.clear()
+        self.due = False
+        self.withdraw(now)
+
+    def heard(self, now: float, owner: str, head: Head, held: float) -> None:
+        """A head of another member, which is known to have held it at `held`."""
+        self.watch(now)
+        before = self.words.get(owner)
+        if before is not None and (head.run, head.beat) == (before.head.run, before.head.beat):
+            return  # the same under a higher life
+        at = min(held, now)
+        if self.stop[0] < at <= self.stop[1] + SETTLE:
+            at = self.stop[0]  # it may have lain in the socket while this process stood still
+        known = before is not None and head.age < words.NEVER
+        confirmed = before.at - head.age / 1000 if known and before is not None else -math.inf
+        word = self.words[owner] = Word(head, at, confirmed)
+        if before is not None:
+            word.ahead, word.ahead_at = before.ahead, before.ahead_at
+        self.compare(now, word)
+        self.look(now)
+
+    def gone(self, now: float, owner: str) -> None:
+        """It has taken its head away."""
+        self.words.pop(owner, None)
+
+    def members_changed(self) -> None:
+        self.stirred = True
+
+    def tick(self, now: float) -> float:
+        """Does what is due; when to be called next at the latest."""
+        self.watch(now)
+        self.look(now)
+        return now + (0.1 if self.due else 0.5)
+
+    def watch(self, now: float) -> None:
+        """Whether this process has stood still."""
+        if now - self.looked > STOP:
+            self.stop = (self.looked, now)
+        self.looked = now
+
+    def compare(self, now: float, word: Word) -> None:
+        """Whether what it tells is later than the list here, and since when."""
+        known = -1 if self.version is None else self.version
+        if word.head.version <= known:
+            word.ahead_at = math.inf
+        elif word.ahead_at == math.inf or word.ahead <= known:
+            word.ahead, word.ahead_at = word.head.version, now
+
+    # Who asks.
+
+    def rank(self) -> None:
+        names = set(self.host.alive()) | {self.own}
+        self.size, self.stirred, self.there = len(names), False, names
+        self.ranked = heapq.nsmallest(SPREAD * self.terms.askers, names, key=place)
+        young = self.looked - self.terms.ask_within  # word may come before it is known who is there
+        self.words = {name: word for name, word in self.words.items() if name in names or word.at > young}
+        self.doubts = {name: doubt for name, doubt in self.doubts.items() if name in names}
+
+    def passed_over(self, now: float, name: str, since: float) -> bool:
+        """Whether another is to ask in the place of this one."""
+        silent = SILENT_PART * self.terms.ask_within
+        word = self.words.get(name)
+        if word is None or now - word.at > silent:
+            return now - since > silent
+        behind = self.version is not None and word.head.version < self.version
+        return word.head.at != self.at or word.head.failing or self.doubted(now, name) or (
+            behind and now - max(self.changed_at, since) > silent)
+
+    def elect(self, now: float) -> None:
+        """Whether this one asks. Guards against askers that fail, lie or hang; may hurt by a few more."""
+        expected, good = {}, 0
+        asker = carrier = False
+        for name in self.ranked:
+            if good >= self.terms.askers:
+                break
+            if name == self.own:
+                asker, carrier = now >= self.joining(), good < CARRIERS
+                break
+            expected[name] = self.expected.get(name, now)
+            good += not self.passed_over(now, name, expected[name])
+        self.expected = expected
+        # Guards against askers whom nobody needs: where all would ask, each does as alone.
+        asker = asker and self.on and self.size > self.terms.askers
+        if asker and not self.asker:
+            self.due, self.retired_at = True, math.inf
+        elif self.asker and not asker:
+            self.retired_at = now + self.terms.ask_within
+        changed, self.asker, self.carrier = asker != self.asker, asker, asker and carrier
+        if changed:
+            self.host.urge()
+
+    # What the others tell.
+
+    def doubted(self, now: float, name: str) -> bool:
+        doubt, word = self.doubts.get(name), self.words.get(name)
+        return doubt is not None and word is not None and now < doubt.until \
+            and word.head.version >= doubt.version
+
+    def examine(self, now: float, version: int) -> None:
+        """The service itself told a version. Guards against one that tells of a version far too high, and so
+        has all others ask; may hurt where the service answers from an old copy, for a minute."""
+        for name, word in self.words.items():
+            if word.head.at != self.at or word.ahead_at > now - LAG or word.ahead <= version \
+                    or self.doubted(now, name):
+                continue
+            before = self.doubts.get(name)
+            times = before.times + 1 if before else 1
+            until = now + min(DOUBT * 2.0 ** min(times - 1, 9), MOST_DOUBT)
+            self.doubts[name] = Doubt(until, word.ahead, times)
+            self.host.log("list: a member is not believed", member=name, told=word.ahead, service=version)
+
+    def counted(self, now: float) -> list[tuple[str, Word]]:
+        return [(name, word) for name, word in self.words.items()
+                if word.head.at == self.at and name in self.there and not self.doubted(now, name)]
+
+    def agreed(self, counted: list[tuple[str, Word]], version: int, digest: bytes) -> bool:
+        """Whether enough tell that the service had this list."""
+        one = (version, digest)
+        return sum((w.head.version, w.head.digest) == one or one in w.head.past
+                   for _, w in counted) >= AGREE
+
+    def failing(self, now: float) -> bool:
+        """Whether two tell that their calls fail, and have lately."""
+        recent = now - 2 * self.period - LAG
+        return sum(word.head.failing and word.at > recent for _, word in self.counted(now)) >= AGREE
+
+    def look(self, now: float) -> None:
+        """What may follow from anything that was heard."""
+        if self.stirred and now - self.ranked_at >= RANK:
+            self.ranked_at = now
+            self.rank()
+        self.elect(now)
+        if self.on:
+            self.follow(now)
+        if self.asker:
+            self.tell(now)
+        elif now >= self.retired_at:
+            self.retired_at = math.inf
+            self.withdraw(now)
+        if self.chunks and not self.carrier and self.set_digest != self.digest:
+            self.withdraw_whole(now)
+        self.change_mode(now)
+
+    def follow(self, now: float) -> None:
+        counted = self.counted(now)
+        # After a move the own call comes first; one that asks is told by the service.
+        if (self.own_at if self.asker else max(self.own_at, self.began)) > -math.inf and not (
+                self.asker and self.own_at > self.failed_at):
+            newer = sorted({(w.head.version, w.head.digest) for _, w in counted
+                            if self.version is None or w.head.version > self.version}, reverse=True)
+            for version, digest in newer:
+                if self.agreed(counted, version, digest) and self.fetch(now, counted, version, digest):
+                    break
+        if self.version is not None and not self.vouched:
+            self.vouched = self.agreed(counted, self.version, self.digest)
+        same = sorted(w.confirmed for _, w in counted
+                      if w.head.version == self.version and w.head.digest == self.digest)
+        if len(same) >= AGREE and same[-AGREE] > self.confirmed:
+            self.confirmed = same[-AGREE]
+        if any(self.version is None or w.head.version > self.version for _, w in counted):
+            if self.lag_at == math.inf:
+                self.lag_at = now
+                self.host.urge()
+        else:
+            self.lag_at = math.inf
+        if not self.failing(now):
+            self.failing_at = math.inf
+        elif self.failing_at == math.inf:
+            self.failing_at = now
+            self.host.urge()
+
+    def fetch(self, now: float, counted: list[tuple[str, Word]], version: int, digest: bytes) -> bool:
+        """Takes this list, if it can be put together from what is here: the own one or a whole one that was
+        told, and what changed after it. Whose it is does not matter, as the digest says whether it is it."""
+        deltas = [w.head for _, w in counted if (w.head.version, w.head.digest) == (version, digest)]
+        bases: list[tuple[int, dict[str, bytes]]] = []
+        if self.version is not None:
+            bases.append((self.version, self.lines))
+        for base in bases:
+            if self.build(now, base, deltas):
+                return True
+        for name, _ in counted:
+            found = self.whole(name, version)
+            if found is not None and self.build(now, found, deltas):
+                return True
+        return False
+
+    def build(self, now: float, base: tuple[int, dict[str, bytes]], deltas: list[Head]) -> bool:
+        for head in deltas:
+            if not head.since <= base[0] <= head.version:
+                continue
+            lines = words.changed(base[1], head.delta) if base[0] < head.version else base[1]
+            if words.digest(lines) != head.digest:
+                continue
+            delta = {id: lines.get(id, b"") for id in lines.keys() | self.lines.keys()
+                     if lines.get(id) != self.lines.get(id)}
+            if not self.host.take(now, head.version, lines, delta):
+                continue
+            self.step(now, head.version, dict(lines))
+            self.takes += 1
+            self.vouched, self.lag_at = True, math.inf
+            return True
+        return False
+
+    def whole(self, owner: str, version: int) -> tuple[int, dict[str, bytes]] | None:
+        """The whole list that a member tells, where its chunks are all here and fit."""
+        value = self.host.cell(owner, words.SET)
+        try:
+            told = words.decode(value, Set) if value else None
+            if told is None or told.at != self.at or not 1 <= told.chunks <= words.MOST_CHUNKS \
+                    or told.version > version:
+                return None
+            chunks = [self.host.cell(owner, words.chunk_name(n)) for n in range(told.chunks)]
+            lines = words.joined(told, chunks)
+        except UnreadableList:
+            return None
+        return None if lines is None else (told.version, lines)
+
+    # What this one tells.
+
+    def step(self, now: float, version: int, lines: dict[str, bytes]) -> None:
+        """Another list is here."""
+        if self.version is not None and version > self.version:
+            ids = tuple(id for id in self.lines.keys() | lines.keys()
+                        if lines.get(id) != self.lines.get(id))
+            self.steps.append((self.version, version, self.digest, ids))
+        else:
+            self.steps.clear()
+        if version != self.version:
+            self.changed_at, self.vouched = now, False
+        self.version, self.lines, self.digest = version, lines, words.digest(lines)
+        for word in self.words.values():
+            self.compare(now, word)
+
+    def tell(self, now: float) -> None:
+        """Writes the head where it is due, and as a carrier the whole list."""
+        fails = self.row >= FAILS
+        if self.version is None or self.version >= 2**63:
+            return
+        if not self.due and fails and now - self.wrote_at >= self.period:
+            self.due = True  # that it still fails is news
+        since, delta = self.delta()
+        if self.carrier and self.set_digest != self.digest:
+            carried = not self.steps or since <= self.steps[-1][0]  # in the head
+            if now - self.set_at >= (SET_EVERY if carried else WRITE):
+                self.tell_whole(now)
+        if not self.due or now - self.wrote_at < WRITE or self.large:
+            return
+        self.due, self.wrote_at, self.beat, self.telling = False, now, self.beat + 1, True
+        since_told = now - self.own_at
+        age = min(int(since_told * 1000) + 1, words.NEVER) if since_told < math.inf else words.NEVER
+        past = [(before, digest) for before, _, digest, _ in list(self.steps)[-words.MOST_PAST:]]
+        self.host.write(now, words.HEAD, words.encode(Head(
+            words.VERSION, self.at, self.run, self.beat, self.version, self.digest, age, fails, past, since,
+            delta)))
+
+    def delta(self) -> tuple[int, list[tuple[str, bytes]]]:
+        """As many of the last changes as fit, and after which version they begin."""
+        assert self.version is not None
+        since, found, room = self.version, dict[str, bytes](), words.MOST_DELTA
+        for before, _, _, ids in reversed(self.steps):
+            new = {id: self.lines.get(id, b"") for id in ids if id not in found}
+            room -= sum(len(id.encode()) + len(data) + 6 for id, data in new.items())
+            if room < 0:
+                break
+            found.update(new)
+            since = before
+        return since, list(found.items())
+
+    def tell_whole(self, now: float) -> None:
+        try:
+            chunks = words.split(self.lines)
+        except TooLarge as fault:
+            self.unfit(str(fault))
+            self.withdraw(now)
+            return
+        for n, value in enumerate(chunks):
+            if n >= len(self.chunks) or self.chunks[n] != value:
+                self.host.write(now, words.chunk_name(n), value)
+        for n in range(len(chunks), len(self.chunks)):
+            self.host.write(now, words.chunk_name(n), b"")
+        assert self.version is not None
+        self.chunks, self.set_digest, self.set_at = chunks, self.digest, now
+        self.host.write(now, words.SET, words.encode(Set(
+            words.VERSION, self.at, self.version, self.digest, len(chunks))))
+
+    def withdraw(self, now: float) -> None:
+        """Takes back all that was told."""
+        if self.telling:
+            self.host.write(now, words.HEAD, b"")
+        self.telling = False
+        self.withdraw_whole(now)
+
+    def withdraw_whole(self, now: float) -> None:
+        if self.chunks:
+            self.host.write(now, words.SET, b"")
+            for n in range(len(self.chunks)):
+                self.host.write(now, words.chunk_name(n), b"")
+        self.chunks, self.set_digest, self.set_at = [], b"", -math.inf
+
+    # Until when the own call is spared.
+
+    def joining(self) -> float:
+        """Until when one that has just started waits for word, before it asks for itself.
+
+        Guards against a herd that starts at once; may hurt where a list is told late: without one, it waits a
+        second at the most."""
+        within = self.terms.ask_within
+        wait = max(self.size / JOINING, 1.0) if self.size > 1 else LONELY_PART * within
+        most = JOIN_PART * within if self.lines else 1.0
+        return self.began + PAUSE + self.part_of_start() * min(wait, most)
+
+    def part_of_start(self) -> float:
+        return place(f"{self.own}|{self.run}") / 2**64
+
+    def spared(self, now: float) -> float:
+        """Until when the next own call may wait; it is asked at once where that is past."""
+        if not self.on or self.asker:
+            return -math.inf
+        last = LAST_PART * self.terms.ask_within
+        bound = (FIRST_PART + (LAST_PART - FIRST_PART) * self.part) * self.terms.ask_within
+        until = self.confirmed + bound
+        if self.failing_at < math.inf:
+            # Guards against all others falling at once on a service that fails: they draw from all the time
+            # that is left to them.
+            since = max(self.failing_at, self.confirmed + FAILING_PART * self.terms.ask_within)
+            until = min(until, since + self.part * max(self.confirmed + last - since, 0.0))
+        if self.lag_at < math.inf:
+            until = min(until, self.lag_at + LAG + self.part * LAG_PART * self.terms.ask_within)
+        until = min(until, self.drawn_at + self.audit * max(self.size / AUDITS, LEAST_AUDIT))
+        if max(self.own_at, self.failed_at) == -math.inf and self.began > -math.inf:
+            until = max(until, self.began + bound if self.vouched else self.joining())
+        if self.failed_at > self.own_at and self.failing_at < math.inf:
+            # Three say that nothing is to be had: what alone is tried again within a quarter of the asking
+            # period is tried so seldom that the fleet's calls stay bounded.
+            until = max(until, self.failed_at + (0.5 + self.part) * max(
+                0.25 * self.terms.ask_within, self.size / RETRIES))
+        return until
+
+    def change_mode(self, now: float) -> None:
+        mode = "asker" if self.asker else "alone" if self.spared(now) <= now else \
+            "waits" if self.confirmed == -math.inf and not self.vouched else "spared"
+        if mode != self.mode:
+            self.host.log(f"list: {SAYS[mode]}", version=self.version, members=self.size)
+            self.mode = mode
+
+
+SAYS = {"asker": "asks for others", "spared": "others ask", "waits": "waits for word",
+        "alone": "asks for itself"}
+
+
+@functools.lru_cache(8192)
+def place(name: str) -> int:
+    """By which members are ranked, alike at all."""
+    return int.from_bytes(blake2b(name.encode(), digest_size=8).digest(), "big")
--- a/rainspindle/protocol/console.py
+++ b/rainspindle/protocol/console.py
@@ -16,7 +16,7 @@
 MOST_HEAD, MOST_BODY = 4096, 4096
 ENDPOINT = re.compile(r"/-/endpoints/([^/]+)/(disable|enable)")
 LONGEST_ID = 256
-FLEET = ("members", "wallets", "canaries")
+FLEET = ("members", "wallets", "canaries", "list")
 MOST_FIELDS = 8  # of a query
 FLEET_PAGES = "docs/operators/ tells what the calls take"
 
--- a/rainspindle/routing/follow.py
+++ b/rainspindle/routing/follow.py
@@ -39,8 +39,10 @@
         self.task = loop.spawn(loop.lasting(self.idle))
         self.core: Core | None = None
         self.heard: Callable[[ListChange], None] = lambda change: None  # what else is told of each change
-        # Until when another's word spares the next call; by then, or when `want` is called, it is asked.
+        self.failed: Callable[[], None] = lambda: None  # and of each call that failed
+        # Until when another's word spares the next call. It is looked at again whenever the task is woken.
         self.spared: Callable[[], float] = lambda: -math.inf
+        self.hearsay = False  # the list rests on another's word: the next call asks for the whole
 
     def want(self) -> None:
         self.wanted = True
@@ -53,6 +55,17 @@
             self.wanted = self.moved = True
             self.task.wake()
 
+    def anew(self) -> None:
+        """Gives up the call under way, and asks anew."""
+        self.wanted = self.moved = True
+        self.task.wake()
+
+    def take(self, change: ListChange) -> None:
+        """Goes by another's word. Guards against a wrong one: the next call asks for the whole list."""
+        assert self.core is not None
+        self.core.list_changed(change.lines, change.addresses, change.whole, stale=True)
+        self.version, self.hearsay = change.version, True
+
     def has_moved(self) -> bool:
         return self.moved
 
@@ -72,6 +85,10 @@
         """Watches until a call fails."""
         silent = False
         while True:
+            while self.loop.now() < (until := self.spared()) and not self.moved:
+                self.hearsay = True
+                self.close()
+                yield until
             asked_at = self.loop.now()
             try:
                 change = yield from self.ask()
@@ -85,9 +102,10 @@
                     silent = True
                     continue
                 self.wanted = False
+                self.failed()
                 core.list_failed()
                 return
-            silent = False
+            silent = self.hearsay = False
             self.heard(change)
             core.list_changed(change.lines, change.addresses, change.whole, stale=False)
             self.version = change.version
@@ -100,7 +118,7 @@
         if self.moved:
             self.close()
             self.moved = False
-        whole, unless = self.version is None, self.has_moved
+        whole, unless = self.version is None or self.hearsay, self.has_moved
         self.asked = False
         until = self.loop.now() + (self.LATE_WHOLE if whole else self.wait + self.late)
         if self.connection is None or not self.connection.sound():
@@ -108,7 +126,7 @@
             self.connection = open_connection(self.loop, self.address)
             yield from self.connection.establish(min(until, self.loop.now() + self.CONNECT), unless)
         call, host = DiscoverySide(self.decoder), address_text(self.address).encode()
-        out = call.whole(host) if self.version is None else call.watch(host, self.version, self.wait)
+        out = call.whole(host) if whole or self.version is None else call.watch(host, self.version, self.wait)
         yield from self.connection.send(out, until, unless)
         self.asked = True
         told = None
