--- a/rainspindle/lab/listing_net.py
+++ b/rainspindle/lab/listing_net.py
@@ -212,7 +212,7 @@
     def now_has(self, lines: dict[str, bytes]) -> None:
         self.lines = lines
         if self.version is not None:
-            self.net.has(self, self.version)
+            self.net.has(self, self.version - self.service.base)
 
 
 @dataclass
@@ -286,6 +286,10 @@
         self.dead_at.pop(name, None)
         self.stir()
 
+    def blind(self, name: str) -> None:
+        """Its calls fail from now on."""
+        self.nodes[name].blind = True
+
     def cut(self, groups: dict[str, int]) -> None:
         self.group, self.cut_at = groups, self.now
         self.later(self.random.uniform(*self.death_time), self.stir)
--- /dev/null
+++ b/tests/test_listing.py
@@ -0,0 +1,422 @@
+"""The relayed list: who asks, whom the others believe, and until when they are spared; in virtual time."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rainspindle.decisions.listing.relay import LAST_PART, RETRIES, Relay, Terms, place
+from rainspindle.host import Listed, State
+from rainspindle.lab.listing_net import AT, Net, Service, encoded, listed
+from rainspindle.lab.models.registry import Change, Registry
+from rainspindle.program.config import Config
+from rainspindle.program.fleet.listing import ListPart, kept, unfit
+from rainspindle.protocol import listing as words
+from rainspindle.protocol.listing import Head
+from rainspindle.routing.follow import Follower
+
+from .fleet import Rig, Stand, entry, only
+from .test_relay import rig as rig  # the fixture
+
+WITHIN = 10.0
+NAMES = [f"s{n}" for n in range(20)]
+ASKERS = sorted(NAMES, key=place)[:3]
+OTHERS = [name for name in NAMES if name not in ASKERS]
+
+
+def service(changes: Sequence[float] = (), outages: Sequence[tuple[float, float]] = (), rate: float = 0.0,
+            size: int = 12) -> Service:
+    """A list of which an endpoint drains, or is back, at each of these times."""
+    turns = [Change(at, listed(n // 2 % size, State.READY if n % 2 else State.DRAINING))
+             for n, at in enumerate(changes)]
+    return Service(Registry([listed(n) for n in range(size)], turns, list(outages)), rate)
+
+
+def begun(changes: Sequence[float] = (), seed: int = 1, seconds: float = 20.0, **more: object) -> Net:
+    """A fleet in which all are spared but the askers."""
+    net = Net(service(changes), NAMES, seed, **more)  # type: ignore[arg-type]
+    net.start()
+    net.run(seconds)
+    assert modes(net) == {name: "asker" if name in ASKERS else "spared" for name in NAMES}
+    return net
+
+
+def modes(net: Net) -> dict[str, str]:
+    return {n.name: n.relay.mode for n in net.nodes.values() if n.up and n.relay is not None}
+
+
+def check_known(net: Net, since: float, *but: str) -> None:
+    """All that are up knew each change within the asking period, which is all that holds for one alone."""
+    truth = encoded(net.service.registry.whole(net.service.registry.version(net.now)))
+    for node in net.nodes.values():
+        if node.up and node.name not in but:
+            assert node.lines == truth, node.name
+            for n, at in enumerate(net.service.registry.times):
+                if since <= at <= net.now:
+                    known = net.known_at.get((node.name, node.run, n + 2), math.inf)
+                    assert known - max(at, node.started) <= WITHIN, (node.name, n, at, known)
+
+
+def calls(net: Net, since: float) -> float:
+    """A second."""
+    return sum(at >= since for at in net.service.calls) / (net.now - since)
+
+
+def test_a_few_ask_and_a_change_is_known_soon() -> None:
+    changes = [40.0, 47.0, 54.5]
+    net, alone = begun(changes), Net(service(changes), NAMES, 1, relayed=False)
+    alone.start()
+    net.run(40.0)
+    alone.run(60.0)
+    assert calls(net, 20.0) < 2.5 and calls(alone, 20.0) > 3.0
+    late = sorted(net.lateness(20.0))
+    assert len(late) == 60 and late[-1] < 1.5 and late[30] < 0.6
+    check_known(net, 20.0)
+
+
+def all_of(names: Sequence[str], do: Callable[[str], None]) -> None:
+    for name in names:
+        do(name)
+
+
+FAULTS: dict[str, Callable[[Net], object]] = {
+    "an asker dies": lambda net: net.kill(ASKERS[0]),
+    "all askers die": lambda net: net.kill(*ASKERS),
+    "all askers stand still": lambda net: all_of(ASKERS, lambda name: net.stall(name, 25.0)),
+    "all askers are cut off": lambda net: net.cut(dict.fromkeys(ASKERS, 1)),
+    "a third is cut off": lambda net: net.cut(dict.fromkeys(NAMES[:7], 1)),
+    "calls of the askers fail": lambda net: all_of(ASKERS, net.blind),
+    "all of the first ranks fail": lambda net: all_of(sorted(NAMES, key=place)[:12], net.blind),
+    "no cell comes any more": lambda net: net.cut({name: n for n, name in enumerate(NAMES)}),
+    "a third of the cells is late": lambda net: setattr(net, "loss", 0.33),
+}
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+@pytest.mark.parametrize("seed", [1, 2])
+def test_whatever_becomes_of_the_askers_no_change_is_known_later_than_alone(fault: str, seed: int) -> None:
+    chance = random.Random(f"{fault}{seed}")
+    net = begun([20.1 + 35 * chance.random() for _ in range(6)], seed)
+    FAULTS[fault](net)
+    net.run(50.0)
+    stopped = {n.name for n in net.nodes.values() if n.stopped_until > 20.0 or n.blind}
+    check_known(net, 20.0, *stopped)
+    if fault in ("all askers die", "calls of the askers fail", "all askers stand still"):
+        assert calls(net, 60.0) < 4.0, "the next by rank ask, and the others are spared again"
+
+
+def test_an_asker_with_an_old_copy_keeps_nobody_from_the_truth() -> None:
+    net = begun([30.0, 40.0, 52.0])
+    for name in ASKERS[:2]:
+        net.nodes[name].service = Service(Registry([listed(n) for n in range(12)], [], []))
+    net.run(50.0)
+    check_known(net, 20.0, *ASKERS[:2])
+    assert calls(net, 55.0) < 4.0
+
+
+def lie(how: str) -> Callable[[str, bytes], bytes]:
+    """How one that errs or lies tells what it should."""
+    count = [0]
+
+    def told(name: str, value: bytes) -> bytes:
+        if not value:
+            return value
+        if name == words.HEAD:
+            head = words.decode(value, Head)
+            count[0] += 1
+            far = 2**62 + count[0] if how == "too high" else head.version + 1
+            gone = [(f"e{n}", b"") for n in range(12)]
+            changed: dict[str, Any] = {
+                "too high": {"version": far, "delta": gone}, "one ahead": {"version": far, "delta": gone},
+                "wrong changes": {"delta": gone}, "wrong digest": {"digest": b"x" * words.MARK},
+                "never old": {"age": 0, "failing": False}}.get(how, {})
+            return b"\xc1" if how == "unreadable" else words.encode(msgspec.structs.replace(head, **changed))
+        return value[:-1] + b"\0" if how == "wrong chunk" else value
+    return told
+
+
+@pytest.mark.parametrize("how", [
+    "too high", "one ahead", "wrong changes", "wrong digest", "never old", "unreadable", "wrong chunk"])
+def test_one_that_lies_changes_no_list_and_costs_few_calls(how: str) -> None:
+    net = begun([30.0, 41.0, 52.0])
+    net.lies[ASKERS[1]] = lie(how)
+    net.run(12.0)
+    net.kill(OTHERS[0])
+    net.run(3.0)
+    net.start(OTHERS[0])  # a newcomer hears it too
+    net.run(35.0)
+    check_known(net, 20.0)
+    assert all(node.version == 4 for node in net.nodes.values())
+    assert calls(net, 45.0) < 5.0, "alone they make 2.9 and one more each for each change"
+    if how == "too high":
+        assert {e[3]["member"] for e in net.events if "not believed" in e[2]} == {ASKERS[1]}
+
+
+def test_while_the_service_is_down_calls_are_bounded_and_all_know_soon_after() -> None:
+    net = Net(service([25.0, 31.0], [(22.0, 30.0)]), [f"s{n}" for n in range(400)], 1)
+    net.start()
+    net.run(20.0)
+    net.service.gate = type(net.service.gate)(8.0)
+    net.run(28.0)
+    # Each once on its own when its time has come, then few: alone they are some 200 a second.
+    assert calls(net, 22.0) < 800 / 26 and calls(net, 40.0) < RETRIES
+    late = sorted(net.lateness(30.5, 32.0))
+    assert len(late) == 400 and late[200] < 5.0 and late[-1] < 12.0
+
+
+def test_versions_counted_anew_by_the_service() -> None:
+    net = begun([12.0 + n / 10 for n in range(8)] + [44.0])
+    assert {node.version for node in net.nodes.values()} == {9}
+    net.service.base = -8
+    net.run(40.0)
+    assert {node.version for node in net.nodes.values()} == {2}
+    check_known(net, 44.0)
+    net.run(30.0)
+    assert calls(net, 75.0) < 2.5, "they are spared again"
+
+
+def test_word_of_the_address_before_counts_for_nothing() -> None:
+    net = begun([12.0, 30.0], seconds=25.0)
+    drains = Change(45.0, listed(31, State.DRAINING))
+    other = Service(Registry([listed(n) for n in range(30, 40)], [drains], []))
+    other.at = words.mark("another")
+    for name in OTHERS[:10]:
+        node = net.nodes[name]
+        node.service, node.version, node.calling = other, None, 0
+        assert node.relay is not None
+        node.relay.moved(net.now, other.at)
+        assert node.relay.spared(net.now) < net.now
+        node.next_call()
+    net.run(35.0)
+    for node in net.nodes.values():
+        assert node.lines == encoded(node.service.registry.whole(node.service.registry.version(net.now)))
+    assert sum(mode == "asker" for mode in modes(net).values()) == 6, "each service has its own"
+    assert sum(at > 50.0 for at in other.calls) < 25
+
+
+def test_a_newcomer_asks_for_itself_unless_word_comes() -> None:
+    net = begun([12.0, 26.0])
+    net.kill(OTHERS[3])
+    net.run(8.0)
+    before = len(net.service.calls)
+    net.start(OTHERS[3])
+    net.run(WITHIN)
+    newcomer = net.nodes[OTHERS[3]]
+    assert newcomer.version == 3 and before > 0
+    # Nobody is there: with a list within 0.3 s and 3 s, without one within 1.3 s.
+    for known, most in ((1, 3.3), (0, 1.3)):
+        lonely = Net(service(), ["one"], 3, known=known)
+        if not known:
+            lonely.service.registry.first.clear()
+        lonely.start()
+        lonely.run(most + 0.01)
+        assert len(lonely.service.calls) >= 1
+
+
+def test_members_of_a_release_that_knows_nothing_of_it_are_passed_over() -> None:
+    net = Net(service([30.0, 45.0]), NAMES, 1)
+    net.mute = set(ASKERS)
+    net.start()
+    net.run(60.0)
+    check_known(net, 20.0)
+    assert modes(net)[OTHERS[0]] in ("spared", "asker")
+    assert sum(modes(net)[name] == "asker" for name in OTHERS) == 3
+
+
+def test_a_large_change_and_a_fast_list_reach_all() -> None:
+    """More than a head can carry: the whole list is told in its chunks."""
+    lines = [listed(n) for n in range(400)]
+    changes = [Change(30.0, listed(n, State.DRAINING)) for n in range(100)]
+    changes += [Change(40.0 + n / 8, listed(n, State.GONE)) for n in range(80)]
+    net = Net(Service(Registry(lines, changes, [])), NAMES, 1)
+    net.start()
+    net.run(65.0)
+    check_known(net, 20.0)
+    assert sum(at >= 30.0 for at in net.service.calls) < 3 * 82 + 200
+    assert sorted(net.lateness(20.0))[-1] < 6.0
+
+
+def test_a_list_too_large_is_told_by_nobody() -> None:
+    net = Net(service([20.0], size=12_000), NAMES[:6], 1)
+    net.start()
+    net.run(40.0)
+    check_known(net, 10.0)
+    assert set(modes(net).values()) == {"alone"}
+    assert sum("too large" in event for _, _, event, _ in net.events) <= 6
+    assert not any(value for node in net.nodes.values() for value in node.cells.values())
+
+
+# The rule that all rests on.
+
+
+class Alone:
+    """Host of a relay whose word comes from a test."""
+
+    def __init__(self, names: Sequence[str]) -> None:
+        self.names, self.taken = list(names), list[int]()
+
+    def alive(self) -> Sequence[str]:
+        return self.names
+
+    def write(self, now: float, name: str, value: bytes) -> None: ...
+
+    def cell(self, owner: str, name: str) -> bytes:
+        return b""
+
+    def take(self, now: float, version: int, lines: words.Lines, delta: words.Lines) -> bool:
+        self.taken.append(version)
+        return True
+
+    def urge(self) -> None: ...
+
+    def log(self, event: str, **fields: object) -> None: ...
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.integers(0, 2**32), st.booleans())
+def test_none_is_spared_beyond_what_two_knew_whatever_the_order_of_word(seed: int, stalls: bool) -> None:
+    """Askers a, b and c are told at times of their own; their heads come late and in any order, as does the
+    liar's. When the own call is spared, the service had no later list `LAST_PART` of the asking period before
+    it, unless it failed and two tell that theirs do."""
+    chance = random.Random(seed)
+    lists = [{"e": b"%d" % n} for n in range(40)]
+    moved_at = sorted(chance.uniform(0, 60) for _ in range(len(lists) - 1))
+
+    def at_service(now: float) -> int:
+        return sum(at <= now for at in moved_at)
+    arrivals: list[tuple[float, str, Head, float]] = []
+    for owner in "abc":
+        told_at, beat, now, writes = -math.inf, 0, chance.random(), list[tuple[float, Head]]()
+        while now < 60:
+            if chance.random() < 0.7:
+                told_at, version = now, at_service(now)
+            beat += 1
+            if told_at > -math.inf:
+                age = int((now - told_at) * 1000) + 1
+                writes.append((now, Head(1, AT, 1, beat, version, words.digest(lists[version]), age,
+                                         now > told_at, [], 0, [("e", lists[version]["e"])])))
+            now += chance.choice([0.02, 1.0, 2.0, 9.0]) * chance.random()
+        for n, (at, head) in enumerate(writes):
+            came = at + chance.choice([0.01, 0.5, 8.0]) * chance.random()
+            held = min(came, writes[n + 1][0] if n + 1 < len(writes) else came)  # known to be held until then
+            arrivals.append((came, owner, head, held if chance.random() < 0.8 else at))
+    for n in range(30):
+        told = chance.choice([0, 7, 39, 2**50])
+        arrivals.append((chance.uniform(0, 60), "liar", Head(
+            1, AT, 1, n, told, words.digest(lists[chance.randrange(40)]), 0), 60.0))
+    host = Alone(["a", "b", "c", "liar", "own", "y", "z"])
+    relay = Relay(0.0, "own", 1, Terms(2, WITHIN), AT, host, random.Random(seed))
+    relay.start(0, lists[0])
+    seen: dict[str, int] = {}
+    stop_until = -math.inf
+    for came, owner, head, held in sorted(arrivals, key=lambda one: one[0]):
+        if stalls and chance.random() < 0.01:
+            stop_until = came + 10.0 * chance.random()  # what comes meanwhile lies in the socket
+        now = max(came, stop_until)
+        if head.beat <= seen.get(owner, -1):
+            continue  # the cells keep the latest alone
+        seen[owner] = head.beat
+        if came >= stop_until:
+            relay.tick(now)
+        before = relay.version
+        relay.heard(now, owner, head, now if came < stop_until else min(held, now))
+        assert before is not None and relay.version is not None and relay.version >= before
+        after_three = relay.failed_at > relay.own_at and relay.failing_at < math.inf
+        if relay.spared(now) > max(now, relay.joining(), LAST_PART * WITHIN) and not after_three:
+            assert relay.version >= at_service(relay.spared(now) - LAST_PART * WITHIN - 0.01)
+            assert relay.spared(now) <= relay.confirmed + LAST_PART * WITHIN
+        if chance.random() < 0.02:
+            relay.told(now, at_service(now), True, lists[at_service(now)])
+        elif chance.random() < 0.02:
+            relay.failed(now)
+    assert all(version < 40 for version in host.taken)
+
+
+# The codec.
+
+
+@settings(max_examples=100, deadline=None)
+@given(st.dictionaries(st.text(min_size=1, max_size=40), st.binary(min_size=1, max_size=120), max_size=300),
+       st.randoms())
+def test_a_list_is_the_same_from_its_chunks_and_nothing_else_is(lines: dict[str, bytes],
+                                                                chance: random.Random) -> None:
+    chunks = words.split(lines)
+    told = words.Set(1, AT, 3, words.digest(lines), len(chunks))
+    assert words.joined(told, chunks) == lines
+    assert all(len(chunk) <= 900 for chunk in chunks)
+    if lines:
+        id = chance.choice(sorted(lines))
+        assert words.joined(told, words.split({**lines, id: lines[id] + b"x"})) is None
+        moved = words.split(dict(lines) | {id: lines[id][:-1] or b"y"})
+        assert len(moved) != len(chunks) or sum(a != b for a, b in zip(moved, chunks, strict=True)) <= 1
+
+
+def test_lines_are_told_as_the_service_told_them() -> None:
+    for started in (None, 1_700_000_000.123, 1.5):
+        offset = 12_345.678901 - 1_700_000_500.25
+        line = Listed("e", 2, 1, 0.75, State.DRAINING, None if started is None else started + offset, 3)
+        data = words.encode_line(line, ("::1", 80), offset)
+        other = 99.5 - 1_700_000_400.125
+        assert words.decode_line("e", data, other) == (
+            Listed("e", 2, 1, 0.75, State.DRAINING, started and started + other, 3), ("::1", 80))
+    whole = words.encode(Head(1, AT, 1, 1, 5, b"d", 0))
+    assert whole[0] == 0x9b, "eleven fields"
+    assert words.decode(b"\x9d" + whole[1:] + b"\xc0\xc0", Head).version == 5, "a newer release has more"
+    assert words.decode(b"\x97" + whole[1:-4], Head).version == 5, "an older one has fewer"
+    for bad in (b"", b"\xc1", b"\x93\x01\x02\x03", b"\x9b\x00" + whole[2:]):
+        with pytest.raises(words.UnreadableList):
+            words.decode(bad, Head)
+    with pytest.raises(words.UnreadableList):
+        words.decode_line("e", b"\x97\xa1x\x00\x00\xcb\x3f\xf0\x00\x00\x00\x00\x00\x00\xa1?\xc0\x00", 0.0)
+    with pytest.raises(words.TooLarge):
+        words.encode_line(Listed("e" * 500, 0, 0, 1.0, State.READY, None), None, 0.0)
+
+
+def test_word_of_an_older_start_makes_nothing_warm() -> None:
+    known = Listed("e", 0, 0, 1.0, State.READY, 100.0)
+    for told, then in ((None, 100.0), (50.0, 100.0), (100.0005, 100.0), (130.0, 130.0)):
+        assert kept(Listed("e", 0, 0, 1.0, State.READY, told), known).started == then
+
+
+def test_the_table_says_what_is_wrong() -> None:
+    config: Config = None  # type: ignore[assignment]  # not looked at
+    assert not list(unfit(ListPart(), config))
+    assert list(unfit(ListPart(askers=1), config)) == ["list.askers: is 1; expected 2 to 16"]
+
+
+# The follower on sockets.
+
+
+def test_a_spared_call_waits_and_then_asks_for_the_whole_list(rig: Rig) -> None:
+    discovery = Stand()
+    rig.stands.append(discovery)
+    follower = Follower(rig.loop, ("127.0.0.1", discovery.port), rig.decoder, 10.0, rig.decoder.decode(
+        {"generation": 41, "reset": True, "instances": [entry("e0", rig.stands[0].port)]}))
+    until, failed = [rig.loop.now() + 5.0], list[float]()
+    follower.spared, follower.failed = lambda: until[0], lambda: failed.append(rig.loop.now())
+    follower.core = rig.core
+    follower.want()
+    rig.wait(4.0)
+    assert rig.got() == []
+    drains = rig.decoder.decode({"generation": 43, "reset": False, "instances": [
+        entry("e0", rig.stands[0].port, "DRAINING")]})
+    follower.take(drains)
+    assert rig.balancer.endpoints["e0"].line.state is State.DRAINING
+    rig.wait(1.1)
+    call = only(rig.got())
+    assert call.target == "/v1/endpoints", "what others told is not built on"
+    call.tell(42, True, entry("e0", rig.stands[0].port))  # an old copy: it would undo the drain
+    assert rig.got() == [] and failed and rig.balancer.endpoints["e0"].line.state is State.DRAINING
+    follower.want()
+    rig.wait(Follower.AGAIN)
+    only(rig.got()).tell(44, True, entry("e0", rig.stands[0].port, "DRAINING"), entry("e9", 9))
+    assert "index=44" in only(rig.got()).target and "e9" in rig.balancer.endpoints
+    follower.anew()
+    assert "index=44" in only(rig.got()).target, "asked anew, as it was asked"
--- /dev/null
+++ b/tests/test_listing_processes.py
@@ -0,0 +1,160 @@
+"""The relayed list on real processes, with one list service that counts its calls, and faults."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from rainspindle.decisions.listing.relay import place
+from rainspindle.lab.canary_load import Answers, Clients
+from rainspindle.lab.fleet.processes import Fleet, quiet_config, wait_until
+from rainspindle.lab.fleet.schedule import Split
+from rainspindle.lab.listing_load import Lists
+
+pytestmark = pytest.mark.timeout(120)
+NAMES = ["a", "b", "c", "d", "e", "f", "g", "h"]
+ASKERS = sorted(NAMES, key=place)[:3]
+OTHERS = [name for name in NAMES if name not in ASKERS]
+WITHIN = 10.0  # the asking period
+SLACK = 5.0  # seconds that a loaded machine may add
+
+
+@contextmanager
+def started(folder: Path, relayed: bool = True, names: list[str] = NAMES
+            ) -> Iterator[tuple[Fleet, Lists, Answers]]:
+    """All know each other, and all but the askers are spared."""
+    with Answers() as answers:
+        config = answers.config(quiet_config())
+        config["settings"]["contract"]["ask-within"] = WITHIN * 1000
+        with Lists(config["known"]["instances"]) as lists, \
+                Fleet(folder, names, 1, {**config, "discovery": lists.address},
+                      lambda name: {"list": {}} if relayed else {}) as fleet:
+            fleet.start()
+            fleet.all_alive()
+            if relayed:
+                stand(fleet, lambda name, told: told["mode"] == ("asker" if name in ASKERS else "spared"))
+            yield fleet, lists, answers
+            assert not [line for s in fleet.sidecars.values() for line in s.faults()]
+
+
+def told(fleet: Fleet, name: str) -> dict[str, Any]:
+    found: dict[str, Any] = fleet[name].call("GET", "/-/list").body
+    return found
+
+
+def stand(fleet: Fleet, what: Callable[[str, dict[str, Any]], bool], *names: str,
+          deadline: float = 40.0) -> float:
+    """Seconds until it is so at all of them."""
+    since, chosen = time.monotonic(), names or list(fleet.sidecars)
+    wait_until(lambda: all(what(name, told(fleet, name)) for name in chosen), deadline,
+               lambda: str({name: told(fleet, name) for name in chosen}))
+    return time.monotonic() - since
+
+
+def known(fleet: Fleet, version: int, *names: str) -> float:
+    """Seconds until all have this version: the asking period is all that one alone has."""
+    took = stand(fleet, lambda name, told: told["version"] == version, *names)
+    assert took < WITHIN + SLACK
+    return took
+
+
+def calls_in(lists: Lists, seconds: float) -> int:
+    since = time.monotonic()
+    wait_until(lambda: time.monotonic() > since + seconds, seconds + SLACK, "time")
+    return lists.since(since)
+
+
+def test_three_ask_for_eight_and_their_word_outlives_their_deaths_and_stalls(tmp_path: Path) -> None:
+    with started(tmp_path) as (fleet, lists, _):
+        known(fleet, lists.tell("new0", "DRAINING"))  # with it the last watches of the others end
+        own = {name: told(fleet, name)["own"]["calls"] for name in OTHERS}
+        calls = calls_in(lists, 6.0)
+        assert calls <= 4 * 3 + 3, "three ask each 2 s"
+        known(fleet, lists.tell("new0", "SERVING"))
+        assert {name: told(fleet, name)["own"]["calls"] for name in OTHERS} == own, "by word alone"
+        assert told(fleet, OTHERS[0])["askers"].keys() >= set(ASKERS)
+        fleet[ASKERS[0]].kill()
+        fleet[ASKERS[1]].stall()
+        there = [name for name in NAMES if name not in ASKERS[:2]]
+        known(fleet, lists.tell("new1", "DRAINING"), *there)
+        stand(fleet, lambda name, told: told["mode"] in ("spared", "asker"), *there)
+        wait_until(lambda: sum(told(fleet, name)["mode"] == "asker" for name in there) == 3, 30.0, "the next")
+        known(fleet, lists.tell("new2", "DELETED"), *there)
+        fleet[ASKERS[1]].go_on()
+        known(fleet, lists.version, ASKERS[1])
+        fleet.start(ASKERS[0])  # a newcomer
+        known(fleet, lists.version)
+        stand(fleet, lambda name, told: told["mode"] == ("asker" if name in ASKERS else "spared"))
+
+
+def test_links_dropped_a_service_that_is_down_and_one_that_counts_anew(tmp_path: Path) -> None:
+    with started(tmp_path) as (fleet, lists, _):
+        cut = fleet.network.begin(Split(0.0, (tuple(ASKERS), tuple(OTHERS)), 1e6))
+        known(fleet, lists.tell("new0", "DRAINING"))
+        wait_until(lambda: sum(told(fleet, name)["mode"] == "asker" for name in OTHERS) == 3, 40.0,
+                   "this part has its own")
+        stand(fleet, lambda name, told: told["mode"] in ("asker", "spared"))
+        known(fleet, lists.tell("new0", "SERVING"))
+        fleet.network.end(cut)
+        stand(fleet, lambda name, told: told["mode"] == ("asker" if name in ASKERS else "spared"))
+        lists.switch(down=True)
+        wait_until(lambda: all(told(fleet, name)["own"]["failed"] for name in ASKERS), 20.0, "calls fail")
+        version = lists.tell("new1", "DRAINING")
+        assert calls_in(lists, 8.0) <= 100
+        lists.switch(down=False)
+        known(fleet, version)
+        stand(fleet, lambda name, told: told["mode"] == ("asker" if name in ASKERS else "spared"))
+        lists.anew()
+        known(fleet, lists.tell("new2", "DELETED"))
+        assert lists.version == 2
+
+
+def test_a_silent_service_and_another_address(tmp_path: Path) -> None:
+    with started(tmp_path) as (fleet, lists, _), Lists(
+            [entry for _, entry in lists.entries.values()]) as other:
+        lists.switch(silent=True)
+        wait_until(lambda: any(told(fleet, name)["own"]["failed"] for name in ASKERS), 30.0, "calls fail")
+        version = lists.tell("new0", "DRAINING")
+        lists.switch(silent=False)
+        known(fleet, version)
+        version = other.tell("new1", "DRAINING")
+        other.tell("new1", "SERVING")
+        moved = [name for name in NAMES if name != ASKERS[0]]
+        for name in moved:
+            sidecar = fleet[name]
+            sidecar.write({**sidecar.config, "discovery": other.address}, sidecar.tables)
+            sidecar.reload(sidecar.tables or {})
+        known(fleet, other.version, *moved)
+        stand(fleet, lambda name, told: told["mode"] in ("spared", "asker"), *moved)
+        known(fleet, other.tell("new2", "DRAINING"), *moved)
+        assert told(fleet, ASKERS[0])["version"] == lists.version, "the other service's word is not taken"
+
+
+def test_nothing_is_sent_past_the_grace_after_word_of_a_drain(tmp_path: Path) -> None:
+    """As alone: no exchange begins at an endpoint from the asking period and the grace after its change on,
+    nor from the grace after a sidecar says that it knows."""
+    with started(tmp_path) as (fleet, lists, answers), Clients(
+            {name: s.listen for name, s in fleet.sidecars.items()}, 40.0) as clients:
+        wait_until(lambda: len(answers.on_new()) > 50, 20.0, "traffic")
+        fleet[ASKERS[0]].stall()
+        for n in range(3):
+            lists.tell(f"new{n}", "DRAINING" if n else "DELETED")
+        there = [name for name in NAMES if name != ASKERS[0]]
+        known(fleet, lists.version, *there)
+        over = time.monotonic() + 0.5 + 0.2
+        wait_until(lambda: time.monotonic() > over + 3.0, 10.0, "traffic")
+        assert not answers.on_new(over)
+        assert len([a for a in clients.asked if a.sent > over and a.status == 200]) > 20
+
+
+def test_without_the_table_all_ask(tmp_path: Path) -> None:
+    with started(tmp_path, relayed=False, names=NAMES[:3]) as (fleet, lists, _):
+        assert fleet["a"].call("GET", "/-/list").status == 404
+        before = len(lists.calls)
+        lists.tell("new0", "DRAINING")
+        wait_until(lambda: len(lists.calls) >= before + 3, 10.0, "each asks anew")
