--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -136,7 +136,7 @@
             changed: dict[str, Any] = {
                 "too high": {"version": far, "delta": gone}, "one ahead": {"version": far, "delta": gone},
                 "wrong changes": {"delta": gone}, "wrong digest": {"digest": b"x" * words.MARK},
-                "never old": {"age": 0, "failing": False}}.get(how, {})
+                "never old": {"age": 0, "failing": False}, "unreadable": {}, "wrong chunk": {}}[how]
             return b"\xc1" if how == "unreadable" else words.encode(msgspec.structs.replace(head, **changed))
         return value[:-1] + b"\0" if how == "wrong chunk" else value
     return told
