--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -133,11 +133,11 @@
             count[0] += 1
             far = 2**62 + count[0] if how == "too high" else head.version + 1
             gone = [(f"e{n}", b"") for n in range(12)]
-            changed: dict[str, Any] = {
+            ways: dict[str, dict[str, Any]] = {
                 "too high": {"version": far, "delta": gone}, "one ahead": {"version": far, "delta": gone},
                 "wrong changes": {"delta": gone}, "wrong digest": {"digest": b"x" * words.MARK},
-                "never old": {"age": 0, "failing": False}, "unreadable": {}, "wrong chunk": {}}[how]
-            return b"\xc1" if how == "unreadable" else words.encode(msgspec.structs.replace(head, **changed))
+                "never old": {"age": 0, "failing": False}, "unreadable": {}, "wrong chunk": {}}
+            return b"\xc1" if how == "unreadable" else words.encode(msgspec.structs.replace(head, **ways[how]))
         return value[:-1] + b"\0" if how == "wrong chunk" else value
     return told
 
