--- a/rainspindle/decisions/listing/relay.py
+++ b/rainspindle/decisions/listing/relay.py
@@ -35,7 +35,7 @@
 WRITE = 0.5  # seconds between heads at least
 SET_EVERY = 3.0  # seconds between whole lists told, unless the head can't carry the change
 PAUSE, JOINING = 0.3, 100.0  # seconds before a newcomer asks, and how many do so a second
-JOIN_PART, LONELY_PART = 0.5, 0.3  # of the asking period: how long it waits at most; while it knows nobody
+JOIN_PART, LEAST_JOIN = 0.5, 0.3  # of the asking period: from when on all have asked at most, and at least
 AUDITS, LEAST_AUDIT = 1.0, 60.0  # calls a second over the fleet; seconds at one sidecar at least
 RETRIES = 25.0  # calls a second over the fleet, of those whose own call fails where askers' calls fail too
 DOUBT, MOST_DOUBT = 60.0, 3600.0  # seconds in which one that told too much is not believed; doubled
@@ -100,7 +100,7 @@
         self.version: int | None = None
         self.lines: dict[str, bytes] = {}
         self.digest = b""
-        self.steps: deque[tuple[int, int, bytes, tuple[str, ...]]] = deque(maxlen=MOST_STEPS)
+        self.steps: deque[tuple[float, int, bytes, tuple[str, ...]]] = deque(maxlen=MOST_STEPS)
         self.words: dict[str, Word] = {}
         self.doubts: dict[str, Doubt] = {}
         self.ranked: list[str] = [own]
@@ -403,7 +403,7 @@
         if self.version is not None and version > self.version:
             ids = tuple(id for id in self.lines.keys() | lines.keys()
                         if lines.get(id) != self.lines.get(id))
-            self.steps.append((self.version, version, self.digest, ids))
+            self.steps.append((now, self.version, self.digest, ids))
         else:
             self.steps.clear()
         if version != self.version:
@@ -419,9 +419,12 @@
             return
         if not self.due and fails and now - self.wrote_at >= self.period:
             self.due = True  # that it still fails is news
+        # Guards against cells that stay large long after a change: who missed it has had time to ask.
+        while self.steps and now - self.steps[0][0] > self.terms.ask_within:
+            self.steps.popleft()
         since, delta = self.delta()
         if self.carrier and self.set_digest != self.digest:
-            carried = not self.steps or since <= self.steps[-1][0]  # in the head
+            carried = not self.steps or since <= self.steps[-1][1]  # in the head
             if now - self.set_at >= (SET_EVERY if carried else WRITE):
                 self.tell_whole(now)
         if not self.due or now - self.wrote_at < WRITE or self.large:
@@ -429,7 +432,7 @@
         self.due, self.wrote_at, self.beat, self.telling = False, now, self.beat + 1, True
         since_told = now - self.own_at
         age = min(int(since_told * 1000) + 1, words.NEVER) if since_told < math.inf else words.NEVER
-        past = [(before, digest) for before, _, digest, _ in list(self.steps)[-words.MOST_PAST:]]
+        past = [(before, digest) for _, before, digest, _ in list(self.steps)[-words.MOST_PAST:]]
         self.host.write(now, words.HEAD, words.encode(Head(
             words.VERSION, self.at, self.run, self.beat, self.version, self.digest, age, fails, past, since,
             delta)))
@@ -438,7 +441,7 @@
         """As many of the last changes as fit, and after which version they begin."""
         assert self.version is not None
         since, found, room = self.version, dict[str, bytes](), words.MOST_DELTA
-        for before, _, _, ids in reversed(self.steps):
+        for _, before, _, ids in reversed(self.steps):
             new = {id: self.lines.get(id, b"") for id in ids if id not in found}
             room -= sum(len(id.encode()) + len(data) + 6 for id, data in new.items())
             if room < 0:
@@ -486,9 +489,8 @@
         Guards against a herd that starts at once; may hurt where a list is told late: without one, it waits a
         second at the most."""
         within = self.terms.ask_within
-        wait = max(self.size / JOINING, 1.0) if self.size > 1 else LONELY_PART * within
-        most = JOIN_PART * within if self.lines else 1.0
-        return self.began + PAUSE + self.part_of_start() * min(wait, most)
+        wait = min(max(self.size / JOINING, LEAST_JOIN * within), JOIN_PART * within) if self.lines else 1.0
+        return self.began + PAUSE + self.part_of_start() * wait
 
     def part_of_start(self) -> float:
         return place(f"{self.own}|{self.run}") / 2**64
