Relayed list: a fault in it costs neither the list nor the members their word

An error in what hears the follower or the cells would have broken both, and an asker that leaves went on to tell.

--- a/rainspindle/decisions/listing/relay.py
+++ b/rainspindle/decisions/listing/relay.py
@@ -107,7 +107,7 @@
         self.size, self.stirred, self.ranked_at = 1, True, -math.inf
         self.expected: dict[str, float] = {}  # since when a head is waited for, of those to write one
         self.there: set[str] = {own}
-        self.asker = self.carrier = self.large = self.telling = False
+        self.asker = self.carrier = self.large = self.telling = self.leaving = False
         self.retired_at = math.inf
         self.beat, self.wrote_at, self.set_at, self.due = 0, -math.inf, -math.inf, False
         self.set_digest, self.chunks = b"", list[bytes]()
@@ -260,7 +260,7 @@
             good += not self.passed_over(now, name, expected[name])
         self.expected = expected
         # Guards against askers whom nobody needs: where all would ask, each does as alone.
-        asker = asker and self.on and self.size > self.terms.askers
+        asker = asker and self.on and not self.leaving and self.size > self.terms.askers
         if asker and not self.asker:
             self.due, self.retired_at = True, math.inf
         elif self.asker and not asker:
@@ -467,6 +467,12 @@
         self.host.write(now, words.SET, words.encode(Set(
             words.VERSION, self.at, self.version, self.digest, len(chunks))))
 
+    def leave(self, now: float) -> None:
+        """This process ends: others are to ask in its place at once, and it goes on by their word."""
+        self.leaving = True
+        self.withdraw(now)
+        self.look(now)
+
     def withdraw(self, now: float) -> None:
         """Takes back all that was told."""
         if self.telling:
--- a/rainspindle/program/fleet/listing.py
+++ b/rainspindle/program/fleet/listing.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import logging
+import math
 import random
 import secrets
 from collections.abc import Callable, Iterator, Mapping, Sequence
+from functools import partial
+from typing import TypeVar
 
 import msgspec
 
@@ -23,6 +26,7 @@
 from ..config import Config
 from .ground import Answer, Ground
 
+T = TypeVar("T")
 log = logging.getLogger("rainspindle.list")
 
 LEAST_ASKERS, MOST_ASKERS = 2, 16
@@ -85,8 +89,9 @@
 
         def heard(change: ListChange) -> None:
             before(change)
-            self.told(change)
-        follower.heard, follower.failed, follower.spared = heard, self.failed, self.spared
+            self.sound(partial(self.told, change), None)
+        follower.heard, follower.spared = heard, lambda: self.sound(self.spared, -math.inf)
+        follower.failed = lambda: self.sound(self.failed, None)
         self.ground.cells.on_change("list/", self.heard)
 
     def ready_from(self, now: float) -> float:
@@ -136,7 +141,7 @@
     def leave(self, now: float) -> None:
         """Others are to ask in its place at once."""
         if self.follower is not None:
-            self.relay.withdraw(now)
+            self.relay.leave(now)
 
     def close(self) -> None: ...
 
@@ -147,6 +152,14 @@
 
     # The follower.
 
+    def sound(self, do: Callable[[], T], otherwise: T) -> T:
+        """Guards against a fault here that would cost the list itself, or the members their word."""
+        try:
+            return do()
+        except Exception as fault:
+            self.ground.loop.on_fault(fault)
+            return otherwise
+
     def look_at_address(self, now: float) -> None:
         assert self.follower is not None
         if self.follower.address != self.address:
@@ -208,8 +221,10 @@
         return seen.cell.value if seen is not None else b""
 
     def heard(self, now: float, cell: Cell) -> None:
-        if cell.name != words.HEAD or cell.owner == self.ground.members.own_name:
-            return
+        if cell.name == words.HEAD and cell.owner != self.ground.members.own_name:
+            self.sound(partial(self.heard_head, now, cell), None)
+
+    def heard_head(self, now: float, cell: Cell) -> None:
         if not cell.value:
             self.relay.gone(now, cell.owner)
             return
--- a/rainspindle/protocol/listing.py
+++ b/rainspindle/protocol/listing.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import hashlib
+import math
 import zlib
 from collections.abc import Mapping, Sequence
 from typing import Annotated, TypeVar
@@ -125,6 +126,8 @@
     """Raises UnreadableList."""
     line = decode(data, Line)
     try:
+        if not math.isfinite(line.share) or not math.isfinite(line.started or 0.0):
+            raise ValueError(f"{line.share} or {line.started} is no number")
         return Listed(
             id, line.cell, line.zone, line.share, READ[line.state],
             None if line.started is None else line.started + clock_offset, line.kind,
