--- a/rainspindle/decisions/listing/relay.py
+++ b/rainspindle/decisions/listing/relay.py
@@ -297,7 +297,7 @@
             self.host.log("list: a member is not believed", member=name, told=word.ahead, service=version)
 
     def counted(self, now: float) -> list[tuple[str, Word]]:
-        """Guards against versions of before a service counted anew, which seem later: then who tells of a later
+        """Guards against versions from before a service counted anew, which seem later: who tells of a later
         one must have come down first; may hurt for an asking period, in which each asks for itself."""
         young = self.anew_at + self.terms.ask_within
         return [(name, word) for name, word in self.words.items()
