A stand-in of a long run has longer to write its ledger

Ten minutes of traffic on a machine with load 35 ended in the lab's own fault, a ledger not written in 10 s. The time grows with the run. The same command plays to its end.

--- a/rainspindle/lab/sockets/run.py
+++ b/rainspindle/lab/sockets/run.py
@@ -273,7 +273,7 @@
         for process in self.children:
             try:
                 if process is not self.keeper:
-                    process.wait(GRACE)
+                    process.wait(max(GRACE, self.world.end / 5))  # to write a ledger that grows with the run
             except subprocess.TimeoutExpired:
                 raise SocketsFault("a stand-in did not end") from None
 
