--- a/tests/test_keep.py
+++ b/tests/test_keep.py
@@ -312,6 +312,24 @@
     second.close()
 
 
+def test_a_start_is_known_again_whatever_clocks_did_and_what_is_known_by_now_is_not_overruled(
+        tmp_path: Path) -> None:
+    first = Start(tmp_path)
+    first.rig.tell(*(entry(f"e{n}", n + 1, started=50_000.0) for n in range(3)), whole=True)
+    for n in range(3):
+        trip(first, f"e{n}")
+    write(first)
+    first.rig.close()
+    rig = Rig(0)
+    rig.decoder.clock_offset = -3600.0  # the clock was set; the starts that the list tells are the same
+    rig.tell(entry("e0", 1, started=50_000.0), entry("e1", 2, started=52_000.0),
+             entry("e2", 3, started=50_000.0), whole=True)
+    rig.balancer.touched[rig.balancer.endpoints["e2"]] = None  # as a predecessor's word leaves it
+    second = Start(tmp_path, At(10_002.0 - HOUR, "b1", 502.0), rig=rig)
+    assert [id for id, e in rig.balancer.endpoints.items() if e.breaker] == ["e0"]
+    second.close()
+
+
 def test_endpoints_that_are_listed_later_get_what_was_kept_of_them_and_never_twice(tmp_path: Path) -> None:
     first = Start(tmp_path)
     trip(first, "e1")
