A folder read too late at a start is not believed later

A reader that outlived its second could still hand over a record after the start had gone on without.

--- a/rainspindle/program/fleet/keep.py
+++ b/rainspindle/program/fleet/keep.py
@@ -25,7 +25,7 @@
 from ...routing.core import Core, Taker
 from ...routing.follow import Follower
 from ...store.file import Missing, Unfit
-from ...store.generations import DiskFiles, Generations, Writer
+from ...store.generations import DiskFiles, Generations, Kept, Writer
 from ...transport.address import Address
 from ..config import Config
 from .ground import Answer, Ground
@@ -108,14 +108,19 @@
         self.writer: Writer | None = None
         if folder is None:
             return
-        generations = Generations(DiskFiles(folder), NAME, KIND, VERSION, LEAST, MOST,
-                                  secrets.token_hex(4) if tag is None else tag)
-        self.writer = Writer(generations, time.monotonic)
-        # Guards against a disk that stalls at the start: it begins with nothing then.
-        reader = threading.Thread(target=self.read, args=(generations,), daemon=True)
-        self.why = "the folder is not read in time"
+        tag = secrets.token_hex(4) if tag is None else tag
+
+        def generations() -> Generations:
+            return Generations(DiskFiles(folder), NAME, KIND, VERSION, LEAST, MOST, tag)
+        self.writer = Writer(generations(), time.monotonic)
+        # Guards against a disk that stalls at the start: it begins with nothing then, whatever comes later.
+        found: list[Kept | Trouble] = []
+        reader = threading.Thread(target=read, args=(generations(), found), daemon=True)
         reader.start()
         reader.join(READ_TIME)
+        if found and not isinstance(found[0], Trouble):
+            self.writer.generations.last = found[0].generation
+        self.judge(found[0] if found else Unfit("the folder is not read in time"))
         if self.record is not None:
             log.info("goes on from what was kept", extra={"fields": {
                 "generation": self.generation, "age": f"{self.age:.1f}", "refused": self.why or "none"}})
@@ -123,9 +128,10 @@
             log.warning("begins with nothing kept", extra={"fields": {
                 "why": self.why, "remedy": Unfit.remedy}})
 
-    def read(self, generations: Generations) -> None:
+    def judge(self, kept: Kept | Trouble) -> None:
         try:
-            kept = generations.read()
+            if isinstance(kept, Trouble):
+                raise kept
             record = forms.decode_record(kept.payload)
         except Missing:
             self.why = ""
@@ -153,6 +159,14 @@
                             min(self.age, OLDEST_CELL))
 
 
+def read(generations: Generations, found: list[Kept | Trouble]) -> None:
+    """In a thread of its own."""
+    try:
+        found.append(generations.read())
+    except Trouble as fault:
+        found.append(fault)
+
+
 class KeepRun:
     core: Core
     follower: Follower
@@ -306,7 +320,7 @@
 
     def tick(self, now: float) -> float:
         if not hasattr(self, "core"):
-            return now + LOOK
+            return now + 1.0
         self.tell_due(now)
         if now >= self.write_at and not self.left:
             self.write_at = now + self.table.every
--- a/tests/test_keep.py
+++ b/tests/test_keep.py
@@ -413,6 +413,30 @@
     start.close()
 
 
+def test_a_disk_that_stalls_at_the_start_is_done_without_and_is_not_believed_later(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    first = Start(tmp_path)
+    write(first)
+    first.rig.close()
+    go_on, ended, before = threading.Event(), threading.Event(), DiskFiles.read
+
+    def stalls(files: DiskFiles, name: str, most: int) -> bytes:
+        go_on.wait(60)
+        try:
+            return before(files, name, most)
+        finally:
+            ended.set()
+    monkeypatch.setattr(keep, "READ_TIME", 0.01)
+    monkeypatch.setattr(DiskFiles, "read", stalls)
+    second = Start(tmp_path)
+    go_on.set()
+    assert ended.wait(20) and second.body()["start"]["refused"] == "the folder is not read in time"
+    monkeypatch.setattr(DiskFiles, "read", before)
+    write(second)
+    assert second.body()["generation"] == 2 and second.run.lasting.record is None
+    second.close()
+
+
 # What others tell.
 
 
