--- a/rainspindle/decisions/evidence/watch.py
+++ b/rainspindle/decisions/evidence/watch.py
@@ -14,7 +14,7 @@
 from ...protocol.evidence import MOST_HELD, MOST_KEYS, mark_of
 from .evidence import Evidence
 
-WIDER = 2.0
+WIDER = 2.0  # times the module's own turn, where it has less than one forward out and sees no crowd itself
 HARD_ROW = 2  # failures in a row, with no answer between, by which a trip tells of an endpoint that is dead
 
 
@@ -109,7 +109,9 @@
         b = self.balancer
         if told <= (b.counts.get(key, 1.0) - 1) / max(b.counted, b.FEW):
             return self.spread(key, ranked)
-        first = int(b.chance() * min(told * WIDER, 1.0) * len(ranked) / b.SKIP_FACTOR)
+        if b.rate * b.usual < 1.0:
+            told *= WIDER
+        first = int(b.chance() * min(told, 1.0) * len(ranked) / b.SKIP_FACTOR)
         return ranked[first:] + ranked[:first]
 
 
--- a/rainspindle/program/fleet/evidence.py
+++ b/rainspindle/program/fleet/evidence.py
@@ -143,6 +143,12 @@
     def wall(self, now: float) -> float:
         return self.clock()
 
+    def warn(self, now: float, mark: int, on: bool) -> None:
+        super().warn(now, mark, on)
+        where = self.find(mark)
+        log.info("others say it is dead" if on else "others say so no more", extra={"fields": {
+            "endpoint": where[1].id if where else mark, "warned": len(self.evidence.warned)}})
+
     def size(self) -> int:
         return self.members
 
