Tests of evidence: bounds held by loops that end, own counts held by few keys

Three of the new tests did not fail without their line, or only by hanging. The liar's loop ends by itself, it lies again within its own delay, and three keys give an own share that counts.

--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -184,12 +184,12 @@
 def test_a_liar_that_never_rests_keeps_no_endpoint_out(gap: float) -> None:
     stage, now = Stage(members=2000), 0.0
     stage.evidence.tripped(0.0, MARK, START, True)
-    while now < stage.evidence.own[MARK].due:
+    while now < min(stage.evidence.own[MARK].due, 200.0):
         now += gap
         stage.hear(now, "liar", dead())
     assert now < TRIAL_DELAY + SPARED_BY_ONE * (TRIAL_DELAY + 1.0 + TRIAL_DRAW * 7.7)
     for turn in range(8):  # nor has it tried for ever: the second time it is not believed
-        now += 10.0
+        now += 2.0
         stage.hear(now, "liar", dead(served=0.0))
         stage.evidence.trying(now, MARK)
         stage.evidence.failed(now + 0.1, MARK)
@@ -395,7 +395,7 @@
     for who in "abcd":
         old = Told(1, side.fleet.now - 60.0, 0, 1, [item("e2")], 10, [(mark_of("k1"), 10)])
         side.evidence.heard(side.fleet.now, who, old)
-    assert with_word.ask(400, keys=9) == without.ask(400, keys=9)
+    assert with_word.ask(400, keys=3) == without.ask(400, keys=3)
     assert with_word.fleet.logs == without.fleet.logs and with_word.out() == {"e2", "e5"}
 
 
