--- a/rainspindle/routing/follow.py
+++ b/rainspindle/routing/follow.py
@@ -36,11 +36,14 @@
         self.wanted, self.moved = pushed, False
         self.connection: Connection | None = None
         self.asked = False  # whether the last call was written whole
+        self.lower = False  # whether it was answered with a version before the known one
         self.task = loop.spawn(loop.lasting(self.idle))
         self.core: Core | None = None
         self.heard: Callable[[ListChange], None] = lambda change: None  # what else is told of each change
-        # Until when another's word spares the next call; by then, or when `want` is called, it is asked.
+        self.failed: Callable[[], None] = lambda: None  # and of each call that failed
+        # Until when another's word spares the next call. It is looked at again whenever the task is woken.
         self.spared: Callable[[], float] = lambda: -math.inf
+        self.hearsay = False  # the list rests on another's word: the next call asks for the whole
 
     def want(self) -> None:
         self.wanted = True
@@ -53,6 +56,17 @@
             self.wanted = self.moved = True
             self.task.wake()
 
+    def anew(self) -> None:
+        """Gives up the call under way, and asks anew."""
+        self.wanted = self.moved = True
+        self.task.wake()
+
+    def take(self, change: ListChange) -> None:
+        """Goes by another's word. Guards against a wrong one: the next call asks for the whole list."""
+        assert self.core is not None
+        self.core.list_changed(change.lines, change.addresses, change.whole, stale=False)
+        self.version, self.hearsay = change.version, True
+
     def has_moved(self) -> bool:
         return self.moved
 
@@ -72,6 +86,10 @@
         """Watches until a call fails."""
         silent = False
         while True:
+            while self.loop.now() < (until := self.spared()) and not self.moved:
+                self.hearsay = True
+                self.close()
+                yield until
             asked_at = self.loop.now()
             try:
                 change = yield from self.ask()
@@ -81,13 +99,15 @@
                 self.close()
                 # Guards against a pause on top of a silence: what it missed is asked for at once. May hurt
                 # where the service is only slow: so the second silence in a row is a failure as any other.
-                if isinstance(fault, Late) and self.asked and not silent:
+                # So is where another's word was higher than the service's: it may have been wrong.
+                if not silent and ((isinstance(fault, Late) and self.asked) or (self.lower and self.hearsay)):
                     silent = True
                     continue
                 self.wanted = False
+                self.failed()
                 core.list_failed()
                 return
-            silent = False
+            silent = self.hearsay = False
             self.heard(change)
             core.list_changed(change.lines, change.addresses, change.whole, stale=False)
             self.version = change.version
@@ -100,15 +120,15 @@
         if self.moved:
             self.close()
             self.moved = False
-        whole, unless = self.version is None, self.has_moved
-        self.asked = False
+        whole, unless = self.version is None or self.hearsay, self.has_moved
+        self.asked = self.lower = False
         until = self.loop.now() + (self.LATE_WHOLE if whole else self.wait + self.late)
         if self.connection is None or not self.connection.sound():
             self.close()
             self.connection = open_connection(self.loop, self.address)
             yield from self.connection.establish(min(until, self.loop.now() + self.CONNECT), unless)
         call, host = DiscoverySide(self.decoder), address_text(self.address).encode()
-        out = call.whole(host) if self.version is None else call.watch(host, self.version, self.wait)
+        out = call.whole(host) if whole or self.version is None else call.watch(host, self.version, self.wait)
         yield from self.connection.send(out, until, unless)
         self.asked = True
         told = None
@@ -122,6 +142,7 @@
             # Guards against an old copy of the list that brings back what has drained or gone. A service that
             # counts anew says so again when it is asked for the whole.
             known, self.version = self.version, None
+            self.lower = True
             raise Unreadable(f"generation {change.version} came after {known}")
         return change
 
