--- a/tests/examples.py
+++ b/tests/examples.py
@@ -56,6 +56,8 @@
     "canary": '[[canary]]\nname = "one"\nendpoints = ["e0"]\n'
               'stages = [{ part = 0.1, time = 60, exchanges = 100 }]\n',
     "evidence": "[evidence]\n",
+    "list": "[list]\n",
+    "keep": "[keep]\n",
 }
 GATEWAY = {"gateway": '[gateway]\nsite = "casablanca"\nlink = "127.0.0.1:9443"\nplatform = "config.json"\n'
                       'keys = ["link.key"]\n', "peers": "", "intake": ""}
