A disk is taken for stalled after 0.2 s in the test of a stalled one alone

Cause: on a loaded machine a write took over 0.2 s where the disk was only read-only, and one more line was logged. Change: the short limit holds for the stall's case.

--- a/tests/test_wallet.py
+++ b/tests/test_wallet.py
@@ -572,7 +572,8 @@
 def test_with_a_disk_in_trouble_spending_goes_on_by_what_is_written_and_then_pauses(
         seats: Callable[..., Table], logged: Callable[[str], int], monkeypatch: pytest.MonkeyPatch,
         fault: str) -> None:
-    monkeypatch.setattr(program, "STALLED", 0.2)
+    if fault == "stalled":  # a machine that is busy takes longer for a write than that
+        monkeypatch.setattr(program, "STALLED", 0.2)
     t = seats("a", table(piece=10))
     t.top_up("a", "p1", 100)
     t.until(lambda: t.seats["a"].shown()["written_ahead"] == 10)
