--- a/rainspindle/decisions/listing/relay.py
+++ b/rainspindle/decisions/listing/relay.py
@@ -541,12 +541,12 @@
         mode = "asker" if self.asker else "alone" if self.spared(now) <= now else \
             "waits" if self.confirmed == -math.inf and not self.vouched else "spared"
         if mode != self.mode:
-            self.host.log(f"list: {SAYS[mode]}", version=self.version, members=self.size)
+            self.host.log(SAYS[mode], version=self.version, members=self.size)
             self.mode = mode
 
 
-SAYS = {"asker": "asks for others", "spared": "others ask", "waits": "waits for word",
-        "alone": "asks for itself"}
+SAYS = {"asker": "list: asks for others", "spared": "list: others ask", "waits": "list: waits for word",
+        "alone": "list: asks for itself"}
 
 
 @functools.lru_cache(8192)
