--- a/rainspindle/lab/fleet/day.py
+++ b/rainspindle/lab/fleet/day.py
@@ -53,6 +53,9 @@
 REPEAT = 0.5  # seconds after which a call that was not answered is made again
 
 
+PARTS = ("wallet", "canary", "evidence", "list", "keep")
+
+
 @dataclass(frozen=True, slots=True)
 class Plan:
     """What a day is made of beside its traffic."""
@@ -220,14 +223,14 @@
 
 def plan(seed: int, x: experiment.Experiment, parts: Collection[str], schedule: Schedule | None = None
          ) -> Plan:
-    """A day with these parts of `wallet` and `canary`: topped up early and in the split, started early and
-    aborted in the split or after it."""
+    """A day with these of PARTS. The wallet is topped up early and in the split, the canary started early and
+    aborted in the split or after it; of `evidence`, `list` and `keep` each has its defaults."""
     members = names(x.sidecars.count)
     schedule = draw(seed, members, x.length) if schedule is None else schedule
     chance = random.Random(f"{seed} calls")
     home = chance.choice([n for n in members if not any(n in getattr(f, "names", ()) for f in schedule)])
     calls: list[Call] = []
-    tables: dict[str, Any] = {}
+    tables: dict[str, Any] = {part: {} for part in ("evidence", "list", "keep") if part in parts}
     if "wallet" in parts:
         tables["wallet"] = [{"name": "north", "home": home, "tenant": 0, "match": list(PRICES),
                              "prices": PRICES, "reserve": 30}]
@@ -259,7 +262,8 @@
     parser.add_argument("--schedule", type=Path, help="faults as JSON, in place of those drawn")
     parser.add_argument("--folder", type=Path, help="where files and logs are kept; default: nowhere")
     parser.add_argument("--plain", action="store_true", help="sidecars without fleet files: the lab alone")
-    parser.add_argument("--with", dest="parts", default="wallet,canary", help="what is on beside the members")
+    parser.add_argument("--with", dest="parts", default=",".join(PARTS),
+                        help="what is on beside the members, of " + ", ".join(PARTS))
     parser.add_argument("--shrink", action="store_true", help="if it does not hold, find the least faults")
     options = parser.parse_args(arguments)
     x = experiment.load(FILE)
--- a/rainspindle/lab/sockets/lists.py
+++ b/rainspindle/lab/sockets/lists.py
@@ -46,6 +46,8 @@
                 if "index" in query:
                     yield from self.wait(sidecar, int(query["index"][0]), int(query["wait"][0]) / 1000)
                 yield from self.rest(self.world.x.registry.answer)
+                while not self.addresses:  # who asks for the whole before the run begins waits for that
+                    yield self.loop.now() + LOOK
                 registry, now = self.world.registries[sidecar], self.now()
                 if registry.down(now):
                     yield from connection.send(side.answer(503, b"", close=True), self.loop.now() + 1.0)
--- a/tests/test_full_day.py
+++ b/tests/test_full_day.py
@@ -25,7 +25,7 @@
 @pytest.mark.timeout(150)
 def test_the_full_day(tmp_path: Path) -> None:
     seed = 5
-    played = day.play(World(X, X.variants[0], seed), day.plan(seed, X, ("wallet", "canary")), tmp_path)
+    played = day.play(World(X, X.variants[0], seed), day.plan(seed, X, day.PARTS), tmp_path)
     assert not played.broken, "\n".join(played.broken[:20])
     assert played.figures["finished"] > 0.6 and len(played.ledger.asked) > 1500
 
