--- a/rainspindle/decisions/shared/cells.py
+++ b/rainspindle/decisions/shared/cells.py
@@ -11,11 +11,13 @@
 import math
 import operator
 import zlib
+from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, replace
 
 MOST_VALUE = 900  # bytes, so that a cell fits in one datagram with what goes around it
 MOST_NAME = 100  # characters
+MOST_MATTERS = 8  # of which cells are kept
 PARTS = 64  # in which the cells of one owner are held against another member's
 
 
@@ -53,7 +55,8 @@
     """All cells that one member knows."""
 
     def __init__(self, own: str, life: int, most: int = 20_000) -> None:
-        """`most` bounds the cells of others that are kept."""
+        """`most` bounds the cells of others that are kept, of each matter: the word before the first `/` of
+        their names."""
         self.own, self.life, self.most = own, life, most
         self.by_name: dict[str, dict[str, Seen]] = {}  # name, owner
         self.by_owner: dict[str, dict[str, Seen]] = {}  # owner, name: those written last come last
@@ -62,7 +65,7 @@
         self.users: list[tuple[str, Callable[[float, Cell], None]]] = []
         self.fresh: dict[tuple[str, str], tuple[str, ...]] = {}  # changed since spread: (owner, name), toward
         self.wake: Callable[[], None] = lambda: None  # told of each own write, so that it goes out at once
-        self.count = 0  # of others
+        self.counts: Counter[str] = Counter()  # of others, by matter
         self.refused = 0  # news of a cell beyond `most`, or over a limit
 
     def on_change(self, prefix: str, user: Callable[[float, Cell], None]) -> None:
@@ -115,7 +118,7 @@
                 owners, of_owner = self.by_name[cell.name], self.by_owner[cell.owner]
                 owners[cell.owner] = of_owner[cell.name] = Seen(known.cell, now - age)
             return False
-        if known is None and self.count >= self.most:
+        if known is None and not self.room(matter(cell.name)):
             self.refused += 1
             return False
         self.put(now - age, cell)
@@ -124,6 +127,15 @@
                 user(now, cell)
         return True
 
+    @property
+    def count(self) -> int:
+        """Of others."""
+        return sum(self.counts.values())
+
+    def room(self, matter: str) -> bool:
+        """Guards against the cells of one matter that take the room of another's: of wallets, an abort's."""
+        return self.counts[matter] < self.most if matter in self.counts else len(self.counts) < MOST_MATTERS
+
     def confirmed(self, now: float, owner: str, age: float = 0.0) -> None:
         """The owner is known to have had just these cells `age` seconds ago."""
         self.confirmed_at[owner] = max(now - age, self.confirmed_at.get(owner, -math.inf))
@@ -136,7 +148,7 @@
 
     def put(self, heard: float, cell: Cell, toward: tuple[str, ...] = ()) -> None:
         known = self.by_name.get(cell.name, {}).get(cell.owner)
-        self.count += known is None and cell.owner != self.own
+        self.counts[matter(cell.name)] += known is None and cell.owner != self.own
         if known is not None:
             self.flip(known.cell)
         self.flip(cell)
@@ -162,7 +174,7 @@
         owners = self.by_name.get(name, {})
         seen = owners.pop(owner, None)
         if seen is not None:
-            self.count -= owner != self.own
+            self.counts[matter(name)] -= owner != self.own
             self.flip(seen.cell)
             self.by_owner[owner].pop(name, None)
             self.fresh.pop((owner, name), None)
@@ -176,6 +188,10 @@
             kept.pop(owner, None)
 
 
+def matter(name: str) -> str:
+    return name.partition("/")[0]
+
+
 def part(name: str) -> int:
     """Which of the parts of an owner's cells one is in; the same in each release."""
     return zlib.crc32(name.encode()) % PARTS
