--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -70,7 +70,7 @@
 
 
 def test_half_a_fleet_one_release_behind_in_virtual_time(old: Build) -> None:
-    """A quarter of an hour of the day that the results have 23 hours of: both builds' classes, by bytes alone."""
+    """A quarter of an hour, of which the results have 23 hours: both builds' classes, by bytes alone."""
     found = Mixed(old, 5, 3).play(3)
     assert not found["broken"], "\n".join(found["broken"])
     assert found["aborts"] == 3 and found["rolled"] == 6 and found["to_new"] > 100
