--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -344,6 +344,21 @@
     assert all(version < 40 for version in host.taken)
 
 
+def test_what_a_head_tells_is_as_old_as_the_one_before_and_its_changes_are_held_against_the_digest() -> None:
+    relay = Relay(0.0, "own", 1, Terms(2, WITHIN), AT, Alone(["a", "b", "own", "y"]), random.Random(1))
+    relay.start(1, {"e": b"1"})
+    for beat, now in ((1, 0.5), (2, 1.0), (3, 6.0)):  # the third may have been written soon after 1.0
+        while relay.looked < now:
+            relay.tick(min(relay.looked + 0.5, now))
+        for owner in "ab":
+            relay.heard(now, owner, Head(1, AT, 1, beat, 1, relay.digest, 1), now)
+    assert relay.confirmed == pytest.approx(0.999)
+    for owner, told in (("a", b"wrong"), ("b", b"2")):
+        relay.heard(6.5, owner, Head(1, AT, 1, 4, 2, words.digest({"e": b"2"}), 1, False, [], 1,
+                                     [("e", told)]), 6.5)
+    assert relay.version == 2 and relay.lines == {"e": b"2"}
+
+
 # The codec.
 
 
