What was kept or told at a start is told on as evidence once an own trial has failed

Cause: an endpoint that kept state or members' word put out at a start was told on as a trip just met, so that hearsay came back as evidence. Change: a breaker that is due or older than a look is inherited: it spares and is spared, and is told after an own trial.

--- a/rainspindle/decisions/evidence/evidence.py
+++ b/rainspindle/decisions/evidence/evidence.py
@@ -136,6 +136,14 @@
         for owner in list(self.by_mark.get(mark, ())):
             self.weigh(now, mark, owner, -math.inf, -math.inf)
 
+    def inherited(self, now: float, mark: int, start: int, since: float, due: float) -> None:
+        """It is out here by what was kept or told at a start, last tried at `since`.
+
+        Guards against hearsay that is told on as met: it is told once an own trial has failed."""
+        own = self.own[mark] = Own(start, since, since, False, math.inf)
+        own.base, own.due = since, due
+        self.unwarn(now, mark)
+
     def trying(self, now: float, mark: int) -> None:
         """A trial is sent."""
         own = self.own.get(mark)
--- a/rainspindle/decisions/evidence/watch.py
+++ b/rainspindle/decisions/evidence/watch.py
@@ -15,6 +15,7 @@
 from .evidence import Evidence
 
 WIDER = 2.0  # times the module's own turn, where it has less than one forward out and sees no crowd itself
+MET = 2.0  # seconds for which a trip is one of this process, where it is first seen: looks are closer
 HARD_ROW = 2  # failures in a row, with no answer between, by which a trip tells of an endpoint that is dead
 
 
@@ -78,7 +79,11 @@
             if mark is None:
                 return
             seen = self.out[e] = Seen(b, mark, self.start(e), b.since, b.since, False)
-            self.evidence.tripped(now, mark, seen.start, e.row >= HARD_ROW)
+            if b.due or now - b.since > MET:
+                due = now if b.due else b.since + FailoverTable.TRIAL_DELAY
+                self.evidence.inherited(now, mark, seen.start, b.since, due)
+            else:
+                self.evidence.tripped(now, mark, seen.start, e.row >= HARD_ROW)
         if b.on_trial and not seen.on_trial:
             self.evidence.trying(now, seen.mark)
         elif not b.on_trial and b.since != seen.since:
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -23,6 +23,7 @@
 from rainspindle.host import Outcome
 from rainspindle.lab.experiment import load
 from rainspindle.lab.runs import play
+from rainspindle.logic import Breaker
 from rainspindle.program.fleet.config import unfit
 from rainspindle.protocol.evidence import (
     MOST_BYTES,
@@ -434,6 +435,23 @@
     assert side.fleet.balancer.endpoints["e1"].FAILURES == 2
 
 
+def test_what_was_kept_or_told_at_a_start_is_told_on_once_an_own_trial_has_failed() -> None:
+    side = Side()
+    kept, told = (side.fleet.balancer.endpoints[id] for id in ("e1", "e2"))
+    kept.breaker, told.breaker = Breaker(side.fleet.now - 3.0), Breaker(side.fleet.now - 12.0)
+    told.breaker.due = True
+    side.fleet.balancer.touched.update({kept: None, told: None})
+    side.look(side.fleet.now)
+    assert len(side.evidence.own) == 2
+    side.evidence.tick(side.fleet.now + 1.0)
+    assert not any(word.out for word in side.written)
+    side.fails = {"e1"}
+    side.ask(80)
+    assert side.out() == {"e1"}
+    assert {out.mark for out in side.written[-1].out if out.served < 0} == {mark_of("e1")}
+    assert kept.breaker is not None and kept.breaker.since > side.fleet.now - 5.0
+
+
 def test_a_key_that_is_hot_by_word_is_spread_by_those_who_meet_it_first() -> None:
     went: dict[bool, set[str]] = {False: set(), True: set()}
     for word in went:
