--- a/rainspindle/program/fleet/config.py
+++ b/rainspindle/program/fleet/config.py
@@ -44,8 +44,9 @@
         return Path(self.file.members.folder) if self.file.members.folder else None
 
 
-def load_fleet(path: str, config: Config) -> FleetConfig:
-    """Raises ConfigFault, one line a fault, each with its path in the file."""
+def load_fleet(path: str, config: Config | None) -> FleetConfig:
+    """Raises ConfigFault, one line a fault, each with its path in the file. Without the sidecar's own
+    configuration, which may have faults of its own, those of form alone."""
     raw = read_toml(path)
     faults = list(unfit(raw, config))
     if faults:
@@ -53,8 +54,8 @@
     return FleetConfig(path, msgspec.convert(raw, FleetFile))
 
 
-def unfit(raw: dict[str, Any], config: Config) -> Iterator[str]:
-    """Every fault of form; of the tables without one, every fault between their values too."""
+def unfit(raw: dict[str, Any], config: Config | None) -> Iterator[str]:
+    """Every fault of form; of the tables without one, with `config`, every fault between their values too."""
     formed = dict[str, bool]()
     yield from shape({name: value for name, value in raw.items() if name not in SINGLE | MANY}, FleetTop, "")
     if raw.get("members") is None:
@@ -70,6 +71,8 @@
         faults = [fault for at, one in places for fault in shape(one, table, at)]
         formed[name] = not faults
         yield from faults
+    if config is None:
+        return
     if formed.get("members"):
         yield from members.unfit(msgspec.convert(raw["members"], MembersPart), config)
     text = raw["members"].get("folder") if isinstance(raw.get("members"), dict) else None
--- a/rainspindle/program/main.py
+++ b/rainspindle/program/main.py
@@ -93,7 +93,14 @@
 
         def read() -> Config:
             return load(options.config, os.environ, over_members=bool(fleet_path))
-        config = read()
+        try:
+            config = read()
+        except ConfigFault as fault:
+            if options.command == "check" and fleet_path:  # all faults of both files at once
+                refused(fault)
+                fleet(fleet_path, None)
+                return 2
+            raise
         make_fleet = fleet(fleet_path, config) if fleet_path else None
         if options.command == "check":
             print(f"{config.name}: {len(config.known.lines)} endpoints known, "
@@ -117,7 +124,7 @@
     return 2
 
 
-def fleet(path: str, config: Config) -> Any:
+def fleet(path: str, config: Config | None) -> Any:
     """What makes the fleet of a sidecar. Raises ConfigFault, also where its libraries are missing."""
     try:
         from .fleet.config import load_fleet
--- a/tests/examples.py
+++ b/tests/examples.py
@@ -158,6 +158,8 @@
             if arguments[:1] in (["version"], ["check"]) or arguments[:2] == ["lab", "list"] or \
                     {"--check", "--dry-run"} & set(arguments):
                 self.run(arguments)
+            elif arguments[:1] == ["serve"] and "--config" in arguments:
+                self.run(["check", *arguments[1:]])
         elif found := MODULE.match(text):
             if "|" not in text:
                 self.module(found[1], shlex.split(text[found.end():]))
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -36,6 +36,7 @@
 ```
 
     rainspindle check --config config.json   # a comment
+    rainspindle serve --config deploy/config.json --fleet deploy/fleet.toml
     curl -s http://ADDRESS/-/members
 
 ```json
@@ -56,6 +57,7 @@
 LIES = [("deploy/fleet.toml", "deploy/fleets.toml"), ("--fleet FILE", "--fleets FILE"),
         ("--log-level", "--log"), ("fleet = ", "flet = "), ("tenant = 0", "tenant = 99"),
         ("[members]", "[members"), ("config.json ", "old-one.json "),
+        ("deploy/config.json", "deploy/balancer.toml"),
         ("rainspindle check", "rainspindle chek"), ("/-/members", "/-/member"),
         ('"self"', '"itself"'), ('"heard": 0.0', '"heard": "now"'), ('"heard": 0.0', '"hears": 0.0'),
         ("POST /-/wallets", "GET /-/wallets"), ("/top-up", "/topup"), ("/-/canaries", "/-/canary"),
