Tests on real processes await the state they rely on, and bound nothing by the machine's speed

Cause: deadlines of a few seconds, moments by the wall clock, records read while they are written, ports chosen and let go, folders copied while a process writes there, exchanges that expire while a test looks on.

--- a/rainspindle/lab/bench.py
+++ b/rainspindle/lab/bench.py
@@ -29,7 +29,7 @@
 from ..errors import Trouble
 from .experiment import Count, Experiment, ExperimentFault, Positive, Table, worded
 from .sockets.child import entry
-from .sockets.run import ROOT, free_port, run_line
+from .sockets.run import ROOT, reserve_port, run_line
 from .world import World
 
 FIGURES = ("per_s", "cpu_us", "p50_us", "p99_us", "rss_mb", "idle_kb")
@@ -90,7 +90,7 @@
         ports = [int(self.fast(1, "echo").stdout.readline()) for _ in range(2)]  # type: ignore[union-attr]
         self.port, self.sidecar = ports[0], None
         if tree is not None:
-            self.port = free_port()
+            self.port = reserve_port()
             self.sidecar = self.start(tree, ports)
 
     def fast(self, core: int, *arguments: object) -> subprocess.Popen[str]:
--- a/rainspindle/lab/fleet/judge.py
+++ b/rainspindle/lab/fleet/judge.py
@@ -125,8 +125,9 @@
 
 
 def judge_canary(ledger: Ledger, called: Sequence[Called], away: Sequence[Away], schedule: Schedule,
-                 new: Sequence[int] = NEW) -> Iterator[str]:
-    """Nothing goes to the canary's endpoints before it is started, nor once its abort is in force."""
+                 new: Sequence[int] = NEW, late: float = 0.0) -> Iterator[str]:
+    """Nothing goes to the canary's endpoints before it is started, nor once its abort is in force. `late`:
+    seconds by which a loaded machine may be."""
     at: dict[str, Called] = {}
     for one in called:
         if "/-/canaries/" in one.call.path:
@@ -140,7 +141,7 @@
     if not any(at["start"].at < run.first < at["abort"].at for run in came):
         yield "no exchange came to the canary: the day says nothing of it"
     for run in came:
-        until = in_force(f"s{run.sidecar}", at["abort"], away, schedule)
+        until = in_force(f"s{run.sidecar}", at["abort"], away, schedule) + late
         if run.first < at["start"].call.at or run.first > until:
             yield (f"{run.id} of s{run.sidecar} came to the canary's e{run.endpoint} at {run.first:.3f} s; "
                    f"started at {at['start'].at:.3f} s, aborted at {at['abort'].at:.3f} s, which was to be "
--- a/rainspindle/lab/fleet/watch.py
+++ b/rainspindle/lab/fleet/watch.py
@@ -6,7 +6,7 @@
 import time
 from dataclasses import dataclass, field
 
-from .processes import PATIENCE, Fleet, Sidecar
+from .processes import CALL_TIME, PATIENCE, Fleet, Sidecar
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,7 +46,7 @@
         last: dict[str, tuple[str, int]] = {}
         while not self.stopped.wait(self.every):
             try:
-                members = sidecar.members()
+                members = sidecar.members(CALL_TIME)
             except (OSError, ValueError):
                 continue
             now = time.monotonic()
--- a/rainspindle/lab/listing_load.py
+++ b/rainspindle/lab/listing_load.py
@@ -14,8 +14,8 @@
 
 import orjson
 
-from .fleet.processes import reserve_port
 from .models.registry import Gate
+from .sockets.run import reserve_port
 
 
 class Lists(ThreadingHTTPServer):
--- a/rainspindle/lab/mysql/trial.py
+++ b/rainspindle/lab/mysql/trial.py
@@ -30,7 +30,7 @@
 
 from ...transport.loop import Coroutine, Loop
 from ..sockets.child import Orders
-from ..sockets.run import ROOT, free_port
+from ..sockets.run import ROOT, reserve_port
 from .database import Database, Store
 
 SERVERS, USER, PASSWORD = 5, "anna", "secret"
@@ -173,7 +173,7 @@
 
 
 def start_front(folder: Path, ports: list[int], seed: int) -> tuple[subprocess.Popen[bytes], int]:
-    port = free_port()
+    port = reserve_port()
     types = [{"name": name, "effect": effect, "promised-time": PROMISED * 1000, "expiry": EXPIRY * 1000}
              for name, effect in (("submit", "non_idempotent"), ("read", "read_like"))]
     known = [{"instanceId": f"e{n}", "hostPort": f"127.0.0.1:{p}", "zone": "a", "cell": 0, "weight": 1.0,
