A canary's decision is written to the kept record at once, so no abort is forgotten

The test of it failed now and then: it waited for any state of the canary in the record, which could be that of the start, and killed all members before the abort was written. With the start known to be kept and `every` at 4 s it fails each time ("it has not forgotten"). That is also what the program did: an abort answered with 200 stood in the canary's own file alone until the next `every`, 5 s as it comes.

A kept cell that has changed is now written in the next turn of the ticker, in the writer's thread.

--- a/rainspindle/program/fleet/keep.py
+++ b/rainspindle/program/fleet/keep.py
@@ -186,6 +186,7 @@
         self.taken: dict[str, list[str]] = {"folder": [], "members": []}
         self.words = self.unread = 0
         self.written_mark: object = None
+        self.written_cells: list[forms.OwnCell] = []
         self.write_at, self.tell_at, self.told_at = self.begun, self.begun + KNOWS_AFTER, -math.inf
         self.last_word = b""
         self.newcomers: list[str] = []
@@ -322,7 +323,9 @@
         if not hasattr(self, "core"):
             return now + 1.0
         self.tell_due(now)
-        if now >= self.write_at and not self.left:
+        # Guards against an abort that is heard and forgotten, where the canary's own file is lost with the
+        # process: what was decided here is written at once.
+        if not self.left and (now >= self.write_at or self.own_cells() != self.written_cells):
             self.write_at = now + self.table.every
             self.write(now)
         self.look()
@@ -367,11 +370,11 @@
 
     def write(self, now: float, anyway: bool = False) -> None:
         """Where anything is new. A successor beside this process writes in its place."""
-        writer = self.lasting.writer
+        writer, self.written_cells = self.lasting.writer, self.own_cells()
         if writer is None or getattr(self.ground.members, "handed_over", False):
             return
         taken = [core.taken for core in self.cores().values()]
-        mark = (taken, self.own_cells(), self.ground.members.own_life)
+        mark = (taken, self.written_cells, self.ground.members.own_life)
         if mark == self.written_mark and not anyway and not writer.outcome.fault:
             return
         self.written_mark = mark
--- a/tests/test_keep_processes.py
+++ b/tests/test_keep_processes.py
@@ -15,6 +15,7 @@
 import msgspec
 import pytest
 
+from rainspindle.decisions.canary import state
 from rainspindle.lab.fleet import restarts
 from rainspindle.lab.fleet.processes import Fleet, Sidecar, quiet_config, wait_until
 from rainspindle.lab.fleet.schedule import Split
@@ -184,7 +185,7 @@
 
 
 def test_an_abort_outlasts_the_loss_of_the_canarys_own_file_at_all(tmp_path: Path) -> None:
-    table: dict[str, Any] = {"keep": {"every": 0.2}, "canary": [
+    table: dict[str, Any] = {"keep": {"every": 600.0}, "canary": [
         {"name": "next", "kind": "new", "stages": [{"part": 0.5, "time": 600.0, "exchanges": 20}]}]}
     base = quiet_config()
     config = {**base, "settings": {**base["settings"], "kinds": ["old", "new"]}}
@@ -197,11 +198,12 @@
 
         def kept(name: str) -> bool:
             record = Lasting(fleet[name].folder / "kept", name, "lab").record
-            return record is not None and any(cell.name == "canary/next/state" for cell in record.cells)
+            return record is not None and any(state.decode(cell.value)[0].aborted for cell in record.cells
+                                              if cell.name == "canary/next/state")
         assert fleet["a"].call("POST", "/-/canaries/next/start").status == 200
         assert fleet["a"].call("POST", "/-/canaries/next/abort").status == 200
         wait_until(lambda: all(aborted(name) for name in NAMES), 20.0, "the abort is everywhere")
-        wait_until(lambda: kept("a"), 20.0, "it is kept")
+        wait_until(lambda: kept("a"), 20.0, "it is kept, and not when `every` has passed")
         for name in NAMES:
             fleet[name].kill()
         for name in NAMES:
