A starter's door opens soon after it met others, and word that is late still counts

A member that starts with no record waited the whole of `keep.wait` where fewer than three members had word to tell: beside members of older releases always (5.01 s of 5), and in a fleet's first start up to 1 s. That a member has no word cannot be known within a second, as what says so, the sums of its cells, goes to one member by chance at a time.

The door now opens a quarter of `wait` after the first other was met, since what tellers there are have told by then. Word that comes later, in the first 30 s, counts for endpoints that were not met since; earlier and later words together touch a third of the endpoints at most.

--- a/rainspindle/decisions/operation/beginning.py
+++ b/rainspindle/decisions/operation/beginning.py
@@ -54,17 +54,19 @@
     slow: Mapping[str, float]
 
 
-def judge(words: Sequence[Told], ready: Mapping[bytes, str]) -> Judged:
-    """What of it counts, by endpoint. `ready` has the mark of each one that is ready here.
+def judge(words: Sequence[Told], ready: Mapping[bytes, str], done: Sequence[str] = ()) -> Judged:
+    """What of it counts, by endpoint. `ready` has the mark of each one that is ready here; `done`: those that
+    earlier words have touched.
 
     Guards against a member whose own way is bad, which finds most endpoints dead: it says nothing of any; and
     against one that errs or lies: of several that are heard half must say so, and a third of all is the most
     that all together can touch. May hurt where more than a third of the endpoints are bad: these are found
     out alone."""
     heard = [w for w in words if len(w.out) + len(w.slow) <= w.ready * MOST_PART]
-    outs = Counter(mark for w in heard for mark in set(w.out) if mark in ready)
-    slows = Counter(mark for w in heard for mark in w.slow if mark in ready)
-    enough, room = max(1, (len(heard) + 1) // 2), int(len(ready) * MOST_PART)
+    left = {mark for mark, id in ready.items() if id not in done}
+    outs = Counter(mark for w in heard for mark in set(w.out) if mark in left)
+    slows = Counter(mark for w in heard for mark in w.slow if mark in left)
+    enough, room = max(1, (len(heard) + 1) // 2), max(0, int(len(ready) * MOST_PART) - len(done))
 
     def most(counts: Counter[bytes], room: int) -> list[bytes]:
         return sorted((m for m, n in counts.items() if n >= enough), key=lambda m: (-counts[m], m))[:room]
--- a/rainspindle/program/fleet/keep.py
+++ b/rainspindle/program/fleet/keep.py
@@ -41,7 +41,7 @@
 ENOUGH, LOOK = 3, 0.02  # words that are enough; seconds between looks whether they are there
 KNOWS_AFTER = 10.0  # seconds in service after which a member has something to tell
 MOST_TOWARD = 50  # newcomers that are told at once by one writing of the word
-LASTS = 30.0  # seconds after the start in which endpoints that are listed late get what was kept of them
+LASTS = 30.0  # seconds after the start in which endpoints get what was kept or told of them, if not met yet
 STALLED = 2.0  # seconds after which a writing is told to be stalled
 # The age that a kept cell is given at most: what it says is true at any age, or overtaken.
 OLDEST_CELL = 3600.0
@@ -207,6 +207,7 @@
             listed(lines, addresses, whole, stale)
             self.take(self.ground.loop.now())
         core.list_changed = list_changed  # type: ignore[method-assign]
+        self.ground.cells.on_change(forms.CELL, self.word_came)
         self.take(self.begun)
 
     def cores(self) -> dict[str, Core]:
@@ -267,8 +268,9 @@
         return forms.mark(e.id, self.started_ms(e))
 
     def ready_from(self, now: float) -> float:
-        """Guards against clients that meet what others of the fleet have met already. Bounded by `wait`, and
-        by half of it where nobody answers or those that do have nothing to tell."""
+        """Guards against clients that meet what others of the fleet have met already. Bounded by `wait`, by
+        half of it where nobody answers, and by a quarter from the first that does: what tellers there are
+        have told by then. May hurt on a machine so loaded that they have not; see `word_came`."""
         if self.opened_at is not None:
             return self.opened_at
         if self.asked_at is None:
@@ -278,11 +280,9 @@
         if others:
             self.met_at = min(self.met_at, now)
         words = self.heard(now)
-        half = self.table.wait / 2
-        over = (not self.seeds or not self.table.wait or self.lasting.age <= FRESH_RECORD
-                or now >= self.asked_at + self.table.wait
-                or len(words) >= min(ENOUGH, len(others)) > 0
-                or (not words and now >= (self.met_at if others else self.asked_at) + half))
+        quiet = self.met_at + self.table.wait / 4 if others else self.asked_at + self.table.wait / 2
+        over = (not self.asks or now >= min(quiet, self.asked_at + self.table.wait)
+                or len(words) >= min(ENOUGH, len(others)) > 0)
         if not over:
             return now + LOOK
         self.opened_at = now
@@ -294,6 +294,20 @@
                  else "begins anew", extra={"fields": fields})
         return now
 
+    @property
+    def asks(self) -> bool:
+        """Whether others' word is wanted at all."""
+        return self.seeds and self.table.wait > 0 and self.lasting.age > FRESH_RECORD
+
+    def word_came(self, now: float, cell: Cell) -> None:
+        """Guards against a word that comes after the door was opened: it counts for what was not met yet."""
+        if not self.asks or self.opened_at is None or self.words >= ENOUGH or now > self.begun + LASTS:
+            return
+        words = self.heard(now)
+        if len(words) > self.words:
+            self.judged, self.words = words, len(words)
+            self.take(now)
+
     def heard(self, now: float) -> list[forms.Told]:
         """The words of others that are fresh, by teller."""
         found, self.unread = [], 0
@@ -308,7 +322,7 @@
     def take_words(self, now: float) -> None:
         sides = self.sides()
         ready = {self.mark_of(e): e.id for balancer in sides.values() for e in balancer.ready}
-        judged = beginning.judge(self.judged, ready)
+        judged = beginning.judge(self.judged, ready, self.taken["members"])
         for balancer in sides.values():
             self.taken["members"] += beginning.apply(balancer, now, judged)
         if ready:
