--- a/rainspindle/lab/canary_load.py
+++ b/rainspindle/lab/canary_load.py
@@ -41,7 +41,7 @@
 
     def __enter__(self) -> Answers:
         for name, port in self.ports.items():
-            self.servers[name] = Endpoint(name, self.answer, port)
+            self.servers[name] = Endpoint(name, name[:3], self.answer, port)
         return self
 
     def __exit__(self, kind: type[BaseException] | None, fault: BaseException | None,
@@ -53,9 +53,9 @@
         self.servers.pop(name).end()
 
     def answer(self, server: Endpoint, headers: Mapping[str, str]) -> tuple[int, float]:
-        key, kind = headers.get("Cookie", "").partition("user=")[2], server.name[:3]
-        self.ran.append(Ran(time.monotonic(), kind, headers["X-Request-ID"], key))
-        return self.how[kind](headers["X-Priority-Class"])
+        key = headers.get("Cookie", "").partition("user=")[2]
+        self.ran.append(Ran(time.monotonic(), server.kind, headers["X-Request-ID"], key))
+        return self.how[server.kind](headers["X-Priority-Class"])
 
     def config(self, base: dict[str, Any]) -> dict[str, Any]:
         """A sidecar's configuration that knows them, made of another."""
--- a/rainspindle/lab/fleet/endpoints.py
+++ b/rainspindle/lab/fleet/endpoints.py
@@ -20,9 +20,10 @@
     allow_reuse_address = True
     request_queue_size = 128
 
-    def __init__(self, name: str, answers: Answers, port: int = 0) -> None:
-        """`answers` is asked in a thread of the request's own; None: its connection is closed."""
-        self.name, self.answers = name, answers
+    def __init__(self, name: str, kind: str, answers: Answers, port: int = 0) -> None:
+        """`answers` is asked in a thread of the request's own; None: its connection is closed. `kind` is for
+        the answers to go by, and may be changed."""
+        self.name, self.kind, self.answers = name, kind, answers
         self.over = threading.Event()
         super().__init__(("127.0.0.1", port or reserve_port()), Handler)
         threading.Thread(target=self.serve_forever, args=(0.05,), daemon=True).start()
--- a/rainspindle/lab/fleet/restarts.py
+++ b/rainspindle/lab/fleet/restarts.py
@@ -49,16 +49,16 @@
 
 
 def answer(server: Endpoint, headers: Mapping[str, str]) -> tuple[int, float] | None:
-    how = BAD.get(server.name, "sound")
-    if how == "silent":
+    if server.kind == "silent":
         server.over.wait(EXPIRY * 2)
         return None
-    return 500 if how == "failing" else 200, 0.5 if how == "slow" else 0.004
+    return 500 if server.kind == "failing" else 200, 0.5 if server.kind == "slow" else 0.004
 
 
 @contextlib.contextmanager
 def endpoints() -> Iterator[dict[str, Endpoint]]:
-    servers = {name: Endpoint(name, answer) for name in (f"e{n}" for n in range(ENDPOINTS))}
+    names = [f"e{n}" for n in range(ENDPOINTS)]
+    servers = {name: Endpoint(name, BAD.get(name, "sound"), answer) for name in names}
     try:
         yield servers
     finally:
