A forward whose body still comes tells the client's time, not 1,200 s

Cause: until its last byte such an exchange has no expiry, and the attempt told its endpoint the bound on the whole upload. The standing test wants at most what is left to the client, which counts from the last byte.

Change: it tells the client's wait as it would be if the body were whole by now.

--- a/rainspindle/fronts/http1/back.py
+++ b/rainspindle/fronts/http1/back.py
@@ -73,7 +73,10 @@
             if unwanted():  # nothing is sent for a client that has left
                 return Forwarded(Outcome.CALLED_OFF if before() else Outcome.UNSENT)
             call, sent_at = EndpointSide(streams is not None), self.loop.now()
-            out = call.forward(ask, address_text(address).encode(), until - self.loop.now())
+            # Guards against an endpoint that works on for a client that has long left: while a body comes, it
+            # is told the time that its client will have from the last byte on.
+            told = until if given.expiry is None else min(until, given.expiry())
+            out = call.forward(ask, address_text(address).encode(), told - self.loop.now())
             answer = None
             try:
                 if ask.more and streams is not None:
--- a/rainspindle/fronts/http1/front.py
+++ b/rainspindle/fronts/http1/front.py
@@ -166,8 +166,9 @@
 
     def exchange(self, client: Connection, side: ApplicationSide, ask: Ask) -> Coroutine[bool]:
         """Hands an exchange over and gives its client the final answer; whether the connection goes on."""
-        def expiry() -> float:
-            return self.core.expiry(ask.type_index, max(client.came, streams.whole_at), ask.wait)
+        def expiry() -> float:  # of a body that is still coming: as if it were whole by now
+            came = self.loop.now() if ask.more and not streams.whole else max(client.came, streams.whole_at)
+            return self.core.expiry(ask.type_index, came, ask.wait)
         streams = Streams(self.loop, client, side, lambda: self.closes(client, side), self.room)
         given = Given(ask.type_index, ask.key, ask.hint, ask.repeat,
                       self.loop.now() + MOST_UPLOAD if ask.more else expiry(),
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -110,6 +110,8 @@
     endpoint = raw.accept()
     endpoint.look()
     assert len(endpoint.data) > MOST_BODY, "nothing goes on before the body is whole"
+    told = bytes(endpoint.data).partition(b"X-Timeout-Ms: ")[2].partition(b"\r")[0]
+    assert int(told) <= 2000, "more than the client waits once its body is whole"
     for _ in range(8):  # slowly, for longer than the client waits for its answer
         rig.loop.wait(1.0)
     assert pour(rig, client.sock, body[100_000:], endpoint) == len(body) - 100_000
