A list service that is back is asked within 2.8 s, however long the asking period

Cause: after failed calls the module draws a pause of up to three eighths of the asking period: 3.75 s of 10 s, 22 s of 60 s. What a service has counts as told 6 s after it could be reached, and an answer may take 3 s.

Change: `Follower.PAUSE` bounds that pause where calls are made, in the sockets' program alone.

--- a/rainspindle/routing/follow.py
+++ b/rainspindle/routing/follow.py
@@ -17,6 +17,7 @@
     MOST_WATCH = 20.0
     CONNECT = 1.0
     AGAIN = 0.2  # seconds after a failed call at least; where lists are pushed, always
+    PAUSE = 2.8  # and at most: what a service has counts as told in 6 s, of which an answer may take 3
     REST = 0.1  # a watch goes on only if the next call comes within 0.2 s
     # An answer later than this has fallen silent. What a silent watch misses counts as told 2 s after its
     # wait, what another call misses 6 s after it: the next has to be asked and answered before that.
@@ -71,13 +72,15 @@
         return self.moved
 
     def idle(self) -> Coroutine[None]:
+        latest = math.inf
         while True:
-            while not self.wanted or self.core is None:
-                yield math.inf
+            while (not self.wanted and self.loop.now() < latest) or self.core is None:
+                yield latest
             yield from self.follow(self.core)
             # Guards against calling a dead service in a loop and, where lists are pushed, against news
-            # that waits for a pause: that spares a service of many callers, and an agent has one.
-            again = self.loop.now() + self.AGAIN
+            # that waits for a pause: that spares a service of many callers, and an agent has one. Elsewhere
+            # the module draws it, as a part of the asking period, which may be long.
+            again, latest = self.loop.now() + self.AGAIN, self.loop.now() + self.PAUSE
             while self.loop.now() < again and not self.moved:
                 yield again
             self.wanted = self.wanted or self.pushed
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -682,6 +682,24 @@
     assert rig.balancer.endpoints["e0"].line.state is State.DRAINING
 
 
+def test_what_a_service_has_is_heard_within_6_s_of_its_return_however_long_the_asking_period() -> None:
+    """Whatever the module draws after failed calls; an answer may take 3 s."""
+    rig = Rig(settings={**SETTINGS, "contract": {**SETTINGS["contract"], "ask-within": 60000.0}})
+    discovery = Stand()
+    rig.stands.append(discovery)
+    follower = Follower(rig.loop, ("127.0.0.1", discovery.port), rig.decoder, 60.0,
+                        rig.decoder.decode({"generation": 41, "reset": True, "instances": [entry("e0", 9)]}))
+    follower.core, rig.core.on_watch = rig.core, follower.want
+    follower.want()
+    for _ in range(9):
+        before = rig.loop.now()
+        while not (calls := rig.got()):
+            rig.wait(0.05)
+        assert rig.loop.now() - before < 3.0
+        only(calls).reset()
+    rig.close()
+
+
 def test_discovery_that_answers_at_once_with_nothing_is_not_flooded(rig: Rig) -> None:
     discovery = Stand()
     rig.stands.append(discovery)
