--- a/rainspindle/lab/experiment.py
+++ b/rainspindle/lab/experiment.py
@@ -231,8 +231,8 @@
 
 
 FIGURES = ("goodput", "offered", "finished", "late", "rejected", "terminated", "left", "p50_ms", "p90_ms",
-           "p99_ms", "tries", "forwards", "busiest", "rules_broken", "executions_twice", "recovery_s",
-           "worst_second", "failures_met", "wasted", "site_best", "site_worst", "site_back_s",
+           "p99_ms", "tries", "forwards", "busiest", "rules_broken", "executions_twice", "falls",
+           "recovery_s", "worst_second", "failures_met", "wasted", "site_best", "site_worst", "site_back_s",
            "calls", "calls_most", "calls_refused", "handshakes", "handshakes_most", "handshakes_refused",
            "trials", "trials_vain", "trials_most", "cold_most",
            "cells")  # these from "calls" on in virtual time alone
--- a/rainspindle/lab/figures.py
+++ b/rainspindle/lab/figures.py
@@ -85,6 +85,7 @@
         "forwards": len(ledger.runs) / max(len(ledger.asked), 1),
         "busiest": float(load.max() / load.mean()) if load.any() else 0.0,
         "rules_broken": float(len(audit.breaks)), "executions_twice": float(audit.twice),
+        "falls": float(audit.falls),
         "recovery_s": recovery(world, good), "worst_second": float(good[warm].min()),
         "failures_met": failed / x.sidecars.count,
         "wasted": wasted / max(float(work.sum()), 1e-9),
--- a/rainspindle/lab/world.py
+++ b/rainspindle/lab/world.py
@@ -80,7 +80,11 @@
 
     def endpoint(self, n: int) -> EndpointModel:
         return EndpointModel(n, self.zones[n], self.kinds[n], self.speeds[n], self.x.rules,
-                             self.chance(f"endpoint {n}"))
+                             self.chance(f"endpoint {n}"), self.mean_work())
+
+    def mean_work(self) -> float:
+        """Of an exchange, over all traffic."""
+        return sum(t.share * t.work for t in self.x.traffic) / sum(t.share for t in self.x.traffic)
 
     def links(self) -> dict[tuple[int, int], LinkModel]:
         zones = range(len(self.x.fleet.zones))
