What cells of evidence cost the members, by their own classes in virtual time

Cause: the bytes at 2,000 members were reckoned from the number of cells. Change: lab.word_bytes plays an experiment with word and has as many members write the same cells at the same moments, and none for comparison: bytes and datagrams by second, and how long cells take.

--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -23,6 +23,7 @@
 from rainspindle.host import Outcome
 from rainspindle.lab.experiment import load
 from rainspindle.lab.runs import play
+from rainspindle.lab.word_bytes import cost
 from rainspindle.logic import Breaker
 from rainspindle.program.fleet.config import unfit
 from rainspindle.protocol.evidence import (
@@ -499,3 +500,11 @@
     assert not sum(word.rules.values()) and not word.faults
     assert alone.figures["trials_vain"] > 20 > 10 > word.figures["trials_vain"] > 0
     assert word.figures["goodput"] >= alone.figures["goodput"] - 0.005 and word.figures["cells"] > 1
+
+
+def test_what_cells_cost_is_what_members_send_until_all_others_have_them() -> None:
+    value = encode_told(Told(1, 0.0, 0, 0, [], 9, [(2**64 - 1 - n, 1) for n in range(12)]))
+    word, none = (cost(12, cells, 4.0) for cells in ([(0.5, 3, value), (2.5, 4, value)], []))
+    assert word.cells == [1, 0, 1, 0] and len(word.delays) == 22 and not none.delays
+    assert [more > less + len(value) for more, less in zip(word.sent_bytes, none.sent_bytes, strict=True)
+            ][::2] == [True, True]
