--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,10 +2,27 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
+import pytest
 from hypothesis import HealthCheck, settings
 
+from .fleet import Rig
+
 # Guards against a verdict that hangs on how busy the machine is: neither an example nor drawing it has a time
 # limit of its own (a whole test has, in pyproject.toml), and the examples are the same each time.
 settings.register_profile("house", derandomize=True, deadline=None,
                           suppress_health_check=[HealthCheck.too_slow])
 settings.load_profile("house")
+
+
+@pytest.fixture(autouse=True)
+def rigs_are_closed() -> Iterator[None]:
+    yield
+    while Rig.made:
+        Rig.made[-1].close()
+
+
+@pytest.fixture
+def rig() -> Rig:
+    return Rig()
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -8,7 +8,7 @@
 import struct
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, ClassVar
 
 import h11
 
@@ -431,6 +431,11 @@
             self.parser.send(h11.Request(method="GET", target="/", headers=[("Host", "x")]))
             self.parser.send(h11.EndOfMessage())
 
+    def status(self) -> int:
+        answer = self.answer()
+        assert answer is not None, "no answer yet"
+        return answer[0]
+
     def answer(self) -> tuple[int, bytes, dict[str, str]] | None:
         """The answer if it has come whole."""
         with contextlib.suppress(BlockingIOError):
@@ -457,8 +462,11 @@
 class Rig:
     """A sidecar without its program: its parts over sockets, with stand-ins for endpoints."""
 
+    made: ClassVar[list[Rig]] = []  # and not closed yet: after a test all are
+
     def __init__(self, endpoints: int = 3, *, clients: int = 50, connections: int = 50,
                  settings: Any = SETTINGS, receive_buffer: int = 0, backlog: int = 64) -> None:
+        self.made.append(self)
         self.loop = SteppedLoop()
         self.stands = [Stand(receive_buffer=receive_buffer, backlog=backlog) for _ in range(endpoints)]
         sockets = socket_settings(settings)
@@ -518,6 +526,13 @@
             stand.unread.clear()
         return got
 
+    def serve(self, status: int = 200, body: bytes = b"", headers: str = "") -> Got:
+        """Answers the one exchange that has come."""
+        got = only(self.got())
+        got.answer(status, body, headers)
+        self.settle()
+        return got
+
     def serve_all(self) -> None:
         while got := self.got():
             for g in got:
@@ -526,10 +541,9 @@
             self.settle()
 
     def close(self) -> None:
-        for stand in self.stands:
-            stand.close()
-        for client in self.clients:
-            client.close()
+        self.made.remove(self)
+        for one in (*self.stands, *self.clients):
+            one.close()
         self.listener.close()
         for connection in [*self.front.clients, *(c for idle in self.pool.idle.values() for c in idle)]:
             connection.close()
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -485,7 +485,7 @@
 
 def test_faults_of_the_table_are_named_with_their_path() -> None:
     def faults(table: Any) -> str:
-        return "\n".join(unfit({"evidence": table}, None))  # type: ignore[arg-type]
+        return "\n".join(unfit({"evidence": table}, None))
     assert "evidence.tellers: 1 is not from 2" in faults({"tellers": 1})
     assert "evidence.lasts: 2 s" in faults({"lasts": 2.0})
     assert "evidence.teller" in faults({"teller": 3}) and "tellers" in faults({"teller": 3})
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -312,7 +312,6 @@
         assert len(got) == 1 and f"e{rig.stands.index(got[0].stand)}" != first
         got[0].answer(200)
         rig.settle()
-    rig.close()
 
 
 # What was learnt, handed on.
@@ -361,7 +360,6 @@
         with pytest.raises(ValueError):
             rig.facade.take(0.0, given)
         assert rig.facade.give(0.0) == before
-        rig.close()
 
 
 # The crowd.
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -5,7 +5,6 @@
 import contextlib
 import math
 import socket
-from collections.abc import Iterator
 
 import pytest
 
@@ -17,16 +16,14 @@
 from .fleet import SETTINGS, Rig, Stand, ask, entry, only
 
 
-@pytest.fixture
-def rig() -> Iterator[Rig]:
-    made = Rig()
-    yield made
-    made.close()
-
-
-def status(client_answer: tuple[int, bytes, dict[str, str]] | None) -> int:
-    assert client_answer is not None, "no answer yet"
-    return client_answer[0]
+def followed(rig: Rig, *known: dict[str, object], generation: int = 41, within: float = 10.0,
+             pushed: bool = False) -> Follower:
+    """Of a list service that is one more stand-in."""
+    rig.stands.append(Stand())
+    follower = Follower(rig.loop, ("127.0.0.1", rig.stands[-1].port), rig.decoder, within, rig.decoder.decode(
+        {"generation": generation, "reset": True, "instances": known}), pushed)
+    follower.core = rig.core
+    return follower
 
 
 def test_body_goes_both_ways_unchanged_and_connections_are_kept(rig: Rig) -> None:
@@ -55,23 +52,22 @@
     assert again.stand is not turned.stand and again.id == "a"
     again.answer(200, b"done")
     rig.settle()
-    assert status(client.answer()) == 200
+    assert client.status() == 200
     for stand in rig.stands:
         stand.close()
     refused = rig.asked(ask("b", "book"))
-    assert status(refused.answer()) == 503
+    assert refused.status() == 503
 
 
 def test_error_may_have_run_so_binding_is_terminated_and_retriable_goes_again(rig: Rig) -> None:
     for code, headers in ((500, ""), (503, ""), (404, ""), (204, "")):
         client = rig.asked(ask(f"b{code}", "book"))
         only(rig.got()).answer(code, headers=headers)
-        assert rig.got() == [] and status(client.answer()) == 502
+        assert rig.got() == [] and client.status() == 502
         rig.wait(40.0)  # what has failed is forgotten
     client = rig.asked(ask("r", "look"))
     only(rig.got()).answer(500)
-    only(rig.got()).answer(200, b"second")
-    rig.settle()
+    rig.serve(200, b"second")
     answer = client.answer()
     assert answer and answer[:2] == (200, b"second")
 
@@ -89,7 +85,7 @@
     got.raw(data)
     rig.settle()
     got.close()
-    assert rig.got() == [] and status(client.answer()) == 502
+    assert rig.got() == [] and client.status() == 502
 
 
 def test_silence_after_the_write_is_timed_out_before_the_expiry(rig: Rig) -> None:
@@ -98,7 +94,7 @@
     rig.wait(0.88)
     assert client.answer() is None
     rig.wait(0.02)
-    assert status(client.answer()) == 502 and rig.got() == []
+    assert client.status() == 502 and rig.got() == []
     rig.settle()
     assert got.gone(), "the attempt was not given up"
 
@@ -118,8 +114,7 @@
     rig.settle(read=False)
     assert client.answer() is None and rig.stands[0].accepted == 1
     rig.loop.wait(0.9)
-    assert status(client.answer()) == 503
-    rig.close()
+    assert client.status() == 503
 
 
 def test_expiry_counts_from_the_last_byte(rig: Rig) -> None:
@@ -131,7 +126,7 @@
     got = only(rig.got())
     assert 900 < int(got.headers["x-timeout-ms"]) <= 1000
     rig.wait(0.99)
-    assert status(client.answer()) == 502
+    assert client.status() == 502
 
 
 def test_reset_of_a_reused_connection_after_the_write_may_have_run(rig: Rig) -> None:
@@ -143,34 +138,28 @@
         if id == "warm":
             got.answer(200)
             rig.settle()
-            assert status(client.answer()) == 200
+            assert client.status() == 200
     got.reset()
-    assert rig.got() == [] and status(client.answer()) == 502
+    assert rig.got() == [] and client.status() == 502
 
 
 def test_idle_connections_are_dropped_well_before_their_time_and_when_they_end(rig: Rig) -> None:
     client = rig.asked(ask("a"))
-    got = only(rig.got())
-    got.answer(200)
-    rig.settle()
+    got = rig.serve()
     assert rig.pool.open == 1
     rig.wait(20.0)  # of the 30 s stated
     assert rig.pool.open == 0 and got.gone()
     client = rig.asked(ask("b"))
-    got = only(rig.got())
-    got.answer(200)
-    rig.settle()
+    got = rig.serve()
     got.close()
     rig.settle()
-    assert status(client.answer()) == 200 and rig.pool.open == 0
+    assert client.status() == 200 and rig.pool.open == 0
 
 
 def test_connections_to_an_endpoint_that_restarted_or_went_are_dropped(rig: Rig) -> None:
     """Guards against writing to a machine that has vanished: such connections stay open and silent."""
     rig.asked(ask("a"))
-    got = only(rig.got())
-    got.answer(200)
-    rig.settle()
+    got = rig.serve()
     name = f"e{rig.stands.index(got.stand)}"
     assert rig.pool.open == 1
     rig.tell(entry(name, got.stand.port, started=4990_000.0))
@@ -222,7 +211,7 @@
         if n < 20:
             got.close()
         rig.settle()
-        assert status(client.answer()) == 200
+        assert client.status() == 200
         if n == 19:
             assert rig.pool.wary()
         rig.wait(0.03)
@@ -239,7 +228,7 @@
         rig.loop.step()  # the answer is seen, and lies unread
         rig.loop.time += 0.4
         rig.settle()
-        assert status(client.answer()) == 200
+        assert client.status() == 200
     assert rig.balancer.latency.quantile(0.9) < 0.1
 
 def test_idle_connections_to_an_endpoint_that_turned_silent_are_dropped() -> None:
@@ -257,7 +246,6 @@
     only(rig.got())
     rig.wait(0.7)  # past the promised time of 0.6 s
     assert rig.pool.open == 0
-    rig.close()
 
 
 def test_client_that_leaves_ends_the_forward_and_nothing_more_is_sent(rig: Rig) -> None:
@@ -293,7 +281,6 @@
     assert not got.gone() and len(rig.core.held) == 1
     got.answer(500)
     assert rig.got() == [] and rig.core.held == {}
-    rig.close()
 
 
 def test_a_client_that_waits_to_be_told_to_go_on_is_told(rig: Rig) -> None:
@@ -339,11 +326,10 @@
             got.answer(200)
         rig.stands[1].unread.clear()
         rig.loop.settle()
-        served += status(client.answer()) == 200
+        served += client.status() == 200
     assert served == 6
     for s in fillers:
         s.close()
-    rig.close()
 
 
 def test_nothing_new_to_an_endpoint_that_drains(rig: Rig) -> None:
@@ -362,12 +348,11 @@
     late = clients[-1]
     late.send(ask("x"))
     rig.serve_all()
-    assert status(late.answer()) == 200
+    assert late.status() == 200
     for n in range(20):
         rig.asked(ask(f"y{n}"))
         assert rig.pool.open <= 2
         rig.serve_all()
-    rig.close()
 
 
 def test_rejection_carries_hold_off_only_where_allowed() -> None:
@@ -376,8 +361,7 @@
         rig = Rig(endpoints=0, settings={**SETTINGS, "policy-limits": limits})  # nothing to send to
         answer = rig.asked(ask("x")).answer()
         assert answer and answer[0] == 503 and ("retry-after" in answer[2]) is allowed
-        rig.close()
-
+    
 
 def test_bad_requests_get_their_status_and_only_theirs(rig: Rig) -> None:
     beside = rig.asked(ask("good"))
@@ -393,10 +377,9 @@
            (b"POST /ready HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", 405)]
     for request, expected in bad:
         client = rig.asked(request)
-        assert status(client.answer()) == expected, request[:60]
-    only(rig.got()).answer(200)
-    rig.settle()
-    assert status(beside.answer()) == 200
+        assert client.status() == expected, request[:60]
+    rig.serve()
+    assert beside.status() == 200
 
 
 def test_a_request_that_does_not_become_whole_holds_its_place_for_a_time_only(rig: Rig) -> None:
@@ -404,15 +387,15 @@
     slow.send(ask("x")[:50])
     silent, kept = rig.client(), rig.asked(ask("y"))
     rig.serve_all()
-    assert status(kept.answer()) == 200
+    assert kept.status() == 200
     rig.wait(1.5)
     assert slow.answer() is None and len(rig.front.clients) == 3
     rig.wait(1.0)
-    assert status(slow.answer()) == 408 and silent.sock.recv(1) == b""  # within 3 s of connecting
+    assert slow.status() == 408 and silent.sock.recv(1) == b""  # within 3 s of connecting
     rig.wait(5.0)
     kept.send(ask("z")[:50])
     rig.wait(3.0)
-    assert status(kept.answer()) == 408
+    assert kept.status() == 408
     rig.wait(1.0)
     assert not rig.front.clients
 
@@ -424,7 +407,7 @@
     for n in range(4):
         kept.append(rig.asked(ask(f"x{n}")))
         rig.serve_all()
-        assert status(kept[n].answer()) == 200
+        assert kept[n].status() == 200
     for n in range(4):
         rig.client().sock.sendall(ask("half")[:20 * (n % 2)])
     rig.wait(0.6)
@@ -435,8 +418,7 @@
     for n, client in enumerate(kept):
         client.send(ask(f"y{n}"))
         rig.serve_all()
-        assert status(client.answer()) == 200
-    rig.close()
+        assert client.status() == 200
 
 
 def test_connections_that_wait_for_good_are_ended_while_many_are_open() -> None:
@@ -446,13 +428,12 @@
         for m in range(14 if n == 2 else 6):
             client = rig.asked(ask(f"x{n}-{m}"))
             rig.serve_all()
-            assert status(client.answer()) == 200
+            assert client.status() == 200
         rig.wait(wait)
         assert len(rig.front.clients) == left
     rig.clients[-1].send(ask("y"))  # the last used are kept
     rig.serve_all()
-    assert status(rig.clients[-1].answer()) == 200
-    rig.close()
+    assert rig.clients[-1].status() == 200
 
 
 def test_a_flood_of_clients_is_taken_in_parts_and_costs_few_looks(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -469,17 +450,16 @@
     assert 0 < len(rig.front.clients) <= 64
     rig.settle()
     rig.wait(0.1)
-    assert all(status(client.answer()) == 503 for client in rig.clients[-20:]) and len(looks) < 200 * 20
-    rig.close()
+    assert all(client.status() == 503 for client in rig.clients[-20:]) and len(looks) < 200 * 20
 
 
 def test_an_id_that_is_under_way_is_not_sent_a_second_time(rig: Rig) -> None:
     first = rig.asked(ask("x", "book"))
     got = only(rig.got())
-    assert status(rig.asked(ask("x", "book")).answer()) == 409 and rig.got() == []
+    assert rig.asked(ask("x", "book")).status() == 409 and rig.got() == []
     got.answer(200, b"once")
     rig.settle()
-    assert status(first.answer()) == 200
+    assert first.status() == 200
     rig.asked(ask("x", "book"))
     assert len(rig.got()) == 1  # it is over, and the id is forgotten
 
@@ -528,7 +508,7 @@
     rig.loop.faults.clear()
     monkeypatch.undo()
     rig.settle()
-    assert status(client.answer()) == 502 and not rig.core.held and not rig.balancer.forwards
+    assert client.status() == 502 and not rig.core.held and not rig.balancer.forwards
     rig.asked(ask("y"))
     assert len(rig.got()) == 1
 
@@ -546,10 +526,9 @@
     assert rig.pool.open == 1
     rig.tell(entry("e0", rig.stands[0].port, "DRAINING"))
     rig.loop.wait(0.5)
-    assert rig.pool.open == 0 and status(client.answer()) == 503
+    assert rig.pool.open == 0 and client.status() == 503
     for s in fillers:
         s.close()
-    rig.close()
 
 
 def test_events_for_a_descriptor_closed_in_the_same_batch_are_dropped() -> None:
@@ -581,7 +560,6 @@
     owners = [Owner(f"old{n}", pair[0]) for n, pair in enumerate(pairs)]
     rig.loop.step()
     assert len(told) == 1 and told[0].startswith("old")
-    rig.close()
 
 
 def test_accepting_goes_on_when_descriptors_run_out(rig: Rig, monkeypatch: pytest.MonkeyPatch) -> None:
@@ -598,7 +576,7 @@
     client = rig.asked(ask("x"))
     rig.wait(0.1)
     rig.serve_all()
-    assert status(client.answer()) == 200 and not fails
+    assert client.status() == 200 and not fails
     assert len(rig.front.clients) < len(idle) + 1, "no room was made"
 
 
@@ -606,13 +584,8 @@
 def test_a_call_that_falls_silent_is_begun_anew_before_what_it_misses_counts_as_told(rig: Rig, wait: float
                                                                                      ) -> None:
     """What a silent watch misses counts as told 2 s after its wait; what another misses, 6 s after it."""
-    discovery = Stand()
-    rig.stands.append(discovery)
     lines = [entry("e0", rig.stands[0].port)] if wait else []
-    follower = Follower(rig.loop, ("127.0.0.1", discovery.port), rig.decoder, 10.0 if wait < 20 else 0.0,
-                        rig.decoder.decode({"generation": 41, "reset": True, "instances": lines}))
-    follower.core = rig.core
-    follower.want()
+    followed(rig, *lines, within=10.0 if wait < 20 else 0.0).want()
     silent, asked_at = only(rig.got()), rig.loop.now()
     assert f"wait={wait * 1000:.0f}" in silent.target if wait else silent.target == "/v1/endpoints"
     while not (again := rig.got()):
@@ -625,11 +598,7 @@
 
 
 def test_what_is_silent_twice_is_a_failure_and_a_change_is_followed_at_once(rig: Rig) -> None:
-    discovery = Stand()
-    rig.stands.append(discovery)
-    known = rig.decoder.decode({"generation": 41, "reset": True, "instances": [entry("e0", 9)]})
-    follower = Follower(rig.loop, ("127.0.0.1", discovery.port), rig.decoder, 10.0, known)
-    follower.core = rig.core
+    follower = followed(rig, entry("e0", 9))
     follower.want()
     calls = rig.got()
     while rig.watches == 1:  # the module's own, at its start
@@ -646,11 +615,7 @@
 
 def test_a_pushed_list_is_had_at_once_after_an_outage_with_no_pause_drawn(rig: Rig) -> None:
     """What the agent holds counts as told whether or not a watch is open; the grace of a drain is 0.5 s."""
-    discovery = Stand()
-    rig.stands.append(discovery)
-    known = rig.decoder.decode({"generation": 41, "reset": True, "instances": [entry("e0", 9)]})
-    follower = Follower(rig.loop, ("127.0.0.1", discovery.port), rig.decoder, 0.0, known, pushed=True)
-    follower.core = rig.core
+    followed(rig, entry("e0", 9), within=0.0, pushed=True)
     for n in range(20):  # an outage: each call fails; nobody has to want the next
         before = rig.loop.now()
         while not (calls := rig.got()):
@@ -667,12 +632,7 @@
 
 
 def test_discovery_that_answers_at_once_with_nothing_is_not_flooded(rig: Rig) -> None:
-    discovery = Stand()
-    rig.stands.append(discovery)
-    follower = Follower(rig.loop, ("127.0.0.1", discovery.port), rig.decoder, 10.0,
-                        rig.decoder.decode({"generation": 0, "reset": True, "instances": []}))
-    follower.core = rig.core
-    follower.want()
+    followed(rig, generation=0).want()
     first = only(rig.got())
     assert first.target == "/v1/endpoints"  # nothing is known: the whole list
     first.tell(1, True, entry("e0", rig.stands[0].port))
@@ -686,11 +646,7 @@
 
 
 def test_a_list_older_than_the_known_one_costs_that_answer_alone(rig: Rig) -> None:
-    discovery = Stand()
-    rig.stands.append(discovery)
-    follower = Follower(rig.loop, ("127.0.0.1", discovery.port), rig.decoder, 10.0, rig.decoder.decode(
-        {"generation": 41, "reset": True, "instances": [entry("e0", rig.stands[0].port)]}))
-    follower.core = rig.core
+    follower = followed(rig, entry("e0", rig.stands[0].port))
     rig.tell(entry("e0", rig.stands[0].port, "DRAINING"))
     follower.want()
     for whole in (True, False):
@@ -713,9 +669,7 @@
     rig = Rig(endpoints=1)
     stand = rig.stands[0]
     rig.asked(ask("x"))
-    first = only(rig.got())
-    first.answer(200)
-    rig.settle()
+    first = rig.serve()
     rig.tell(entry("e0", stand.port, "DELETED"), entry("e9", stand.port))
     rig.settle()
     client = rig.asked(ask("y", "book"))
@@ -723,8 +677,7 @@
     assert first.gone() and got.sock is not first.sock, "sent on a connection of the one that is gone"
     got.answer(200)
     rig.settle()
-    assert status(client.answer()) == 200 and set(rig.balancer.endpoints) == {"e9"}
-    rig.close()
+    assert client.status() == 200 and set(rig.balancer.endpoints) == {"e9"}
 
 
 def test_stand_in_is_found_again_at_its_new_address(rig: Rig) -> None:
@@ -732,6 +685,5 @@
     rig.stands.append(moved)
     rig.tell(entry("e0", moved.port), whole=True)
     client = rig.asked(ask("x"))
-    only(rig.got()).answer(200)
-    rig.settle()
-    assert status(client.answer()) == 200 and moved.accepted == 1
+    rig.serve()
+    assert client.status() == 200 and moved.accepted == 1
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -6,7 +6,6 @@
 import random
 import socket
 import tracemalloc
-from collections.abc import Iterator
 
 import h11
 import pytest
@@ -19,13 +18,6 @@
 LONG = random.Random(5).randbytes(1_500_000)
 
 
-@pytest.fixture
-def rig() -> Iterator[Rig]:
-    made = Rig()
-    yield made
-    made.close()
-
-
 class Reader:
     """Reads what a socket gives, without waiting."""
 
