A trip and a failed trial are kept within a second, so that none is paid for twice after a kill

What left its mark on an endpoint since the last writing, up to `every` (5 s) before, was lost with a killed process: a trial that had just failed was made again at once, an endpoint that had just gone out was found out anew. Seen in a probe of a restart: a trial 3.9 s before the door opened came again 1.0 s after it.

Once a second the endpoints that are out, and since when, are held against the last record, which is written where they differ.

--- a/rainspindle/lab/fleet/restarts.py
+++ b/rainspindle/lab/fleet/restarts.py
@@ -143,7 +143,7 @@
 
 
 def tables(way: str, evidence: bool = False) -> Callable[[str], dict[str, Any]]:
-    keep: dict[str, Any] = {} if way == "neither" else {"keep": {"every": 2.0}}
+    keep: dict[str, Any] = {} if way == "neither" else {"keep": {}}
     return lambda name: {**keep, **({"evidence": {}} if evidence else {})}
 
 
--- a/rainspindle/program/fleet/keep.py
+++ b/rainspindle/program/fleet/keep.py
@@ -42,6 +42,7 @@
 KNOWS_AFTER = 10.0  # seconds in service after which a member has something to tell
 MOST_TOWARD = 50  # newcomers that are told at once by one writing of the word
 LASTS = 30.0  # seconds after the start in which endpoints get what was kept or told of them, if not met yet
+OUT_LOOK = 1.0  # seconds between looks at what is out, which is written where it has changed
 STALLED = 2.0  # seconds after which a writing is told to be stalled
 # The age that a kept cell is given at most: what it says is true at any age, or overtaken.
 OLDEST_CELL = 3600.0
@@ -187,6 +188,8 @@
         self.words = self.unread = 0
         self.written_mark: object = None
         self.written_cells: list[forms.OwnCell] = []
+        self.written_out: list[tuple[str, float]] = []
+        self.out_at = self.begun  # when it is looked at next
         self.write_at, self.tell_at, self.told_at = self.begun, self.begun + KNOWS_AFTER, -math.inf
         self.last_word = b""
         self.newcomers: list[str] = []
@@ -338,8 +341,13 @@
             return now + 1.0
         self.tell_due(now)
         # Guards against an abort that is heard and forgotten, where the canary's own file is lost with the
-        # process: what was decided here is written at once.
-        if not self.left and (now >= self.write_at or self.own_cells() != self.written_cells):
+        # process: what was decided here is written at once. And against a trial, or a trip, that is paid for
+        # twice: these are written within a second.
+        news = self.own_cells() != self.written_cells
+        if now >= self.out_at:
+            self.out_at = now + OUT_LOOK
+            news = news or self.out() != self.written_out
+        if not self.left and (now >= self.write_at or news):
             self.write_at = now + self.table.every
             self.write(now)
         self.look()
@@ -382,13 +390,18 @@
                 if not name.startswith(WRITTEN_ANEW)
                 and (not name.startswith("canary/") or name.endswith("/state"))][-MOST_CELLS:]
 
+    def out(self) -> list[tuple[str, float]]:
+        """The endpoints that are out, and since when."""
+        return [(e.id, e.breaker.since) for balancer in self.sides().values() for e in balancer.touched
+                if e.breaker]
+
     def write(self, now: float, anyway: bool = False) -> None:
         """Where anything is new. A successor beside this process writes in its place."""
-        writer, self.written_cells = self.lasting.writer, self.own_cells()
+        writer, self.written_cells, self.written_out = self.lasting.writer, self.own_cells(), self.out()
         if writer is None or getattr(self.ground.members, "handed_over", False):
             return
         taken = [core.taken for core in self.cores().values()]
-        mark = (taken, self.written_cells, self.ground.members.own_life)
+        mark = (taken, self.written_cells, self.written_out, self.ground.members.own_life)
         if mark == self.written_mark and not anyway and not writer.outcome.fault:
             return
         self.written_mark = mark
--- a/tests/test_keep.py
+++ b/tests/test_keep.py
@@ -317,6 +317,27 @@
     second.close()
 
 
+def test_a_trip_and_a_failed_trial_are_kept_within_a_second_whatever_every_is(tmp_path: Path) -> None:
+    start = Start(tmp_path, table=KeepPart(every=600.0))
+    writer = start.run.lasting.writer
+    assert writer is not None
+
+    def writes_in(seconds: float) -> int:
+        before = writer.outcome.writes
+        for _ in range(round(seconds * 10)):
+            start.rig.loop.time += 0.1
+            start.run.tick(start.rig.loop.now())
+            assert writer.flush(20.0)
+        return writer.outcome.writes - before
+    start.run.tick(start.rig.loop.now())
+    assert writer.flush(20.0) and writes_in(3.0) == 0, "nothing is new"
+    trip(start, "e1")
+    assert writes_in(3.0) == 1
+    start.balancer.endpoints["e1"].breaker.failed(start.rig.loop.now())
+    assert writes_in(3.0) == 1
+    start.close()
+
+
 def test_a_start_is_known_again_whatever_clocks_did_and_what_is_known_by_now_is_not_overruled(
         tmp_path: Path) -> None:
     first = Start(tmp_path)
