An abort answered right before a kill is known again, and late word is played to its end

The abort's test also kills the member right after the answer, with the canary's own file left: the run that was aborted last is known at the next start. The herd in virtual time is played until word counts no more.

--- a/rainspindle/lab/fleet/starters.py
+++ b/rainspindle/lab/fleet/starters.py
@@ -23,7 +23,7 @@
 from ...decisions.members.members import Member
 from ...host import Effect, Group, Listed, State, TrafficType
 from ...logic import Balancer, ColdBudget
-from ...program.fleet.keep import KNOWS_AFTER, KeepPart, KeepRun
+from ...program.fleet.keep import KNOWS_AFTER, LASTS, KeepPart, KeepRun
 from . import restarts
 from .processes import Fleet
 from .virtual import Process, World
@@ -102,6 +102,7 @@
             world.run(begun + second)
             self.sent.append(self.teller.sent - before)
             before = self.teller.sent
+        world.run(begun + over + LASTS)
         self.starters = [kept for name, kept in self.all.items() if name != "m0"]
         self.doors = sorted(kept.opened - kept.began for kept in self.starters)
         self.told = sum(kept.run.taken["members"] == [DEAD] for kept in self.starters)
--- a/tests/test_keep_processes.py
+++ b/tests/test_keep_processes.py
@@ -247,3 +247,9 @@
             (fleet[name].folder / "kept" / "canary-next.state").unlink(missing_ok=True)
         fleet.start("a")
         wait_until(lambda: aborted("a"), 10.0, "it has not forgotten")
+        # And of what was answered right before the kill, the canary's own file tells.
+        assert fleet["a"].call("POST", "/-/canaries/next/start").status == 200
+        run = fleet["a"].call("POST", "/-/canaries/next/abort").body["run"]
+        fleet["a"].kill()
+        fleet.start("a")
+        assert aborted("a") and fleet["a"].call("GET", "/-/canaries").body["canaries"][0]["run"] == run
