--- a/rainspindle/lab/walletcheck.py
+++ b/rainspindle/lab/walletcheck.py
@@ -16,7 +16,7 @@
 from ..decisions.wallet.account import SHIFT, Account, Holding, Row, Trust
 from .explore import Found, explore
 
-Frozen = tuple[Any, ...]  # a row: account, number, spent, back, topped, given, got, off, barred
+Frozen = tuple[Any, ...]  # a row: account, number, spent, back, topped, given, got, off, rests, barred
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,12 +81,12 @@
 
 def frozen(row: Row) -> Frozen:
     return (row.account, row.number, row.spent, row.back, row.topped, tuple(sorted(row.given.items())),
-            tuple(sorted(row.got.items())), tuple(sorted(row.off.items())), row.barred)
+            tuple(sorted(row.got.items())), tuple(sorted(row.off.items())), row.rests, row.barred)
 
 
 def thawed(row: Frozen) -> Row:
-    account, number, spent, back, topped, given, got, off, barred = row
-    return Row(account, number, spent, back, topped, dict(given), dict(got), dict(off), barred)
+    account, number, spent, back, topped, given, got, off, rests, barred = row
+    return Row(account, number, spent, back, topped, dict(given), dict(got), dict(off), barred, rests)
 
 
 def name(member: int) -> str:
--- a/rainspindle/program/fleet/wallet.py
+++ b/rainspindle/program/fleet/wallet.py
@@ -19,6 +19,7 @@
 from ...decisions.members.members import Member, Standing
 from ...decisions.shared.cells import MOST_NAME, Cell
 from ...decisions.wallet.account import SHIFT, Row, Trust
+from ...decisions.wallet.register import Register
 from ...decisions.wallet.wallet import Rules, Wallet
 from ...errors import Trouble
 from ...protocol import wallet as words
@@ -144,7 +145,7 @@
         words.VERSION, row.account, row.number, row.spent, row.back, row.topped,
         [(*who, total) for who, total in row.given.items()],
         [(*who, total) for who, total in row.got.items()],
-        list(row.off.items()), row.barred, boot, rules.home, rules.books))
+        list(row.off.items()), row.barred, boot, rules.home, rules.books, row.rests))
 
 
 def decode_row(value: bytes) -> tuple[Row, KeptRow]:
@@ -153,7 +154,7 @@
     return Row(kept.account, kept.row, kept.spent, kept.back, kept.topped,
                {(name, account): total for name, account, total in kept.given},
                {(name, account): total for name, account, total in kept.got},
-               dict(kept.off), kept.barred), kept
+               dict(kept.off), kept.barred, kept.rests), kept
 
 
 class WalletRun:
@@ -172,6 +173,7 @@
         self.urged: set[Wallet] = set()
         self.numbers = 0
         self.unsaved: set[Wallet] = set()
+        self.unsure: set[Wallet] = set()
         self.batch: list[Wallet] = []
         self.batch_number, self.batch_at = 0, math.inf
         self.again_at = -math.inf
@@ -189,9 +191,11 @@
         if ground.folder is None:
             raise WalletTrouble("wallets need a folder that lasts", "name one in [members] folder")
         self.store = Kept(ground.folder, "wallets", self.own, self.store_told)
+        self.register = Register(self.cells, self.loop.now())
         self.take_members()
         self.take_tables(self.loop.now(), tables)
         self.cells.on_change("wallet/", self.heard)
+        self.cells.on_change("swept/wallet", self.heard_own)
         self.store.start()
         self.worker = self.loop.spawn(self.loop.lasting(self.work))
 
@@ -224,8 +228,11 @@
             self.parts[name] = part
             rules = rules_of(part, types, eager)
             wallet = self.wallets.get(name) or self.shelf.pop(name, None) or Wallet(
-                name, self.own, self.ground.members.own_life, rules, self, now, secrets.randbits(9))
+                name, self.own, self.ground.members.own_life, rules, self, now, secrets.randbits(9),
+                self.register)
             fresh = name not in self.wallets
+            if wallet.rules != rules:
+                wallet.speak()
             wallet.rules, self.wallets[name] = rules, wallet
             if fresh and wallet.loaded:
                 wallet.out = False
@@ -257,10 +264,15 @@
     def heard(self, now: float, cell: Cell) -> None:
         name, _, to = cell.name.removeprefix("wallet/").partition("/t/")
         wallet = self.wallets.get(name)
-        if wallet is None or not cell.value or (to and to != words.short(self.own)):
+        if cell.owner == self.own:
+            self.heard_own(now, cell)
+        if wallet is None or (to and to != words.short(self.own)):
             return
         try:
-            if to:
+            if not cell.value:
+                if cell.owner != self.own:
+                    (wallet.on_pair_gone if to else wallet.on_gone)(now, cell.owner)
+            elif to:
                 if cell.owner != self.own:
                     wallet.on_pair(now, cell.owner, words.decode_pair(cell.value))
             elif cell.owner == self.own:
@@ -274,6 +286,20 @@
                 log.warning("unreadable word", extra={"fields": {
                     "from": cell.owner, "why": fault, "remedy": fault.remedy}})
 
+    def heard_own(self, now: float, cell: Cell) -> None:
+        if cell.owner == self.own and cell.life < self.ground.members.own_life and cell.value:
+            older = self.register.old
+            if self.register.heard_own(cell) and self.register.old > older and self.found is not None:
+                self.older_folder(now)
+            self.worker.wake()
+
+    def older_folder(self, now: float) -> None:
+        log.error("wallets: others know a later state of this folder, what it holds is not spent",
+                  extra={"fields": {"folder": self.ground.folder, "remedy": "stop the process and move the "
+                                    "newest folder back, or write the old life off at the home"}})
+        for wallet in self.wallets.values():
+            wallet.older_folder(now)
+
     def replay(self, now: float, wallet: Wallet) -> None:
         """What was told while this wallet was not looked at."""
         for name in (words.word_cell(wallet.name), words.pair_cell(wallet.name, self.own)):
@@ -331,11 +357,13 @@
                 self.troubled = self.stalled = False
                 log.info("wallets are written again")
             batch, self.batch, self.batch_at = self.batch, [], math.inf
+            self.register.written(done.number)
             for wallet in batch:
                 wallet.written(now)
 
     def opened(self, now: float, found: Found) -> None:
         self.found = found
+        self.register.opened(found.number)
         if self.troubled:
             self.troubled = False
             log.info("wallets are open", extra={"fields": {"folder": self.ground.folder}})
@@ -347,6 +375,8 @@
             self.unclaimed.setdefault(key.lstrip("-#").partition("/")[0], {})[key] = value
         for wallet in self.wallets.values():
             self.load(now, wallet)
+        if self.register.old > found.number:
+            self.older_folder(now)
 
     def load(self, now: float, wallet: Wallet) -> None:
         assert self.found is not None
@@ -370,9 +400,11 @@
             row, kept, aged = rows[last]
             self.boots[wallet] = kept.boot
             old = [rows[account][0] for account in sorted(rows) if account != last]
-            trust = Trust.OLD if aged else (
+            trust = Trust.OLD if aged or self.register.old > self.found.number else (
                 Trust.SURE if self.boots[wallet] == self.found.boot else Trust.UNSURE)
             wallet.load(now, row, ids, old, trust)
+            if wallet.unsure:
+                self.unsure.add(wallet)
             if kept.home not in ("", self.own) and kept.books == wallet.rules.books:
                 wallet.came_home()
         self.replay(now, wallet)
@@ -398,8 +430,30 @@
                 rows[f"#{wallet.name}/{id}"] = b"%d" % wallet.account.ids[id]
             self.batch.append(wallet)
         if rows:
-            self.batch_number, self.batch_at = self.batch_number + 1, now
-            self.store.write(rows, self.batch_number)
+            self.write(now, rows)
+
+    def write(self, now: float, rows: dict[str, bytes]) -> None:
+        self.batch_number, self.batch_at = self.batch_number + 1, now
+        self.store.write(rows, self.batch_number, self.register.over if self.all_sure() else 0)
+
+    def all_sure(self) -> bool:
+        self.unsure = {wallet for wallet in self.unsure if wallet.unsure}
+        return not self.unsure
+
+    def sweep(self, now: float) -> float:
+        """Takes away the cells that are needed no more; when to look again."""
+        if self.batch_at < math.inf or self.found is None or self.handing:
+            return math.inf  # until that has been told
+        at = max(self.register.due, self.again_at)
+        if now < at:
+            return at
+        if not self.all_sure():
+            return now + STALLED
+        if self.register.ready:
+            self.register.sweep(now)
+            return math.inf
+        self.write(now, {})
+        return math.inf
 
     def hand_on(self, now: float) -> None:
         """A process that came later waits for the folder: this one spends no more."""
@@ -433,11 +487,12 @@
             if wallet.planned == number:
                 self.look(now, wallet)
         self.begin_batch(now)
+        sweep_at = self.sweep(now)
         if self.batch and now - self.batch_at > STALLED and not self.stalled and not self.troubled:
             self.stalled = True
             log.error("wallets: the disk has stalled, spending goes on by what is written", extra={"fields": {
                 "folder": self.ground.folder, "remedy": "see what holds up the disk; it goes on by itself"}})
-        until = self.due[0][0] if self.due else math.inf
+        until = min(self.due[0][0] if self.due else math.inf, sweep_at)
         if self.batch and not self.stalled:
             until = min(until, self.batch_at + STALLED + PACE)
         if self.unsaved and not self.batch:
@@ -550,6 +605,7 @@
             "paused_since": None if wallet.paused_since is None else round(now - wallet.paused_since, 2),
             "state": "closed" if not wallet.loaded or self.handed_on else
                      "unsure" if wallet.unsure else "leaving" if wallet.leaving else
+                     "at rest" if account.row.rests or wallet.silent else
                      "paused" if wallet.paused_since is not None else "open",
             "refused": wallet.refused, "not_spent": wallet.lost, "topped_up": account.kept.topped,
             "written_off": {member: account >> SHIFT for member, account in off.items()},
--- a/tests/test_wallet.py
+++ b/tests/test_wallet.py
@@ -406,7 +406,8 @@
     shelf = Shelf(tmp_path)
     found = shelf.found()
     assert found.fresh and not found.rows
-    assert shelf.write(x=b"1", y=b"2") == Done(batch=1) and shelf.write(x=b"3") == Done(batch=2)
+    assert shelf.write(x=b"1", y=b"2") == Done(batch=1, number=1) \
+        and shelf.write(x=b"3") == Done(batch=2, number=2)
     shelf.kept.close()
     for _ in range(3):
         found = opened(tmp_path)
@@ -583,15 +584,17 @@
     if fault == "full":
         pages = store.database.execute("PRAGMA page_count").fetchone()[0]
         store.database.execute(f"PRAGMA max_page_count={pages}")
-        store.put = lambda rows: put({**rows, "ballast": bytes(100_000)})  # type: ignore[method-assign]
+        def ballast(rows: dict[str, bytes], over: int = 0) -> None:
+            put({**rows, "ballast": bytes(100_000)}, over)
+        store.put = ballast  # type: ignore[method-assign]
     elif fault == "read-only":
         store.database.execute("PRAGMA query_only=ON")
     else:
         stuck = time.monotonic() + 1.5
 
-        def late(rows: dict[str, bytes]) -> None:
+        def late(rows: dict[str, bytes], over: int = 0) -> None:
             time.sleep(max(0.0, stuck - time.monotonic()))
-            put(rows)
+            put(rows, over)
         store.put = late  # type: ignore[method-assign]
     done = spend(t, "a", seconds=0.5)
     assert done == 10 and logged("can't be written" if fault != "stalled" else "has stalled") == 1
