--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -542,8 +542,10 @@
 
     def close(self) -> None:
         self.made.remove(self)
-        for one in (*self.stands, *self.clients):
-            one.close()
+        for stand in self.stands:
+            stand.close()
+        for client in self.clients:
+            client.close()
         self.listener.close()
         for connection in [*self.front.clients, *(c for idle in self.pool.idle.values() for c in idle)]:
             connection.close()
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -23,7 +23,6 @@
 from rainspindle.routing.follow import Follower
 
 from .fleet import Rig, Stand, entry, only
-from .test_relay import rig as rig  # the fixture
 
 WITHIN = 10.0
 NAMES = [f"s{n}" for n in range(20)]
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -312,14 +312,13 @@
     rig = Rig(1)
     warm = rig.asked(ask("warm"))
     rig.serve_all()
-    assert status(warm.answer()) == 200
+    assert warm.status() == 200
     leaving = warm if kept else rig.client()
     leaving.send(ask("x"))
     if kept:
         rig.loop.step()  # the request is seen, and its turn has not come
     leaving.close()
     assert rig.got() == [] and rig.core.held == {}
-    rig.close()
 
 
 def test_connection_that_does_not_come_up_never_ran() -> None:
@@ -662,7 +661,6 @@
             rig.wait(0.05)
         assert rig.loop.now() - before < 3.0
         only(calls).reset()
-    rig.close()
 
 
 def test_discovery_that_answers_at_once_with_nothing_is_not_flooded(rig: Rig) -> None:
