Sites' gateways and the SQL front are played on processes of two builds

A second older build (the first that shares evidence, the list and kept state) is rolled there and back with all three on in both, read and written against the golden forms, and played in virtual time; several older builds can be loaded at once. A copy without history ends commands with status 2 and what to do.

--- a/rainspindle/lab/fleet/builds.py
+++ b/rainspindle/lab/fleet/builds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import argparse
 import importlib
 import io
 import shutil
@@ -13,10 +14,13 @@
 from types import ModuleType
 
 from ...errors import Trouble
+from ...program.fleet.config import SINGLE
 from ..sockets.run import ROOT
 
 OLDER = "da1b17a675a2e7222a85344944db49a08a470708"  # the last release: members, wallets and canaries, no more
-ALIAS = "rainspindle_older"  # the name by which its modules stand beside those of this build in one process
+SHARING = "7c815eaacd5a4355192d5ccc45af764177ff31a7"  # evidence, the relayed list and kept state too
+TABLES = {SHARING: ("evidence", "list", "keep")}  # of the fleet file that not every older build knows
+BY_NAME = {"0.2": OLDER, "sharing": SHARING}
 
 
 class NoBuild(Trouble):
@@ -31,18 +35,19 @@
 
     name: str
     root: Path
+    tables: tuple[str, ...] = ()  # of the fleet file that not every build knows
+    alias: str = "rainspindle"  # the package's name beside those of other builds in one process
 
     def module(self, name: str) -> ModuleType:
-        """A module of an older build in this process, by its name below the package; its imports are its
-        own. One older build alone can be loaded so."""
+        """A module of this build in this process, by its name below the package; its imports are its own."""
         if str(self.root) not in sys.path:
             sys.path.append(str(self.root))
-        found = importlib.import_module(f"{ALIAS}.{name}")
+        found = importlib.import_module(f"{self.alias}.{name}")
         assert found.__file__ is not None and Path(found.__file__).is_relative_to(self.root)
         return found
 
 
-THIS = Build("new", ROOT)
+THIS = Build("new", ROOT, tuple(name for name in SINGLE if name != "members"))
 
 
 def changed(folder: Path, module: str, text: str, other: str) -> Build:
@@ -55,14 +60,15 @@
     if text not in source:
         raise ValueError(f"{module} has no {text!r}")
     path.write_text(source.replace(text, other))
-    return Build("changed", folder)
+    return Build("changed", folder, THIS.tables)
 
 
 def older(folder: Path, commit: str = OLDER, root: Path = ROOT) -> Build:
-    """The package as it was at a commit of the repository at `root`, laid out in `folder`, which must be
-    empty or hold just that. Raises NoBuild."""
-    build = Build("old", folder)
-    if (folder / ALIAS).exists():
+    """The package as it was at a commit of the repository at `root`, laid out below `folder`, where more than
+    one may be. Raises NoBuild."""
+    place = folder / commit[:12]
+    build = Build("old", place, TABLES.get(commit, ()), f"rainspindle_{commit[:12]}")
+    if (place / build.alias).exists():
         return build
     try:
         done = subprocess.run(["git", "archive", commit, "rainspindle"], cwd=root, capture_output=True,
@@ -73,6 +79,19 @@
         why = done.stderr.decode(errors="replace").strip().splitlines()
         raise NoBuild(f"no build of {commit[:12]}: {why[-1] if why else 'git archive failed'}")
     with tarfile.open(fileobj=io.BytesIO(done.stdout)) as tar:
-        tar.extractall(folder, filter="data")
-    (folder / ALIAS).symlink_to("rainspindle")
+        tar.extractall(place, filter="data")
+    (place / build.alias).symlink_to("rainspindle")
     return build
+
+
+def given(options: argparse.Namespace, folder: Path) -> Build:
+    """The older build that a command was asked for; ends the process with status 2 where it cannot be had."""
+    try:
+        return older(folder, BY_NAME[options.older])
+    except NoBuild as fault:
+        print(f"rainspindle: {fault.line()}", file=sys.stderr)
+        raise SystemExit(2) from None
+
+
+def add_older(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--older", choices=BY_NAME, default="0.2", help="the older build; default: 0.2")
--- a/rainspindle/lab/fleet/day.py
+++ b/rainspindle/lab/fleet/day.py
@@ -139,22 +139,38 @@
         except NotInTime as fault:
             raise SocketsFault(str(fault)) from None
 
+    @property
+    def now(self) -> float:
+        """Seconds since the start of the run."""
+        return time.monotonic() - self.start
+
     def keep_time(self, on_second: Callable[[float], None]) -> None:
-        while (now := time.monotonic() - self.start) < self.world.end:
+        while not self.is_over(now := self.now):
             self.player.due(now)
             for n, sidecar in enumerate(self.fleet.sidecars.values()):
                 self.take_over(n)
                 if not sidecar.runs and not self.player.is_away(sidecar.name):
                     raise SocketsFault(f"{sidecar.name} ended: {sidecar.log_end}")
             while self.calls and self.calls[0].at <= now:
-                caller = threading.Thread(target=self.make, args=(self.calls.pop(0),), daemon=True)
-                self.callers.append(caller)
-                caller.start()
+                self.call(self.calls.pop(0))
+            self.step()
             on_second(now)
             time.sleep(0.02)
         self.killed = {int(away.name[1:]) for away in self.player.away}
         self.settle()
 
+    def is_over(self, now: float) -> bool:
+        return now >= self.world.end
+
+    def step(self) -> None:
+        """What a kind of day does beside its schedule and its calls."""
+
+    def call(self, call: Call) -> threading.Thread:
+        caller = threading.Thread(target=self.make, args=(call,), daemon=True)
+        self.callers.append(caller)
+        caller.start()
+        return caller
+
     def make(self, call: Call) -> None:
         """Makes a call until a member takes it or the day is over."""
         while time.monotonic() - self.start < self.world.end:
--- a/rainspindle/lab/fleet/mixed.py
+++ b/rainspindle/lab/fleet/mixed.py
@@ -7,13 +7,12 @@
 rolled. The network, the disk and the traffic are modelled (`virtual.py`); the processes' loops and files are
 not played here, but by `rolling.py`. A round is five minutes: a top-up, a canary begun and aborted at a
 member of either build, one fault, and one member of each build rolled to the other, so that halves stay
-halves. Exit status 0 if all held, 3 if not.
+halves. Exit status 0 if all held, 2 where the older build cannot be had, 3 if not.
 """
 
 from __future__ import annotations
 
 import argparse
-import importlib
 import json
 import math
 import random
@@ -27,7 +26,7 @@
 from types import ModuleType
 from typing import Any
 
-from .builds import Build, older
+from .builds import THIS, Build, add_older, given
 from .virtual import App, Engine, Process, World
 
 ROUND, EVERY = 300.0, 5.0  # seconds; of those between two exchanges of a member
@@ -49,7 +48,7 @@
     @classmethod
     def of(cls, old: Build) -> tuple[Parts, Parts]:
         """Those of the older build, and of this one."""
-        return cls("old", old.module), cls("new", lambda name: importlib.import_module(f"rainspindle.{name}"))
+        return cls("old", old.module), cls("new", THIS.module)
 
 
 class CanaryApp:
@@ -357,11 +356,12 @@
                 return f"{name} lacks cells of {behind}; its canary is {self.app(name)[0].canary.standing}"
         return "" if self.world.agreed() else "not all hold all for alive"
 
-    def play(self, rounds: int, until: float = math.inf) -> dict[str, Any]:
-        """`until`: on the steady clock, no round is begun after it."""
+    def play(self, rounds: int, most: float = math.inf) -> dict[str, Any]:
+        """`most`: seconds of the processor's time, after which no round is begun. Guards against a day that
+        ends early since its machine had other work, as it did by the clock on the wall."""
         begun = time.process_time()
         for number in range(rounds):
-            if time.monotonic() > until:
+            if time.process_time() - begun > most:
                 break
             self.round(number)
         for process in self.world.processes.values():
@@ -382,13 +382,14 @@
     parser.add_argument("--hours", type=float, default=24.0)
     parser.add_argument("--members", type=int, default=8)
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--minutes", type=float, default=math.inf, help="of real time, after which it ends")
+    parser.add_argument("--minutes", type=float, default=math.inf,
+                        help="of the processor's time, after which it ends")
+    add_older(parser)
     options = parser.parse_args(arguments)
     with tempfile.TemporaryDirectory(prefix="rainspindle-mixed-") as folder:
-        day = Mixed(older(Path(folder)), options.members, options.seed)
-        found = day.play(max(1, round(options.hours * 3600 / ROUND)),
-                         time.monotonic() + 60 * options.minutes)
-    print(json.dumps({"seed": options.seed, "members": options.members, **found}))
+        day = Mixed(given(options, Path(folder)), options.members, options.seed)
+        found = day.play(max(1, round(options.hours * 3600 / ROUND)), 60 * options.minutes)
+    print(json.dumps({"seed": options.seed, "older": options.older, "members": options.members, **found}))
     return 3 if found["broken"] else 0
 
 
--- a/rainspindle/lab/fleet/rolling.py
+++ b/rainspindle/lab/fleet/rolling.py
@@ -1,15 +1,15 @@
 """A fleet of an older build brought to this one, member by member, and back: under load, and with faults.
 
     python -m rainspindle.lab.fleet.rolling --seed 3
-    python -m rainspindle.lab.fleet.rolling --seed 3 --members 8 --half 600
-
-All members run the older build; one after the other is brought to this one, every second as a successor
-beside its predecessor, the others by an end and a new start. Half way the fleet stays mixed: while it is cut
-in two, one is killed and one stalls, or for `--half` seconds with faults drawn from the seed. What only this
-build has is switched on in its fleet files alone, as the older one refuses tables that it does not know. Then
-the same way back, down to the folders, and one member there and back once more. A wallet is under way all the
-time, an endpoint is left out by order, one canary is aborted at an old member and another at a new one. Exit
-status 0 if all held, 3 if not.
+    python -m rainspindle.lab.fleet.rolling --seed 3 --members 8 --half 600 --older sharing
+
+All members run an older build, `--older` says which; one after the other is brought to this one, every second
+as a successor beside its predecessor, the others by an end and a new start. Half way the fleet stays mixed:
+while it is cut in two, one is killed and one stalls, or for `--half` seconds with faults drawn from the seed.
+All that a build can share is switched on in its own fleet files, as it refuses tables that it does not know.
+Then the same way back, down to the folders, and one member there and back once more. A wallet is under way
+all the time, an endpoint is left out by order, one canary is aborted at an old member and another at a new
+one. Exit status 0 if all held, 2 where the older build cannot be had, 3 if not.
 """
 
 from __future__ import annotations
@@ -21,24 +21,22 @@
 import subprocess
 import sys
 import tempfile
-import threading
 import time
 from collections import Counter
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
-from ...program.fleet.config import SINGLE
 from ...protocol import members as wire
 from .. import experiment
 from ..ledger import Ledger
 from ..sockets.run import SocketsFault
 from ..world import World
 from . import schedule as faults
-from .builds import THIS, Build, older
+from .builds import THIS, Build, add_older, given
 from .day import FILE, SETTLED, Day, DayRun, Plan, judged, names
 from .judge import HEARD, IN_FORCE, PRICES, TOP_UPS, Call, Called, canary_lags, judge_canary
 from .processes import PATIENCE, NotInTime, Sidecar, reserve_port, wait_until
@@ -53,9 +51,9 @@
         "not the one that was written last", "configuration refused", "fleet file refused")
 
 
-def new_tables() -> dict[str, Any]:
-    """The tables of the fleet file that an older build may not know, each with what it has by default."""
-    return {name: {} for name in SINGLE if name != "members"}
+def more_tables(build: Build) -> dict[str, Any]:
+    """The tables of the fleet file that not every build knows, each with what it has by default."""
+    return {name: {} for name in build.tables}
 
 
 def mixed(seed: int, members: Sequence[str], half: Sequence[str], length: float) -> Schedule:
@@ -88,7 +86,7 @@
         super().__init__(world, folder, Plan((), tuple(calls), self.tables_of))
         self.order = chance.sample(members, len(members))
         self.leaving: list[subprocess.Popen[bytes]] = []  # predecessors that have not ended yet
-        self.over = False
+        self.steps, self.over = self.script(), False
         self.played: list[Fault] = []
         self.kinds, self.cells = Counter[int](), Counter[str]()  # seen on the wire while mixed
         for sidecar in self.fleet.sidecars.values():
@@ -102,40 +100,21 @@
             "short": 2.0, "stages": [{"part": 0.1, "time": 1.0, "exchanges": 10},
                                      {"part": 0.4, "time": 3600.0, "exchanges": 50}]}
             for canary, endpoints in CANARIES.items()]
-        more = new_tables() if self.builds[name] is not self.old else {}
-        return {"wallet": [wallet], "canary": canaries, **more}
+        return {"wallet": [wallet], "canary": canaries, **more_tables(self.builds[name])}
 
     # The run.
 
-    @property
-    def now(self) -> float:
-        return time.monotonic() - self.start
-
-    def keep_time(self, on_second: Callable[[float], None]) -> None:
-        script = self.script()
-        while not self.over or self.now < self.world.end:
-            now = self.now
-            if now > self.world.end + LATE:
-                raise SocketsFault("the members were not brought there and back in time")
-            self.player.due(now)
-            for n, sidecar in enumerate(self.fleet.sidecars.values()):
-                self.take_over(n)
-                if not sidecar.runs and not self.player.is_away(sidecar.name):
-                    raise SocketsFault(f"{sidecar.name} ended: {sidecar.log_end}")
-            while self.calls and self.calls[0].at <= now:
-                self.call(self.calls.pop(0))
-            next(script, None)
-            on_second(now)
-            time.sleep(0.02)
-        self.killed = {int(away.name[1:]) for away in self.player.away}
-        self.settle()
-        self.beside += self.kept_faults()
+    def is_over(self, now: float) -> bool:
+        if now > self.world.end + LATE:
+            raise SocketsFault("the members were not brought there and back in time")
+        return self.over and now >= self.world.end
+
+    def step(self) -> None:
+        next(self.steps, None)
 
-    def call(self, call: Call) -> threading.Thread:
-        caller = threading.Thread(target=self.make, args=(call,), daemon=True)
-        self.callers.append(caller)
-        caller.start()
-        return caller
+    def settle(self) -> None:
+        super().settle()
+        self.beside += self.kept_faults()
 
     def play_rolling(self) -> Ledger:
         try:
@@ -345,16 +324,17 @@
     parser.add_argument("--half", type=float, default=0.0, help="seconds for which the fleet stays mixed")
     parser.add_argument("--same", action="store_true", help="roll to the older build itself, to compare with")
     parser.add_argument("--folder", type=Path, help="where files and logs are kept; default: nowhere")
+    add_older(parser)
     options = parser.parse_args(arguments)
     size = Size(options.members, 12.0 * options.members, options.length or 35.0 + 5.0 * options.members
                 + options.half)
     with tempfile.TemporaryDirectory(prefix="rainspindle-rolling-") as folder:
         place = options.folder or Path(folder)
-        build = older(place / "build")
+        build = given(options, place / "build")
         day, run = play(size.world(options.seed), place, build, options.half, build if options.same else THIS)
     print(json.dumps({
-        "seed": options.seed, "members": options.members, "half": options.half, "same": options.same,
-        "broken": day.broken[:20],
+        "seed": options.seed, "older": options.older, "members": options.members, "half": options.half,
+        "same": options.same, "broken": day.broken[:20],
         "schedule": faults.to_values(run.plan.schedule), "figures": day.figures, "cells": sorted(run.cells),
         "kinds": sorted(run.kinds)}))
     return 3 if day.broken else 0
--- a/rainspindle/lab/mysql/trial.py
+++ b/rainspindle/lab/mysql/trial.py
@@ -13,15 +13,17 @@
 
 import argparse
 import json
+import os
 import random
 import re
-import socket
 import subprocess
 import sys
 import tempfile
 import threading
 import time
 from collections import Counter
+from collections.abc import Sequence
+from http.client import HTTPConnection, HTTPException
 from pathlib import Path
 from typing import Any
 
@@ -29,13 +31,15 @@
 import pymysql
 
 from ...transport.loop import Coroutine, Loop
+from ..fleet.processes import reserve_port
 from ..sockets.child import Orders
-from ..sockets.run import ROOT, free_port
+from ..sockets.run import ROOT
 from .database import Database, Store
 
 SERVERS, USER, PASSWORD = 5, "anna", "secret"
 PROMISED, EXPIRY = 0.6, 1.5
 WORK = 0.004
+PATIENCE = 60.0  # seconds, far beyond anything needed: no verdict hangs on speed
 ID = re.compile(r"id(\d+)")
 
 
@@ -128,34 +132,34 @@
             return "lost"
 
 
-def trial(statements: int, clients: int, seconds: float, seed: int, reads: float, front: bool
-          ) -> dict[str, Any]:
+def trial(statements: int, clients: int, seconds: float, seed: int, reads: float,
+          fronts: Sequence[Path] = (ROOT,)) -> dict[str, Any]:
+    """`fronts`: roots of the builds whose fronts serve one after the other, each a successor beside the one
+    before; with none, clients draw a server themselves."""
     stands = subprocess.Popen([sys.executable, "-m", __spec__.name, "--databases", "--seed", str(seed),
                                "--seconds", str(seconds)], cwd=ROOT, stdin=subprocess.PIPE,
                               stdout=subprocess.PIPE, text=True)
     assert stands.stdin is not None and stands.stdout is not None
     ports = json.loads(stands.stdout.readline())
-    serving = None
     with tempfile.TemporaryDirectory(prefix="rainspindle-mysql-") as folder:
+        serving = Fronts(Path(folder), ports, seed)
         try:
-            if front:
-                serving, port = start_front(Path(folder), ports, seed)
-                targets = [port]
-            else:
-                targets = ports
+            if fronts:
+                serving.start(fronts[0])
             stands.stdin.write("{}\n")
             stands.stdin.flush()
             parts = [list(range(n, statements, clients)) for n in range(clients)]
-            threads = [Client(targets, part, seconds / max(len(part), 1), seed * 1000 + n, reads)
-                       for n, part in enumerate(parts)]
+            threads = [Client([serving.port] if fronts else ports, part, seconds / max(len(part), 1),
+                              seed * 1000 + n, reads) for n, part in enumerate(parts)]
             for thread in threads:
                 thread.start()
+            for root in fronts[1:]:
+                time.sleep(seconds / len(fronts))
+                serving.replace(root)
             for thread in threads:
                 thread.join(4 * seconds + 60)
         finally:
-            if serving is not None:
-                serving.terminate()
-                serving.wait(20)
+            serving.end()
             out, _ = stands.communicate(timeout=30)
     ran = {int(id): count for id, count in json.loads(out.splitlines()[-1]).items()}
     ends = {id: end for thread in threads for id, end in thread.ends.items()}
@@ -167,47 +171,81 @@
         "in_time": float((finished & (times <= PROMISED)).mean()),
         "ran_twice": sum(count > 1 for count in ran.values()),
         "rejected_and_ran": sum(ends[id] == "rejected" for id in ran),
+        "lost_and_ran": sum(ends[id] == "lost" for id in ran),
         "finished_and_never_ran": sum(end == "finished" and id not in ran for id, end in ends.items()),
         "p50_ms": round(1000 * float(np.quantile(times, 0.5)), 2),
-        "p99_ms": round(1000 * float(np.quantile(times, 0.99)), 2), "longest_s": round(float(times.max()), 2)}
-
-
-def start_front(folder: Path, ports: list[int], seed: int) -> tuple[subprocess.Popen[bytes], int]:
-    port = free_port()
-    types = [{"name": name, "effect": effect, "promised-time": PROMISED * 1000, "expiry": EXPIRY * 1000}
-             for name, effect in (("submit", "non_idempotent"), ("read", "read_like"))]
-    known = [{"instanceId": f"e{n}", "hostPort": f"127.0.0.1:{p}", "zone": "a", "cell": 0, "weight": 1.0,
-              "lifecycle": "SERVING", "startedAtMs": 0} for n, p in enumerate(ports)]
-    (folder / "platform.json").write_text(json.dumps({
-        "name": "trial", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": seed,
-        "limits": {"cores": 1.0, "sockets": 1024},
-        "known": {"generation": 1, "reset": True, "instances": known},
-        "settings": {
-            "contract": {"ask-within": 10000, "cold": 1000, "cold-from": 0.5, "fall-multiple": 4.0,
-                         "stop-sending-within": 500, "tip-after": 3000},
-            "discovery": "on_request", "failure-domains": ["a"], "peers-total": 1, "zone": 0,
-            "policy-limits": {"cancel": True, "conn-idle": 30000, "connect-timeout": 250, "max-forwards": 4,
-                              "max-retry-after": 2000, "parallel-tries": False, "retry-after": True},
-            "traffic-types": types}}))
-    secret = folder / "anna.password"
-    secret.touch(0o600)
-    secret.write_text(PASSWORD)
-    (folder / "mysql.toml").write_text(
-        f'[mysql]\nlisten = "127.0.0.1:{port}"\nplatform = "platform.json"\ndefault = "submit"\n'
-        '[[users]]\nname = "anna"\npassword = "anna.password"\n'
-        '[[rules]]\nkinds = ["insert"]\ntraffic_type = "submit"\nkey = "column:k"\n'
-        '[[rules]]\nkinds = ["select"]\ntraffic_type = "read"\nkey = "none"\n')
-    process = subprocess.Popen([sys.executable, "-O", "-m", "rainspindle", "mysql", "--config",
-                                str(folder / "mysql.toml"), "--log-level", "error"], cwd=ROOT)
-    until = time.monotonic() + 20
-    while time.monotonic() < until:
-        try:
-            socket.create_connection(("127.0.0.1", port), 1.0).close()
-            return process, port
-        except OSError:
+        "p99_ms": round(1000 * float(np.quantile(times, 0.99)), 2), "longest_s": round(float(times.max()), 2),
+        "fronts": serving.statuses}
+
+
+class Fronts:
+    """The front as operators start it: its files, and its processes one after the other at one address."""
+
+    def __init__(self, folder: Path, ports: list[int], seed: int) -> None:
+        self.folder, self.ports, self.seed, self.port = folder, ports, seed, reserve_port()
+        self.process: subprocess.Popen[bytes] | None = None
+        self.statuses: list[int] = []  # with which those before have ended
+        secret = folder / "anna.password"
+        secret.touch(0o600)
+        secret.write_text(PASSWORD)
+        (folder / "mysql.toml").write_text(
+            f'[mysql]\nlisten = "127.0.0.1:{self.port}"\nplatform = "platform.json"\ndefault = "submit"\n'
+            '[[users]]\nname = "anna"\npassword = "anna.password"\n'
+            '[[rules]]\nkinds = ["insert"]\ntraffic_type = "submit"\nkey = "column:k"\n'
+            '[[rules]]\nkinds = ["select"]\ntraffic_type = "read"\nkey = "none"\n')
+
+    def platform(self, console: int) -> dict[str, Any]:
+        types = [{"name": name, "effect": effect, "promised-time": PROMISED * 1000, "expiry": EXPIRY * 1000}
+                 for name, effect in (("submit", "non_idempotent"), ("read", "read_like"))]
+        known = [{"instanceId": f"e{n}", "hostPort": f"127.0.0.1:{p}", "zone": "a", "cell": 0, "weight": 1.0,
+                  "lifecycle": "SERVING", "startedAtMs": 0} for n, p in enumerate(self.ports)]
+        return {
+            "name": "trial", "listen": "127.0.0.1:0", "console": f"127.0.0.1:{console}",
+            "discovery": "127.0.0.1:9", "seed": self.seed, "limits": {"cores": 1.0, "sockets": 1024},
+            "known": {"generation": 1, "reset": True, "instances": known},
+            "settings": {
+                "contract": {"ask-within": 10000, "cold": 1000, "cold-from": 0.5, "fall-multiple": 4.0,
+                             "stop-sending-within": 500, "tip-after": 3000},
+                "discovery": "on_request", "failure-domains": ["a"], "peers-total": 1, "zone": 0,
+                "policy-limits": {"cancel": True, "conn-idle": 30000, "connect-timeout": 250,
+                                  "max-forwards": 4, "max-retry-after": 2000, "parallel-tries": False,
+                                  "retry-after": True},
+                "traffic-types": types}}
+
+    def start(self, root: Path) -> None:
+        """The front of the build at `root`, beside the one before if there is one, until it can serve."""
+        console = reserve_port()
+        (self.folder / "platform.json").write_text(json.dumps(self.platform(console)))
+        self.process = process = subprocess.Popen(
+            [sys.executable, "-O", "-m", "rainspindle", "mysql", "--config", str(self.folder / "mysql.toml"),
+             "--log-level", "error"], cwd=root, env={**os.environ, "TMPDIR": str(self.folder)})
+        until = time.monotonic() + PATIENCE
+        while time.monotonic() < until and process.poll() is None:
+            connection = HTTPConnection("127.0.0.1", console, timeout=1.0)
+            try:
+                connection.request("GET", "/-/ready")
+                if connection.getresponse().status == 200:
+                    return
+            except (OSError, HTTPException):
+                pass
+            finally:
+                connection.close()
             time.sleep(0.05)
-    process.kill()
-    raise RuntimeError("the front did not start")
+        raise RuntimeError(f"the front {process.pid} did not get ready; its status is {process.poll()}")
+
+    def replace(self, root: Path) -> None:
+        before = self.process
+        try:
+            self.start(root)
+        finally:
+            self.process, next_one = before, self.process
+            self.end()
+            self.process = next_one
+
+    def end(self) -> None:
+        if self.process is not None:
+            self.process.terminate()
+            self.statuses.append(self.process.wait(PATIENCE))
 
 
 def main() -> int:
@@ -224,8 +262,8 @@
     if o.databases:
         databases(o.seed, o.seconds)
         return 0
-    found = {name: trial(o.statements, o.clients, o.seconds, o.seed, o.reads, front)
-             for name, front in (("front", True), ("random server", False))}
+    found = {name: trial(o.statements, o.clients, o.seconds, o.seed, o.reads, fronts)
+             for name, fronts in (("front", (ROOT,)), ("random server", ()))}
     if o.json:
         print(json.dumps(found))
     for name, figures in found.items() if not o.json else ():
--- a/rainspindle/lab/sockets/links.py
+++ b/rainspindle/lab/sockets/links.py
@@ -11,7 +11,8 @@
 import math
 from collections import deque
 from functools import partial
-from typing import Any
+from pathlib import Path
+from typing import IO, Any
 
 from ...transport.address import Address, parse_address
 from ...transport.connection import Broken, Connection, Late, Listener, OutOfSockets, open_connection
@@ -23,10 +24,10 @@
 
 
 class Direction:
-    """Bytes under way from one connection to the other."""
+    """Bytes under way from one connection to the other; `copy` is given all that was sent."""
 
-    def __init__(self, child: Links, model: LinkModel) -> None:
-        self.child, self.model = child, model
+    def __init__(self, child: Links, model: LinkModel, copy: IO[bytes] | None = None) -> None:
+        self.child, self.model, self.copy = child, model, copy
         self.under: deque[tuple[float, bytes]] = deque()
         self.held, self.last = 0, -math.inf
         self.reader: Task | None = None
@@ -35,6 +36,8 @@
     def put(self, data: bytes) -> None:
         self.last = max(self.last, self.model.arrival(self.child.now(), len(data)))
         self.under.append((self.last, data))
+        if self.copy is not None:
+            self.copy.write(data)
         self.held += len(data)
         if self.writer is not None:
             self.writer.wake()
@@ -91,12 +94,19 @@
         self.listeners = [Listener(self.loop, ("127.0.0.1", 0), partial(self.accepted, pair), lambda: False)
                           for pair in self.pairs]
         self.targets: list[Address] = []
+        self.joined = 0
         self.say(addresses={f"{a} {b}": f"127.0.0.1:{n.address[1]}"
                             for (a, b), n in zip(self.pairs, self.listeners, strict=True)})
 
     def begin(self, order: dict[str, Any]) -> None:
         self.targets = [parse_address(a) for a in order["gateways"]]
 
+    def copy(self, way: tuple[int, int]) -> IO[bytes] | None:
+        """Where what a connection carries one way is kept, if the plan names a folder."""
+        if not self.plan.get("copies"):
+            return None
+        return Path(self.plan["copies"], f"link-{way[0]}-{way[1]}-{self.joined}").open("wb", buffering=0)
+
     def accepted(self, pair: tuple[int, int], connection: Connection) -> None:
         self.loop.spawn(self.join(pair, connection))
 
@@ -104,7 +114,8 @@
         while not self.targets and not near.ended:
             yield self.loop.now() + 0.05
         a, b = pair
-        there, back = Direction(self, self.models[a, b]), Direction(self, self.models[b, a])
+        self.joined += 1
+        there, back = (Direction(self, self.models[way], self.copy(way)) for way in ((a, b), (b, a)))
         yield from self.until(self.models[a, b].arrival(self.now(), 60))
         far = None
         try:
--- a/rainspindle/lab/sockets/run.py
+++ b/rainspindle/lab/sockets/run.py
@@ -108,6 +108,10 @@
         self.keeper.stdin.write(b"%d\n" % number)
         self.keeper.stdin.flush()
 
+    def root(self, n: int) -> Path:
+        """Of the build of which the next process of a sidecar is."""
+        return ROOT
+
     def start_sidecar(self, n: int) -> None:
         policy, python = self.world.variant.policy, shlex.quote(sys.executable)
         line = self.line
@@ -117,7 +121,7 @@
             line = f"exec {python} -O -m rainspindle.lab.sockets.sidecar {policy}"
         with (self.folder / f"s{n}.log").open("ab") as log:
             self.sidecars[n] = subprocess.Popen(
-                ["/bin/sh", "-c", line], cwd=ROOT, stdout=subprocess.DEVNULL, stderr=log,
+                ["/bin/sh", "-c", line], cwd=self.root(n), stdout=subprocess.DEVNULL, stderr=log,
                 start_new_session=True,
                 env={**os.environ, "RELAY_CONFIG": str(self.folder / f"s{n}.config.json")})
         self.keep(self.sidecars[n].pid)
--- a/tests/test_golden.py
+++ b/tests/test_golden.py
@@ -31,8 +31,10 @@
 from rainspindle.decisions.shared.cells import Cell
 from rainspindle.errors import Trouble
 from rainspindle.lab.canary_net import Net
+from rainspindle.lab.fleet import builds, mixed
 from rainspindle.lab.fleet.builds import NoBuild, older
 from rainspindle.lab.fleet.virtual import World
+from rainspindle.lab.sockets.run import ROOT
 from rainspindle.lab.walletday import WalletDay
 from rainspindle.program.fleet.config import FleetFile
 from rainspindle.protocol import members as wire
@@ -89,10 +91,10 @@
     return dict(json.loads(done.stdout))
 
 
-@pytest.fixture(scope="module")
-def old(tmp_path_factory: pytest.TempPathFactory) -> Path:
+@pytest.fixture(scope="module", params=[*builds.BY_NAME.values()], ids=[*builds.BY_NAME])
+def old(tmp_path_factory: pytest.TempPathFactory, request: pytest.FixtureRequest) -> Path:
     try:
-        return older(tmp_path_factory.mktemp("old")).root
+        return older(tmp_path_factory.mktemp("old"), request.param).root
     except NoBuild as fault:
         pytest.skip(fault.line())
 
@@ -103,6 +105,13 @@
     assert {name: written.get(name) for name in first} == first
 
 
+def test_what_an_older_build_writes_is_read(old: Path) -> None:
+    """What is no release yet has no file, but its bytes have been sent and kept."""
+    for name, data in build(old, "write").items():
+        value = FORMS[name].to_json(FORMS[name].read(bytes.fromhex(data)))
+        assert within(value, NEWEST[name].value) or within(NEWEST[name].value, value), name
+
+
 def within(less: Any, more: Any) -> bool:
     """Whether the second is the first, with more at the ends of lists and under further keys."""
     if isinstance(less, dict) and isinstance(more, dict):
@@ -118,9 +127,26 @@
     assert [name for name, value in read.items() if not within(value, NEWEST[name].value)] == []
 
 
-def test_a_history_without_the_older_build_is_told(tmp_path: Path) -> None:
+def test_a_history_without_the_older_build_is_told(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]) -> None:
+    gone = "1234567890123456789012345678901234567890"
     with pytest.raises(NoBuild, match="no build of 123456789012"):
-        older(tmp_path, "1234567890123456789012345678901234567890")
+        older(tmp_path, gone)
+    monkeypatch.setitem(builds.BY_NAME, "0.2", gone)
+    with pytest.raises(SystemExit) as ended:
+        mixed.main(["--hours", "0.1"])
+    assert ended.value.code == 2 and "git fetch --unshallow" in capsys.readouterr().err
+
+
+def test_a_shallow_clone_has_no_older_build(tmp_path: Path) -> None:
+    made = subprocess.run(["git", "clone", "-q", "--bare", "--depth", "1", f"file://{ROOT}", "shallow"],
+                          cwd=tmp_path, capture_output=True, text=True, timeout=60)
+    if made.returncode:
+        pytest.skip(f"no history to clone: {made.stderr.strip()}")
+    for commit in builds.BY_NAME.values():
+        with pytest.raises(NoBuild, match=f"no build of {commit[:12]}"):
+            older(tmp_path / "old", commit, tmp_path / "shallow")
+        assert not any((tmp_path / "old").glob("*"))
 
 
 # Nothing is left out.
