--- a/rainspindle/lab/mysql/trial.py
+++ b/rainspindle/lab/mysql/trial.py
@@ -31,9 +31,8 @@
 import pymysql
 
 from ...transport.loop import Coroutine, Loop
-from ..fleet.processes import reserve_port
 from ..sockets.child import Orders
-from ..sockets.run import ROOT
+from ..sockets.run import ROOT, reserve_port
 from .database import Database, Store
 
 SERVERS, USER, PASSWORD = 5, "anna", "secret"
