Whatever a test has started is closed after it, also where it fails

Cause: a test that failed left its processes running, which then took the next one's time; each test closed what it made by a line of its own. Change: rigs and services put themselves down, and one fixture closes them.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,7 +7,7 @@
 import pytest
 from hypothesis import HealthCheck, settings
 
-from .fleet import Rig
+from .fleet import OPEN, Rig
 
 # Guards against a verdict that hangs on how busy the machine is: neither an example nor drawing it has a time
 # limit of its own (a whole test has, in pyproject.toml), and the examples are the same each time.
@@ -17,10 +17,11 @@
 
 
 @pytest.fixture(autouse=True)
-def rigs_are_closed() -> Iterator[None]:
+def all_is_closed() -> Iterator[None]:
+    """Also where a test fails: no process that it has left behind takes the next one's time."""
     yield
-    while Rig.made:
-        Rig.made[-1].close()
+    while OPEN:
+        OPEN[-1].close()
 
 
 @pytest.fixture
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -8,7 +8,7 @@
 import struct
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
-from typing import Any, ClassVar
+from typing import Any
 
 import h11
 
@@ -459,14 +459,30 @@
         self.sock.close()
 
 
-class Rig:
-    """A sidecar without its program: its parts over sockets, with stand-ins for endpoints."""
+class Open:
+    """What is closed after the test that made it, by `conftest`."""
+
+    def __init__(self) -> None:
+        OPEN.append(self)
+
+    def close(self) -> None:
+        if self in OPEN:
+            OPEN.remove(self)
+            self.end()
+
+    def end(self) -> None:
+        raise NotImplementedError
 
-    made: ClassVar[list[Rig]] = []  # and not closed yet: after a test all are
+
+OPEN: list[Open] = []
+
+
+class Rig(Open):
+    """A sidecar without its program: its parts over sockets, with stand-ins for endpoints."""
 
     def __init__(self, endpoints: int = 3, *, clients: int = 50, connections: int = 50,
                  settings: Any = SETTINGS, receive_buffer: int = 0, backlog: int = 64) -> None:
-        self.made.append(self)
+        super().__init__()
         self.loop = SteppedLoop()
         self.stands = [Stand(receive_buffer=receive_buffer, backlog=backlog) for _ in range(endpoints)]
         sockets = socket_settings(settings)
@@ -540,8 +556,7 @@
                     g.answer(200, b"served " + g.id.encode())
             self.settle()
 
-    def close(self) -> None:
-        self.made.remove(self)
+    def end(self) -> None:
         for stand in self.stands:
             stand.close()
         for client in self.clients:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,7 +8,6 @@
 import socket
 import subprocess
 import sys
-from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -19,7 +18,7 @@
 from rainspindle.program.gateway_config import load_gateway
 from rainspindle.protocol.link import frames as f
 
-from .fleet import Stand, entry
+from .fleet import Open, Stand, entry
 from .lab import experiment
 from .test_program import PATIENCE, ROOT, Service, ask, config
 
@@ -100,6 +99,7 @@
     """A gateway under way, started as a service is."""
 
     def __init__(self, folder: Path) -> None:
+        Open.__init__(self)
         self.endpoint, self.discovery = Stand(), Stand()
         known = {"generation": 41, "reset": True, "instances": [entry("e0", self.endpoint.port)]}
         self.file = write(folder, discovery=f"127.0.0.1:{self.discovery.port}", known=known)
@@ -113,10 +113,8 @@
 
 
 @pytest.fixture
-def gateway(tmp_path: Path) -> Iterator[Started]:
-    made = Started(tmp_path)
-    yield made
-    made.close()
+def gateway(tmp_path: Path) -> Started:
+    return Started(tmp_path)
 
 
 def test_it_serves_its_own_site_reads_its_file_again_and_leaves(gateway: Started) -> None:
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -272,7 +272,6 @@
                 service.endpoint.unread.pop().answer(200)
             return service.answer(again)[0] == 503
         service.until(refused)
-        service.close()
 
 
 OLD: dict[str, Any] = {
@@ -308,7 +307,6 @@
         client = service.asked(ask("x"))
         service.got().answer(200)
         assert service.answer(client)[0] == 200
-        service.close()
 
 
 def test_a_file_that_is_there_stays_and_a_dry_run_changes_nothing(tmp_path: Path) -> None:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -13,7 +13,7 @@
 import sys
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from functools import partial
 from pathlib import Path
 from typing import Any, TypeVar
@@ -24,7 +24,7 @@
 from rainspindle.program.serve import MOST_OWED
 
 from . import fleet
-from .fleet import SETTINGS, Client, Got, Stand, entry
+from .fleet import SETTINGS, Client, Got, Open, Stand, entry
 
 T = TypeVar("T")
 ROOT = Path(__file__).parent.parent
@@ -47,11 +47,12 @@
                           capture_output=True, timeout=PATIENCE)
 
 
-class Service:
+class Service(Open):
     """The program under way, an endpoint and discovery beside it."""
 
     def __init__(self, folder: Path, beside: Service | None = None,
                  environment: dict[str, str] | None = None, wait: bool = True, **changes: Any) -> None:
+        super().__init__()
         self.endpoint: Stand = beside.endpoint if beside else Stand()
         self.discovery = Stand()
         known = {"generation": 41, "reset": True, "instances": [entry("e0", self.endpoint.port)]}
@@ -101,7 +102,7 @@
         client.send(data)
         return client
 
-    def close(self) -> None:
+    def end(self) -> None:
         with contextlib.suppress(ProcessLookupError):
             self.process.kill()
         self.process.wait(PATIENCE)
@@ -119,10 +120,8 @@
 
 
 @pytest.fixture
-def service(tmp_path: Path) -> Iterator[Service]:
-    made = Service(tmp_path)
-    yield made
-    made.close()
+def service(tmp_path: Path) -> Service:
+    return Service(tmp_path)
 
 
 def test_ready_then_serves_from_the_known_list(service: Service) -> None:
@@ -147,7 +146,6 @@
     client.send(ask("x"))
     service.got().answer(200)
     assert service.answer(client)[0] == 200
-    service.close()
 
 
 def test_the_list_is_watched_from_the_known_version_on(service: Service) -> None:
@@ -198,7 +196,6 @@
     client = service.asked(ask("y", "book"))
     service.got().answer(200)
     assert service.answer(client)[0] == 200 and "Traceback" not in service.logged()
-    service.close()
 
 
 def test_sigterm_serves_who_still_comes_finishes_all_and_leaves_with_0(service: Service) -> None:
@@ -305,7 +302,6 @@
         assert service.answer(client)[0] == 200
     fds = len(list(Path(f"/proc/{service.process.pid}/fd").iterdir()))
     assert fds <= 80
-    service.close()
 
 
 BAD = [config(listen="nowhere"), config(seed="xyz"), config(settings={}), config(listen=None), [1],
@@ -371,10 +367,8 @@
 
 
 @pytest.fixture
-def operated(tmp_path: Path) -> Iterator[Operated]:
-    made = Operated(tmp_path)
-    yield made
-    made.close()
+def operated(tmp_path: Path) -> Operated:
+    return Operated(tmp_path)
 
 
 def test_calls_are_answered_and_callers_that_finish_none_take_nobodys_place(operated: Operated) -> None:
@@ -439,8 +433,6 @@
         assert "event=\"handing over\"" in old.logged() and "faults=0 broken={}" in old.logged()
     left = ["rainspindle-n1.orders", "rainspindle-n1.serving"]  # but for what is just being written
     operated.until(lambda: sorted(path.name for path in operated.shared.iterdir()) == left)
-    for service in chain[1:]:
-        service.close()
 
 
 def test_no_connection_ends_at_the_door_while_processes_change(operated: Operated, tmp_path: Path) -> None:
@@ -468,14 +460,11 @@
         old.until(lambda count=count: len(outcomes) > count + 20 or None)  # type: ignore[misc]
         old.term()
         assert old.process.wait(PATIENCE) == 0
-        if old is not operated:
-            old.close()
         old = new
     stop.set()
     for thread in threads:
         thread.join()
     assert set(outcomes) == {200} and len(outcomes) > 60
-    old.close()
 
 
 def test_a_second_process_that_cannot_serve_leaves_the_first_alone(operated: Operated, tmp_path: Path
@@ -503,4 +492,3 @@
         file.write_bytes(bad)
         operated.until(lambda: operated.logged().count("orders cannot be read") > before)  # noqa: B023
     assert operated.call("endpoints/e0/disable") == 200 and len(file.read_bytes()) > 60
-    new.close()
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -112,7 +112,6 @@
         entry(f"e{n}", e.server_address[1]) for n, e in enumerate(endpoints)]}
     first = Operated(tmp_path, known=known)
     yield first, ledger, known
-    first.close()
     for endpoint in endpoints:
         endpoint.stop()
 
@@ -140,19 +139,16 @@
                 killed.process.send_signal(signal.SIGCONT)
                 killed.term()
                 assert killed.process.wait(PATIENCE) == 0
-            killed.close()
+            killed.close()  # by SIGKILL
             new = Operated(tmp_path, old, known=known)
             old.until(lambda new=new: new.call("ready", "GET") == 200 or None)  # type: ignore[misc]
             enough(new, ledger)
             old.term()
             assert old.process.wait(PATIENCE) == 0
-            if old is not scene[0]:
-                old.close()
             enough(new, ledger)
             old = new
     finally:
         load.stop()
-    old.close()
     assert not ledger.broken(), ledger.broken()
     assert sum(status == 200 for status in ledger.told.values()) > 0.9 * len(ledger.told) > 100
 
@@ -185,8 +181,6 @@
     # What was asked before `begun` may be under way then.
     assert not [id for id, name in ledger.at[:count] if name == "e1" and ledger.asked[id] > begun]
     assert not ledger.broken(), ledger.broken()
-    new.close()
-    last.close()
 
 
 @pytest.mark.parametrize("planted", ["lost", "ran twice", "rejected though it ran"])
