A herd asks the list service no more than a few times a second, and a lie told by two ends

Cause: traced at 200 and 1,000, the fullest second of a herd were newcomers' first calls, drawn from 0.3 to 3.3 s after a start while members are known after 0.5 to 3 s and two heads later still (and their own retries, since no word of failing calls counts before members are known); then survivors whose two askers had died, asked 2.2 s after the death at the earliest while the next asker took 3 s and one failed call more; then all, 1 to 4 s after one alone told of a newer list. Two that told one lie were believed until an audit, 500 to 1,500 s at 1,000.

Change: a newcomer that may hear of others asks when word has had its time, within the 0.78 of the asking period that alone has; who is first by rank asks a second after it knows others; askers' watches wait 0.15 of the period, are passed over 0.7 s after that, and two are asked in the place of each until one tells; one that alone tells of a newer list sends the others to the service later; an asker that is turned away goes by word. An asker that is told other than two have told makes each sidecar see for itself, 25 a second over the fleet; what changes over a quarter of the lines needs three; who told what the service has not is not believed, a minute and longer each time.

--- a/rainspindle/decisions/listing/relay.py
+++ b/rainspindle/decisions/listing/relay.py
@@ -26,16 +26,21 @@
 AGREE = 2  # who must tell the same before it is taken, or spares a call
 CARRIERS = 2  # askers that write the whole list too
 SPREAD = 4  # times the askers: so many members by rank may ask in all, where those before them fail
-BEAT_PART, LEAST_BEAT = 0.2, 1.0  # of the asking period, and seconds, between two answers of an asker's watch
-SILENT_PART = 0.3  # of the asking period: an asker not heard for this long is passed over
-FIRST_PART, LAST_PART = 0.62, 0.78  # the same, after a confirmation: when the own call is drawn to come
-FAILING_PART = 0.45  # FIRST_PART where two tell that their calls fail: more time to draw from
+BEAT_PART, LEAST_BEAT = 0.15, 1.0  # of the asking period, and seconds, for which an asker's watch waits
+SILENT = 0.7  # seconds by which an asker's word may be late until it is passed over
+FIRST_PART, LAST_PART = 0.62, 0.78  # of the asking period, after a confirmation: when the own call is to come
+FAILING_PART = 0.3  # FIRST_PART where two tell that their calls fail: more time to draw from
 LEAST_ASK_WITHIN = 5.0  # seconds; where it is less, two beats and their way take too much of it
-LAG, LAG_PART = 1.0, 0.3  # seconds and part by which a newer list, of which is told, must be here
+LAG, LAG_PART = 1.0, 0.3  # seconds and part by which a newer list, of which two tell, must be here
+LONE = (0.5, 0.75)  # of the asking period: the same where one alone tells, as the next may ask meanwhile
 WRITE = 0.5  # seconds between heads at least
 SET_EVERY = 3.0  # seconds between whole lists told, unless the head can't carry the change
-PAUSE, JOINING = 0.3, 100.0  # seconds before a newcomer asks, and how many do so a second
-JOIN_PART, LEAST_JOIN = 0.5, 0.3  # of the asking period: from when on all have asked at most, and at least
+# Of the asking period: when a newcomer asks to whom no word has come, with a list and without one: if it has
+# no way to hear of others, if it has not heard of any yet, if it has.
+JOINING = ((0.03, 0.33), (0.3, 0.62), (0.4, 0.78))
+JOINING_BARE = ((0.03, 0.13), (0.3, 0.55), (0.35, 0.7))
+SIGHTED = 1.0  # seconds after a newcomer knows of others until it may ask for all
+LARGE = 0.25  # of the lines: where more have changed since three told alike, two are not enough
 AUDITS, LEAST_AUDIT = 1.0, 60.0  # calls a second over the fleet; seconds at one sidecar at least
 RETRIES = 25.0  # calls a second over the fleet, of those whose own call fails where askers' calls fail too
 DOUBT, MOST_DOUBT = 60.0, 3600.0  # seconds in which one that told too much is not believed; doubled
@@ -49,6 +54,7 @@
 class Terms:
     askers: int
     ask_within: float  # seconds; 0: there is no such time, and nobody is spared
+    seeded: bool = True  # it has addresses of others to start from
 
 
 class RelayHost(Protocol):
@@ -114,6 +120,10 @@
         self.confirmed = -math.inf  # when two told that the service had the list that is here
         self.own_at = self.failed_at = self.changed_at = -math.inf  # of own calls, and of the list here
         self.lag_at = math.inf  # since when a newer list is told of
+        self.short_at = math.inf  # since when two tell alike of a newer one
+        self.dispute_at = math.inf  # since when one tells that the service has not the list that two told
+        self.sure: Lines = {}  # the list as the service, or three, told it last
+        self.sighted = math.inf  # when others were first known to be there
         self.failing_at = math.inf  # since when two tell that their calls fail
         self.vouched = False  # whether two tell of the list that is here
         self.anew_at = -math.inf  # when the service was found to count its versions anew
@@ -149,6 +159,8 @@
         self.calls, self.row = self.calls + 1, 0
         before, known = self.version, self.lines
         new = words.changed({} if whole else known, list(lines.items()))
+        if before is not None and (version < before or (version == before and new != known)):
+            self.doubt(now, before, self.digest)
         if before is not None and version < before:
             self.anew_at = now
             self.down = {name for name, word in self.words.items() if word.head.version <= version}
@@ -156,7 +168,8 @@
             self.step(now, version, new)
         if whole:
             self.examine(now, version)
-        self.own_at, self.lag_at = now, math.inf
+        self.own_at, self.sure = now, self.lines
+        self.lag_at = self.short_at = math.inf
         self.draw(now)
         self.due = True
         self.look(now)
@@ -180,8 +193,9 @@
         """Another service is asked: word of the last one counts for nothing, nor does what it told."""
         self.at, self.version, self.lines, self.digest = at, None, {}, b""
         self.confirmed = self.own_at = self.failed_at = -math.inf
-        self.lag_at, self.vouched, self.began, self.large = math.inf, False, -math.inf, False
-        self.failing_at = math.inf
+        self.vouched, self.began, self.large = False, -math.inf, False
+        self.lag_at = self.short_at = self.failing_at = self.dispute_at = math.inf
+        self.sure = {}
         self.steps.clear()
         self.doubts.clear()
         self.due = False
@@ -238,6 +252,8 @@
     def rank(self) -> None:
         names = set(self.host.alive()) | {self.own}
         self.size, self.stirred, self.there = len(names), False, names
+        if self.size > 1:
+            self.sighted = min(self.sighted, self.looked)
         self.ranked = heapq.nsmallest(SPREAD * self.terms.askers, names, key=place)
         young = self.looked - self.terms.ask_within  # word may come before it is known who is there
         self.words = {name: word for name, word in self.words.items() if name in names or word.at > young}
@@ -245,7 +261,7 @@
 
     def passed_over(self, now: float, name: str, since: float) -> bool:
         """Whether another is to ask in the place of this one."""
-        silent = SILENT_PART * self.terms.ask_within
+        silent = self.period + SILENT
         word = self.words.get(name)
         if word is None or now - word.at > silent:
             return now - since > silent
@@ -255,16 +271,20 @@
 
     def elect(self, now: float) -> None:
         """Whether this one asks. Guards against askers that fail, lie or hang; may hurt by a few more."""
-        expected, good = {}, 0
+        expected, good = {}, 0.0
         asker = carrier = False
         for name in self.ranked:
             if good >= self.terms.askers:
                 break
             if name == self.own:
-                asker, carrier = now >= self.joining(), good < CARRIERS
+                # Guards against all of a herd that take themselves for the first, as they know nobody yet.
+                asker = now >= min(self.joining(), self.sighted + SIGHTED)
+                carrier = good < CARRIERS
                 break
             expected[name] = self.expected.get(name, now)
-            good += not self.passed_over(now, name, expected[name])
+            if not self.passed_over(now, name, expected[name]):
+                # Guards against the next who is dead too: until one of them tells, two are to ask.
+                good += 1.0 if name in self.words else 0.5
         self.expected = expected
         # Guards against askers whom nobody needs: where all would ask, each does as alone.
         asker = asker and self.on and not self.leaving and self.size > self.terms.askers
@@ -287,14 +307,32 @@
         """The service itself told a version. Guards against one that tells of a version far too high, and so
         has all others ask; may hurt where the service answers from an old copy, for a minute."""
         for name, word in self.words.items():
-            if word.head.at != self.at or word.ahead_at > now - LAG or word.ahead <= version \
-                    or self.doubted(now, name):
+            if word.head.at != self.at or self.doubted(now, name):
                 continue
-            before = self.doubts.get(name)
-            times = before.times + 1 if before else 1
-            until = now + min(DOUBT * 2.0 ** min(times - 1, 9), MOST_DOUBT)
-            self.doubts[name] = Doubt(until, word.ahead, times)
-            self.host.log("list: a member is not believed", member=name, told=word.ahead, service=version)
+            if word.ahead_at <= now - LAG and word.ahead > version:
+                self.disbelieve(now, name, word.ahead)
+            elif version == self.version and self.against(word):
+                self.disbelieve(now, name, 0)  # it asks an old copy: all that it tells counts for nothing
+
+    def doubt(self, now: float, version: int, digest: bytes) -> None:
+        """The service has not the list that was here. Guards against some who told one lie alike; may hurt
+        where the service counts anew only those who go on telling what it had before."""
+        for name, word in self.words.items():
+            if (word.head.version, word.head.digest) == (version, digest) and not self.doubted(now, name):
+                self.disbelieve(now, name, version)
+
+    def disbelieve(self, now: float, name: str, told: int) -> None:
+        before = self.doubts.get(name)
+        times = before.times + 1 if before else 1
+        until = now + min(DOUBT * 2.0 ** min(times - 1, 9), MOST_DOUBT)
+        self.doubts[name] = Doubt(until, told, times)
+        self.host.log("list: a member is not believed", member=name, told=told, here=self.version)
+
+    def against(self, word: Word) -> bool:
+        """Whether the service had another list when the one that is here was known already."""
+        return self.version is not None and word.head.version <= self.version \
+            and (word.head.version, word.head.digest) != (self.version, self.digest) \
+            and word.confirmed > self.changed_at
 
     def counted(self, now: float) -> list[tuple[str, Word]]:
         """Guards against versions from before a service counted anew, which seem later: who tells of a later
@@ -304,11 +342,16 @@
                 if word.head.at == self.at and name in self.there and (word.at > young or name in self.down)
                 and not self.doubted(now, name)]
 
-    def agreed(self, counted: list[tuple[str, Word]], version: int, digest: bytes) -> bool:
-        """Whether enough tell that the service had this list."""
+    def votes(self, counted: list[tuple[str, Word]], version: int, digest: bytes) -> int:
+        """How many tell that the service had this list."""
         one = (version, digest)
-        return sum((w.head.version, w.head.digest) == one or one in w.head.past
-                   for _, w in counted) >= AGREE
+        return sum((w.head.version, w.head.digest) == one or one in w.head.past for _, w in counted)
+
+    def needed(self, lines: Lines) -> int:
+        """Guards against two that tell one lie, by which all endpoints would be gone at once; may hurt where
+        the third is late or fails: then by the calls that are made for what is not here in time."""
+        other = sum(lines.get(id) != data for id, data in self.sure.items())
+        return min(AGREE + 1, self.terms.askers) if other > max(LARGE * len(self.sure), 1) else AGREE
 
     def failing(self, now: float) -> bool:
         """Whether two tell that their calls fail, and have lately."""
@@ -334,17 +377,28 @@
 
     def follow(self, now: float) -> None:
         counted = self.counted(now)
-        # After a move the own call comes first; one that asks is told by the service.
-        if (self.own_at if self.asker else max(self.own_at, self.began)) > -math.inf and not (
-                self.asker and self.own_at > self.failed_at):
+        # After a move the own call comes first; one that asks is told by the service, unless calls fail.
+        if max(self.own_at, self.began) > -math.inf and (not self.asker or self.failed_at > self.own_at):
             recent = [one for one in counted if one[1].at > now - 2 * self.period - LAG]
             newer = sorted({(w.head.version, w.head.digest) for _, w in counted
                             if self.version is None or w.head.version > self.version}, reverse=True)
             for version, digest in newer:
-                if self.agreed(recent, version, digest) and self.fetch(now, counted, version, digest):
+                votes = self.votes(recent, version, digest)
+                if votes < AGREE:
+                    continue
+                if self.fetch(now, counted, version, digest, votes):
                     break
-        if self.version is not None and not self.vouched:
-            self.vouched = self.agreed(counted, self.version, self.digest)
+                self.short_at = min(self.short_at, now)
+        votes = self.votes(counted, self.version, self.digest) if self.version is not None else 0
+        self.vouched = self.vouched or votes >= AGREE
+        if votes > AGREE:
+            self.sure = self.lines
+        disputed = self.own_at < self.changed_at and any(self.against(w) for _, w in counted)
+        if not disputed:
+            self.dispute_at = math.inf
+        elif self.dispute_at == math.inf:
+            self.dispute_at = now
+            self.host.urge()
         same = sorted(w.confirmed for _, w in counted
                       if w.head.version == self.version and w.head.digest == self.digest)
         if len(same) >= AGREE and same[-AGREE] > self.confirmed:
@@ -354,14 +408,15 @@
                 self.lag_at = now
                 self.host.urge()
         else:
-            self.lag_at = math.inf
+            self.lag_at = self.short_at = math.inf
         if not self.failing(now):
             self.failing_at = math.inf
         elif self.failing_at == math.inf:
             self.failing_at = now
             self.host.urge()
 
-    def fetch(self, now: float, counted: list[tuple[str, Word]], version: int, digest: bytes) -> bool:
+    def fetch(self, now: float, counted: list[tuple[str, Word]], version: int, digest: bytes,
+              votes: int) -> bool:
         """Takes this list, if it can be put together from what is here: the own one or a whole one that was
         told, and what changed after it. Whose it is does not matter, as the digest says whether it is it."""
         deltas = [w.head for _, w in counted if (w.head.version, w.head.digest) == (version, digest)]
@@ -369,20 +424,20 @@
         if self.version is not None:
             bases.append((self.version, self.lines))
         for base in bases:
-            if self.build(now, base, deltas):
+            if self.build(now, base, deltas, votes):
                 return True
         for name, _ in counted:
             found = self.whole(name, version)
-            if found is not None and self.build(now, found, deltas):
+            if found is not None and self.build(now, found, deltas, votes):
                 return True
         return False
 
-    def build(self, now: float, base: tuple[int, dict[str, bytes]], deltas: list[Head]) -> bool:
+    def build(self, now: float, base: tuple[int, dict[str, bytes]], deltas: list[Head], votes: int) -> bool:
         for head in deltas:
             if not head.since <= base[0] <= head.version:
                 continue
             lines = words.changed(base[1], head.delta) if base[0] < head.version else base[1]
-            if words.digest(lines) != head.digest:
+            if words.digest(lines) != head.digest or votes < self.needed(lines):
                 continue
             delta = {id: lines.get(id, b"") for id in lines.keys() | self.lines.keys()
                      if lines.get(id) != self.lines.get(id)}
@@ -390,7 +445,7 @@
                 continue
             self.step(now, head.version, dict(lines))
             self.takes += 1
-            self.vouched, self.lag_at = True, math.inf
+            self.vouched, self.lag_at, self.short_at = True, math.inf, math.inf
             return True
         return False
 
@@ -504,11 +559,15 @@
     def joining(self) -> float:
         """Until when one that has just started waits for word, before it asks for itself.
 
-        Guards against a herd that starts at once; may hurt where a list is told late: without one, it waits a
-        second at the most."""
-        within = self.terms.ask_within
-        wait = min(max(self.size / JOINING, LEAST_JOIN * within), JOIN_PART * within) if self.lines else 1.0
-        return self.began + PAUSE + self.part_of_start() * wait
+        Guards against a herd that starts at once: all of it would ask before any of it can have heard of the
+        others. May hurt by so many seconds where none of them tells anything."""
+        ways = JOINING if self.lines else JOINING_BARE
+        first, last = ways[2 if self.size > 1 else self.terms.seeded]
+        at = (first + (last - first) * self.part_of_start()) * self.terms.ask_within
+        if 1 < self.size <= self.terms.askers:
+            # Guards against a wait for word in a fleet in which each asks for itself.
+            at = min(at, self.sighted - self.began + SETTLE)
+        return self.began + at
 
     def part_of_start(self) -> float:
         return place(f"{self.own}|{self.run}") / 2**64
@@ -520,16 +579,23 @@
         last = LAST_PART * self.terms.ask_within
         bound = (FIRST_PART + (LAST_PART - FIRST_PART) * self.part) * self.terms.ask_within
         until = self.confirmed + bound
-        if self.failing_at < math.inf:
-            # Guards against all others falling at once on a service that fails: they draw from all the time
-            # that is left to them.
-            since = max(self.failing_at, self.confirmed + FAILING_PART * self.terms.ask_within)
-            until = min(until, since + self.part * max(self.confirmed + last - since, 0.0))
         if self.lag_at < math.inf:
-            until = min(until, self.lag_at + LAG + self.part * LAG_PART * self.terms.ask_within)
+            lone = LONE[0] + (LONE[1] - LONE[0]) * self.part
+            until = min(until, self.lag_at + lone * self.terms.ask_within,
+                        self.short_at + LAG + self.part * LAG_PART * self.terms.ask_within)
         until = min(until, self.drawn_at + self.audit * max(self.size / AUDITS, LEAST_AUDIT))
+        known = self.confirmed
         if max(self.own_at, self.failed_at) == -math.inf and self.began > -math.inf:
+            known = max(known, self.began) if self.vouched else known
             until = max(until, self.began + bound if self.vouched else self.joining())
+        if self.failing_at < math.inf and known > -math.inf:
+            # Guards against all others falling at once on a service that fails: they draw from all the time
+            # that is left to them.
+            since = max(self.failing_at, known + FAILING_PART * self.terms.ask_within)
+            until = min(until, since + self.part * max(known + last - since, 0.0))
+        if self.dispute_at < math.inf:
+            until = min(until, max(self.dispute_at, self.failed_at) + LAG
+                        + self.part * max(self.size / RETRIES, LAG))
         if self.failed_at > self.own_at and self.failing_at < math.inf:
             # Three say that nothing is to be had: what alone is tried again within a quarter of the asking
             # period is tried so seldom that the fleet's calls stay bounded.
--- a/rainspindle/lab/listing_net.py
+++ b/rainspindle/lab/listing_net.py
@@ -27,6 +27,7 @@
 ANSWER = 0.005  # seconds that a call takes
 AT = words.mark("the service")
 BUSY = 2000  # bytes of cells written a second from which on they are slower
+JOIN_TIME, DEATH_TIME = (0.5, 3.0), (2.8, 4.1)  # seconds until a newcomer knows the others, a death is known
 MOST_HELD = 200  # messages that lie in the socket of one that stands still
 
 
@@ -35,6 +36,25 @@
             for line in lines}
 
 
+class Delays:
+    """How late a cell is at another, as measured at 1,000: with little written, and with 6 kB a second."""
+
+    def __init__(self, chance: random.Random) -> None:
+        self.random, self.sum = chance, 0
+        self.written: deque[tuple[float, int]] = deque()
+
+    def wrote(self, now: float, size: int) -> None:
+        self.written.append((now, size))
+        self.sum += size
+
+    def next(self, now: float) -> float:
+        while self.written and self.written[0][0] < now - 3.0:
+            self.sum -= self.written.popleft()[1]
+        if self.sum <= 3.0 * BUSY:
+            return min(0.12 * math.exp(self.random.gauss(0.0, 0.5)), 1.0)
+        return min(0.45 * math.exp(self.random.gauss(0.0, 0.7)), 4.0)
+
+
 class Service:
     def __init__(self, registry: Registry, rate: float = 0.0) -> None:
         self.registry, self.gate, self.at = registry, Gate(rate), AT
@@ -59,17 +79,19 @@
         self.orders: dict[tuple[str, str], tuple[int, int]] = {}
         self.inbox: list[tuple[str, str, bytes]] = []
         self.view_from = net.now + net.random.uniform(*net.join_time)
-        self.version: int | None = net.known
+        self.version: int | None = None if net.bare else net.known
+        self.listed_at = math.inf
         self.hearsay, self.fails, self.calling, self.silent_until = False, 0, 0, -math.inf
-        self.lines = encoded(net.service.registry.whole(net.known))
+        self.lines = {} if net.bare else encoded(net.service.registry.whole(net.known))
         self.own_told = net.now  # the last answer of the service itself
         self.heard_whole: list[tuple[float, int]] = []
         self.relay: Relay | None = None
         if net.relayed:
             chance = random.Random(f"{net.seed}|{self.name}|{self.run}")
-            self.relay = Relay(net.now, self.name, self.run, Terms(net.askers, net.ask_within),
-                               self.service.at, self, chance)
-            self.relay.start(net.known, self.lines)
+            terms = Terms(net.askers, net.ask_within, seeded=len(net.names) > 1)
+            self.relay = Relay(net.now, self.name, self.run, terms, self.service.at, self, chance)
+            if self.lines:
+                self.relay.start(net.known, self.lines)
             net.later(net.random.random() * 0.5, self.living(self.tick))
         net.later(0.0, self.living(self.next_call))
 
@@ -212,7 +234,7 @@
         self.net.later(0.0, self.living(self.next_call))
 
     def now_has(self, lines: dict[str, bytes]) -> None:
-        self.lines = lines
+        self.lines, self.listed_at = lines, min(self.listed_at, self.net.now)
         if self.version is not None:
             self.net.has(self, self.version - self.service.base)
 
@@ -228,9 +250,10 @@
     askers: int = 3
     ask_within: float = 10.0
     known: int = 1  # the version of which all know at their start
+    bare: bool = False  # those that start have no list
     loss: float = 0.0  # part of deliveries that come with a later exchange
-    join_time: tuple[float, float] = (0.5, 3.0)  # until one that starts knows who is there
-    death_time: tuple[float, float] = (2.8, 4.1)  # until a death is known
+    join_time: tuple[float, float] = JOIN_TIME
+    death_time: tuple[float, float] = DEATH_TIME
     now: float = 0.0
     events: list[tuple[float, str, str, dict[str, object]]] = field(default_factory=list)
 
@@ -248,8 +271,8 @@
         self.views: dict[int, list[str]] = {}
         self.views_at = -math.inf
         self.known_at: dict[tuple[str, int, int], float] = {}  # node, run, version
-        self.messages = self.written_sum = 0
-        self.written: deque[tuple[float, int]] = deque()
+        self.messages = 0
+        self.delays = Delays(self.random)
 
     def later(self, delay: float, do: Callable[[], None]) -> None:
         heapq.heappush(self.heap, (self.now + max(delay, 0.0), next(self.count), do))
@@ -316,22 +339,13 @@
                 and self.nodes[name].run and (not split or self.group.get(name, 0) == group)]
         return self.views[group]
 
-    def delay(self) -> float:
-        """Of a cell, as measured at 1,000 members: with little written, and with 6 kB a second."""
-        while self.written and self.written[0][0] < self.now - 3.0:
-            self.written_sum -= self.written.popleft()[1]
-        if self.written_sum <= 3.0 * BUSY:
-            return min(0.12 * math.exp(self.random.gauss(0.0, 0.5)), 1.0)
-        return min(0.45 * math.exp(self.random.gauss(0.0, 0.7)), 4.0)
-
     def spread(self, node: Node, name: str, value: bytes) -> None:
         if node.name in self.lies:
             value = self.lies[node.name](name, value)
         if node.name in self.mute:
             return
         self.messages += 1
-        self.written.append((self.now, len(value)))
-        self.written_sum += len(value)
+        self.delays.wrote(self.now, len(value))
         order = node.run, self.messages
         node.cells[node.name, name], node.orders[node.name, name] = value, order
         group = self.group.get(node.name, 0)
@@ -339,7 +353,7 @@
             if other is node or not other.up or other.name in self.mute \
                     or self.group.get(other.name, 0) != group:
                 continue
-            delay = self.delay()
+            delay = self.delays.next(self.now)
             if self.random.random() < self.loss:
                 delay += self.random.uniform(0.5, 3.0)
             self.later(delay, partial(self.deliver, node.name, other, other.run, name, value, order))
@@ -424,25 +438,30 @@
     late: float  # the 99th part
     worst: float
     messages: float  # cells written a second by all together
+    bare: float  # seconds after their start until nine in ten that had no list had one; NaN: none of them
 
     def row(self) -> str:
         how = "relayed" if self.relayed else "alone"
         return (f"| {self.scene} | {self.size:,} | {how} | {self.seed} | {self.calls:.1f} | {self.most:,} | "
-                f"{self.median:.2f} / {self.late:.2f} / {self.worst:.2f} | {self.messages:.1f} |")
+                f"{self.median:.2f} / {self.late:.2f} / {self.worst:.2f} | {self.messages:.1f} | "
+                f"{'' if math.isnan(self.bare) else f'{self.bare:.1f}'} |")
 
 
 HEADING = ("| scene | sidecars | | seed | calls/s | in the fullest second | a change is known after (s) | "
-           "cells written/s |\n| --- | ---: | --- | ---: | ---: | ---: | ---: | ---: |")
+           "cells written/s | nine in ten newcomers have a list after (s) |\n"
+           "| --- | ---: | --- | ---: | ---: | ---: | ---: | ---: | ---: |")
 
 
-def play(scene: str, size: int, relayed: bool, seed: int) -> Figures:
+def play(scene: str, size: int, relayed: bool, seed: int, length: float = 0.0) -> Figures:
     """`calm`: changes alone. `herd`: seven in ten are killed within half a second, the service is down for
-    8 s and takes 8 calls a second. `join`: 36 of 60 endpoints are replaced within 7 s; 40 calls a second."""
+    8 s and takes 8 calls a second. `restart`: the same, and it is not down. `bare`: nor have they any list.
+    `join`: 36 of 60 endpoints are replaced within 7 s; 40 calls a second."""
     chance = random.Random(f"{scene}|{size}|{seed}")
-    length = {"calm": 60.0, "herd": 75.0, "join": 60.0}[scene]
+    herd = scene not in ("calm", "join")
+    length = length or (75.0 if herd else 60.0)
     outages = [(20.0, 28.0)] if scene == "herd" else []
     registry = Registry([listed(n) for n in range(60)], changes_of(scene, chance, length), outages)
-    service = Service(registry, {"calm": 0.0, "herd": 8.0, "join": 40.0}[scene])
+    service = Service(registry, {"calm": 0.0, "join": 40.0}.get(scene, 8.0))
     net = Net(service, [f"s{n}" for n in range(size)], seed, relayed)
     rate, service.gate = service.gate, Gate(0.0)  # all were there for long before
     net.start()
@@ -450,7 +469,8 @@
     service.gate = rate
     net.run(5.0)
     began, cells = net.now, net.messages
-    if scene == "herd":
+    net.bare = scene == "bare"
+    if herd:
         for name in chance.sample(net.names, int(0.7 * size)):
             at = chance.random() * 0.5
             net.later(at, partial(net.kill, name))
@@ -461,29 +481,33 @@
     for at in calls:
         seconds[int(at - began)] += 1
     # Known by the end, or counted as known then: the last changes are given time.
-    late = sorted(net.lateness(0.0 if scene == "herd" else began, length - 10.0))
+    late = sorted(net.lateness(0.0 if herd else began, length - 10.0))
+    bare = sorted(min(node.listed_at, net.now) - node.started for node in net.nodes.values() if node.run > 1)
     return Figures(scene, size, relayed, seed, len(calls) / (length - began), max(seconds),
                    late[len(late) // 2], late[int(len(late) * 0.99)], late[-1],
-                   (net.messages - cells) / (length - began))
+                   (net.messages - cells) / (length - began),
+                   bare[int(len(bare) * 0.9)] if net.bare else math.nan)
 
 
-def all_plays(sizes: Sequence[int], scenes: Sequence[str], seeds: Sequence[int]) -> Iterator[Figures]:
+def all_plays(sizes: Sequence[int], scenes: Sequence[str], seeds: Sequence[int],
+              ways: Sequence[str]) -> Iterator[Figures]:
     for scene in scenes:
         for size in sizes:
-            for relayed in (False, True):
+            for way in ways:
                 for seed in seeds:
-                    yield play(scene, size, relayed, seed)
+                    yield play(scene, size, way == "relayed", seed)
 
 
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--sizes", default="40,1000,2000")
-    parser.add_argument("--scenes", default="calm,herd,join")
+    parser.add_argument("--scenes", default="calm,herd,restart,bare,join")
     parser.add_argument("--seeds", default="1,2")
+    parser.add_argument("--ways", default="alone,relayed")
     asked = parser.parse_args()
     print(HEADING, flush=True)
     for figures in all_plays([int(n) for n in asked.sizes.split(",")], asked.scenes.split(","),
-                             [int(n) for n in asked.seeds.split(",")]):
+                             [int(n) for n in asked.seeds.split(",")], asked.ways.split(",")):
         print(figures.row(), flush=True)
 
 
--- a/rainspindle/program/fleet/listing.py
+++ b/rainspindle/program/fleet/listing.py
@@ -49,7 +49,8 @@
 class ListRun:
     """Host to the `Relay`, between the follower of the list and the members' cells."""
 
-    def __init__(self, ground: Ground, table: ListPart) -> None:
+    def __init__(self, ground: Ground, table: ListPart, seeded: bool) -> None:
+        """`seeded`: the members' file has addresses of others."""
         self.ground, self.table = ground, table
         self.config = ground.config
         within = self.config.settings.ask_within if self.config.asks_list else 0.0
@@ -61,8 +62,9 @@
         self.usual = 0.0  # seconds that the follower's watch waits as alone
         self.unread = 0
         self.tell_others: Callable[[ListChange], None] = lambda change: None
-        self.relay = Relay(ground.loop.now(), ground.members.own_name, self.run, Terms(table.askers, within),
-                           self.mark(), self, random.Random(secrets.randbits(64)))
+        terms = Terms(table.askers, within, seeded)
+        self.relay = Relay(ground.loop.now(), ground.members.own_name, self.run, terms, self.mark(), self,
+                           random.Random(secrets.randbits(64)))
         if not self.relay.on:
             log.info("list: nothing is relayed", extra={"fields": {
                 "why": "lists are pushed" if not self.config.asks_list else
@@ -134,7 +136,7 @@
 
     def reload(self, now: float, tables: ListPart) -> list[str]:
         self.table = tables
-        self.relay.terms = Terms(tables.askers, self.relay.terms.ask_within)
+        self.relay.terms = replace(self.relay.terms, askers=tables.askers)
         self.relay.members_changed()
         return []
 
--- a/rainspindle/program/fleet/run.py
+++ b/rainspindle/program/fleet/run.py
@@ -52,7 +52,7 @@
         self.wallets = WalletRun(ground, fleet.file.wallet) if fleet.file.wallet else None
         file = fleet.file
         self.evidence = EvidenceRun(ground, file.evidence) if file.evidence else None
-        self.listing = ListRun(ground, file.listing) if file.listing else None
+        self.listing = ListRun(ground, file.listing, bool(table.seeds)) if file.listing else None
         self.keep = KeepRun(ground, file.keep, kept, bool(table.seeds)) if file.keep else None
         self.joined: list[Joined] = [part for part in (self.evidence, self.listing, self.keep) if part]
         self.parts = [*self.joined, self.canaries, *([self.wallets] if self.wallets else [])]
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -14,7 +14,7 @@
 
 from rainspindle.decisions.listing.relay import LAST_PART, RETRIES, Relay, Terms, place
 from rainspindle.host import Listed, State
-from rainspindle.lab.listing_net import AT, Net, Service, encoded, listed
+from rainspindle.lab.listing_net import AT, Net, Service, encoded, listed, play
 from rainspindle.lab.models.registry import Change, Registry
 from rainspindle.program.config import Config
 from rainspindle.program.fleet.listing import ListPart, kept, unfit
@@ -23,6 +23,7 @@
 from rainspindle.routing.follow import Follower
 
 from .fleet import Rig, Stand, entry, only
+from .lab import experiment, played
 from .test_relay import rig as rig  # the fixture
 
 WITHIN = 10.0
@@ -160,6 +161,30 @@
         assert {e[3]["member"] for e in net.events if "not believed" in e[2]} == {ASKERS[1]}
 
 
+@pytest.mark.parametrize("gone", [2, 12])
+def test_two_that_tell_one_lie_are_found_out_by_the_third(gone: int) -> None:
+    """They tell that endpoints are gone. Nobody goes by it for long, nor ever where most of them are."""
+    net = begun([12.0], seconds=25.0)
+    truth = net.nodes[OTHERS[0]].lines
+    left = {id: data for id, data in truth.items() if id not in sorted(truth)[:gone]}
+
+    def told(name: str, value: bytes) -> bytes:
+        if name != words.HEAD or not value:
+            return value
+        return words.encode(msgspec.structs.replace(
+            words.decode(value, Head), version=900, digest=words.digest(left), age=0, since=0,
+            delta=[(id, b"") for id in sorted(truth)[:gone]]))
+    net.lies = dict.fromkeys(ASKERS[:2], told)
+    believed: dict[str, float] = dict.fromkeys(NAMES, 0.0)
+    while net.now < 145.0:
+        net.run(0.25)
+        for node in net.nodes.values():
+            believed[node.name] += 0.25 * (node.lines != truth)
+    assert max(believed.values()) <= (15.0 if gone == 2 else 0.0), "alone with an audit: 60 s and more"
+    assert gone == 12 or sum(believed.values()) > 0.0
+    assert calls(net, 25.0) < 10.0
+
+
 def test_while_the_service_is_down_calls_are_bounded_and_all_know_soon_after() -> None:
     net = Net(service([25.0, 31.0], [(22.0, 30.0)]), [f"s{n}" for n in range(400)], 1)
     net.start()
@@ -225,6 +250,15 @@
         assert len(lonely.service.calls) >= 1
 
 
+@pytest.mark.parametrize("scene", ["restart", "bare"])
+def test_a_herd_that_starts_at_once_costs_calls_that_do_not_grow_with_it(scene: str) -> None:
+    """Of 200 and 40 seven in ten, with a list and without one; alone there are over 100 calls in a second."""
+    for size in (200, 40):
+        figures = play(scene, size, True, 1, 50.0)
+        assert figures.most <= 30 and figures.late < 6.0
+        assert not figures.bare > 8.0
+
+
 def test_members_of_a_release_that_knows_nothing_of_it_are_passed_over() -> None:
     net = Net(service([30.0, 45.0]), NAMES, 1)
     net.mute = set(ASKERS)
@@ -258,6 +292,17 @@
     assert not any(value for node in net.nodes.values() for value in node.cells.values())
 
 
+def test_the_lab_plays_the_list_relayed_beside_exchanges() -> None:
+    drains = {"kind": "drain", "at": 6.0, "length": 2.0, "part": 0.5, "spread": 2.0, "size": 0.3}
+    x = experiment(length=16.0, sidecars={"count": 30}, faults=[drains], registry={"calls": 8.0},
+                   variants=[{"name": "alone"}, {"name": "relayed", "relay": True}])
+    (_, _, _, alone), (_, ledger, found, relayed) = (played(x, variant=v.name) for v in x.variants)
+    assert sum(found.by_rule().values()) == 0 and not found.faults
+    assert relayed["calls"] < 0.5 * alone["calls"] and relayed["calls_refused"] < alone["calls_refused"]
+    told = {(t.sidecar, t.endpoint) for t in ledger.told if t.state == "draining"}
+    assert len(told) == 30 * 3, "each is told of each drain"
+
+
 # The rule that all rests on.
 
 
--- a/tests/test_listing_processes.py
+++ b/tests/test_listing_processes.py
@@ -15,6 +15,7 @@
 from rainspindle.lab.fleet.processes import Fleet, quiet_config, wait_until
 from rainspindle.lab.fleet.schedule import Split
 from rainspindle.lab.listing_load import Lists
+from rainspindle.lab.models.registry import Gate
 
 pytestmark = pytest.mark.timeout(120)
 NAMES = ["a", "b", "c", "d", "e", "f", "g", "h"]
@@ -25,19 +26,20 @@
 
 
 @contextmanager
-def started(folder: Path, relayed: bool = True, names: list[str] = NAMES
+def started(folder: Path, relayed: bool = True, names: list[str] = NAMES, within: float = WITHIN
             ) -> Iterator[tuple[Fleet, Lists, Answers]]:
     """All know each other, and all but the askers are spared."""
     with Answers() as answers:
         config = answers.config(quiet_config())
-        config["settings"]["contract"]["ask-within"] = WITHIN * 1000
+        config["settings"]["contract"]["ask-within"] = within * 1000
         with Lists(config["known"]["instances"]) as lists, \
                 Fleet(folder, names, 1, {**config, "discovery": lists.address},
                       lambda name: {"list": {}} if relayed else {}) as fleet:
             fleet.start()
             fleet.all_alive()
             if relayed:
-                stand(fleet, lambda name, told: told["mode"] == ("asker" if name in ASKERS else "spared"))
+                askers = sorted(names, key=place)[:3]
+                stand(fleet, lambda name, told: told["mode"] == ("asker" if name in askers else "spared"))
             yield fleet, lists, answers
             assert not [line for s in fleet.sidecars.values() for line in s.faults()]
 
@@ -92,6 +94,23 @@
         stand(fleet, lambda name, told: told["mode"] == ("asker" if name in ASKERS else "spared"))
 
 
+def test_seven_in_ten_restarted_at_once_ask_a_busy_service_no_more_than_a_few(tmp_path: Path) -> None:
+    """Alone each of the seven asks at once, and again and again, as the service takes five calls a second."""
+    names = [f"n{n}" for n in range(10)]
+    ranked = sorted(names, key=place)
+    with started(tmp_path, names=names, within=30.0) as (fleet, lists, _):
+        back = [*ranked[:3], *ranked[6:]]
+        for name in back:
+            fleet[name].kill()
+        lists.gate = Gate(5.0)
+        version = lists.tell("new0", "DRAINING")
+        fleet.start(*back)
+        stand(fleet, lambda name, told: told["version"] == version and told["vouched"])
+        asked = {name: told(fleet, name)["own"] for name in ranked[6:]}
+        assert not any(own["calls"] + own["failed"] for own in asked.values()), asked
+        stand(fleet, lambda name, told: told["mode"] == ("asker" if name in ranked[:3] else "spared"))
+
+
 def test_links_dropped_a_service_that_is_down_and_one_that_counts_anew(tmp_path: Path) -> None:
     with started(tmp_path) as (fleet, lists, _):
         cut = fleet.network.begin(Split(0.0, (tuple(ASKERS), tuple(OTHERS)), 1e6))
