The lab's virtual run plays the list relayed: `relay = true` in a variant

Cause: experiments with exchanges played each sidecar's own calls alone, so what the relayed list does for rules and time was not known. Change: `lab/relayed.py` is host to the program's relay in a run, on the model of cells and members of `listing_net`.

--- a/rainspindle/lab/experiment.py
+++ b/rainspindle/lab/experiment.py
@@ -183,6 +183,7 @@
     knobs: dict[str, float] = {}  # constants of the module, as Class.NAME; virtual time only
     peers: Annotated[int, Field(ge=0)] = 0  # how many sidecars the module is told of; 0: the truth
     word: bool = False  # whether the sidecars tell one another of endpoints and keys; virtual time only
+    relay: bool = False  # whether a few of them ask for the list, and tell the others; virtual time only
     word_loss: Part = 0.0  # of the news that come later by 2 to 5 s
     liar: Literal["", "out", "back", "keys"] = ""  # what the first sidecar tells that is not so
     cut_part: Part = 0.0  # of the endpoints that the first sidecar cannot reach, from the first fault on
@@ -339,8 +340,9 @@
             if name not in known:
                 yield f"{at}.names: {name!r} is none of {known[0]} to {known[-1]}"
     for n, v in enumerate(x.variants):
-        if v.word and (v.policy != "module" or x.sites is not None or x.mode != "virtual"):
-            yield f"variants[{n}].word: only the module has any, in virtual time, without sites"
+        for name in ("word", "relay"):
+            if getattr(v, name) and (v.policy != "module" or x.sites is not None or x.mode != "virtual"):
+                yield f"variants[{n}].{name}: only the module has any, in virtual time, without sites"
         if v.sites and x.sites is None:
             yield f"variants[{n}].sites: there is no [sites] to change"
         for table, fields in (("limits", Limits.model_fields), ("clients", Clients.model_fields),
--- a/rainspindle/lab/virtual.py
+++ b/rainspindle/lab/virtual.py
@@ -9,7 +9,7 @@
 
 import simpy
 
-from ..host import Outcome, State
+from ..host import Listed, Outcome, State
 from ..logic import NEVER_RAN, Balancer
 from ..routing.facade import Did, Facade, Reject, SendThere, Terminate
 from ..routing.follow import Follower
@@ -19,6 +19,7 @@
 from .models.endpoint import EndpointModel, Job
 from .models.link import LinkModel
 from .models.registry import Gate
+from .relayed import Cells, Relayed
 from .word import Words
 from .world import Act, World, play
 
@@ -120,6 +121,8 @@
 class SidecarNode:
     """What the relay, the pool and the follower are on sockets, in virtual time."""
 
+    relayed: Relayed | None = None
+
     def __init__(self, run: VirtualRun, number: int) -> None:
         self.run, self.clock, self.number = run, run.clock, number
         self.zone = run.world.sidecar_zones[number]
@@ -145,10 +148,13 @@
         self.apply(self.facade.list_changed(now, known, whole=True, stale=True))
         self.apply(did)
         self.informed = self.run.words.join(self) if self.run.words is not None else None
+        self.relayed = self.run.cells.join(self, known) if self.run.cells is not None else None
 
     def die(self) -> None:
         self.up = False
         self.lives += 1
+        if self.relayed is not None:
+            self.relayed.cells.left(self.relayed.name)
         for holding in list(self.held.values()):
             if holding.flight is not None:
                 self.close(holding.flight)
@@ -199,12 +205,16 @@
 
     def ask(self) -> None:
         """A watch: held by the service until there is news, or as long as the relay asks for."""
-        now, x = self.clock.now, self.run.world.x
+        now, x, part = self.clock.now, self.run.world.x, self.relayed
+        if part is not None and part.spares(now):
+            return
         taken = self.run.gate.takes(now)
         self.run.ledger.met.append(Met("call", self.number, -1, now, not taken))
         if taken:
-            part = Follower.WATCH_PART * x.limits.ask_within
-            self.watch(now + min(part, Follower.MOST_WATCH))
+            wait = min(Follower.WATCH_PART * x.limits.ask_within, Follower.MOST_WATCH)
+            if part is not None:
+                wait = 0.0 if part.hearsay else part.relay.period if part.relay.asker else wait
+            self.watch(now + wait)
         else:
             self.clock.at(now + x.registry.answer, self.living(self.failed))
 
@@ -221,19 +231,29 @@
                           self.living(partial(self.watch, until)))
 
     def failed(self) -> None:
+        if self.relayed is not None:
+            self.relayed.relay.failed(self.clock.now)
         self.apply(self.facade.list_failed(self.clock.now))
 
     def tell(self) -> None:
-        registry, now = self.registry, self.clock.now
-        lines = registry.since(self.version, now)
-        self.version = registry.version(now)
+        registry, now, part = self.registry, self.clock.now, self.relayed
+        whole, version = part is not None and part.hearsay, registry.version(now)
+        lines = registry.whole(version) if whole else registry.since(self.version, now)
+        if part is not None:
+            lines = part.answered(now, version, lines, whole)
+        self.told(version, lines)
+        rest = now + Follower.REST if part is not None and not lines else now
+        self.clock.at(rest, self.living(self.ask)) if rest > now else self.ask()
+
+    def told(self, version: int, lines: list[Listed]) -> None:
+        """By the service, or by others."""
+        now, self.version = self.clock.now, version
         for line in lines:
             self.run.ledger.told.append(Told(self.number, int(line.id[1:]), line.state.value, now))
             if line.state is State.GONE or line.started != self.started.get(line.id):
                 self.drop_idle(int(line.id[1:]))
         self.note_starts([(line.id, line.started) for line in lines])
         self.apply(self.facade.list_changed(now, lines, whole=False, stale=False))
-        self.ask()
 
     def note_starts(self, starts: list[tuple[str, float | None]]) -> None:
         self.started.update(starts)
@@ -395,6 +415,7 @@
         self.types = world.x.traffic
         self.gate = Gate(world.x.registry.calls)
         self.words = Words(self) if world.variant.word else None
+        self.cells = Cells(self) if world.variant.relay else None
         self.beyond: frozenset[int] = frozenset()  # endpoints that the first sidecar cannot reach
         self.links = world.links()
         self.endpoints = [EndpointNode(self.clock, world.endpoint(n)) for n in range(len(world.kinds))]
