Three are asked for where more than half of the endpoints would be lost, not a quarter of the lines changed

Cause: 36 of 60 endpoints replaced in 7 s passed a quarter of the lines, so that every sidecar of 1,000 waited for a third and then asked: 228 calls in the fullest second, changes known after 4.6 s in the 99th part. Change: what counts is how many endpoints in use are lost since three told alike.

--- a/rainspindle/decisions/listing/relay.py
+++ b/rainspindle/decisions/listing/relay.py
@@ -40,7 +40,7 @@
 JOINING = ((0.03, 0.33), (0.3, 0.62), (0.4, 0.78))
 JOINING_BARE = ((0.03, 0.13), (0.3, 0.55), (0.35, 0.7))
 SIGHTED = 1.0  # seconds after a newcomer knows of others until it may ask for all
-LARGE = 0.25  # of the lines: where more have changed since three told alike, two are not enough
+LARGE = 0.5  # of the endpoints in use: where more are lost since three told alike, two are not enough
 AUDITS, LEAST_AUDIT = 1.0, 60.0  # calls a second over the fleet; seconds at one sidecar at least
 RETRIES = 25.0  # calls a second over the fleet, of those whose own call fails where askers' calls fail too
 DOUBT, MOST_DOUBT = 60.0, 3600.0  # seconds in which one that told too much is not believed; doubled
@@ -123,6 +123,7 @@
         self.short_at = math.inf  # since when two tell alike of a newer one
         self.dispute_at = math.inf  # since when one tells that the service has not the list that two told
         self.sure: Lines = {}  # the list as the service, or three, told it last
+        self.sure_usable = -1  # -1: not counted yet
         self.sighted = math.inf  # when others were first known to be there
         self.failing_at = math.inf  # since when two tell that their calls fail
         self.vouched = False  # whether two tell of the list that is here
@@ -168,7 +169,8 @@
             self.step(now, version, new)
         if whole:
             self.examine(now, version)
-        self.own_at, self.sure = now, self.lines
+        self.own_at = now
+        self.sure, self.sure_usable = self.lines, -1
         self.lag_at = self.short_at = math.inf
         self.draw(now)
         self.due = True
@@ -195,7 +197,7 @@
         self.confirmed = self.own_at = self.failed_at = -math.inf
         self.vouched, self.began, self.large = False, -math.inf, False
         self.lag_at = self.short_at = self.failing_at = self.dispute_at = math.inf
-        self.sure = {}
+        self.sure, self.sure_usable = {}, -1
         self.steps.clear()
         self.doubts.clear()
         self.due = False
@@ -259,9 +261,8 @@
         self.words = {name: word for name, word in self.words.items() if name in names or word.at > young}
         self.doubts = {name: doubt for name, doubt in self.doubts.items() if name in names}
 
-    def passed_over(self, now: float, name: str, since: float) -> bool:
+    def passed_over(self, now: float, name: str, since: float, silent: float) -> bool:
         """Whether another is to ask in the place of this one."""
-        silent = self.period + SILENT
         word = self.words.get(name)
         if word is None or now - word.at > silent:
             return now - since > silent
@@ -271,7 +272,7 @@
 
     def elect(self, now: float) -> None:
         """Whether this one asks. Guards against askers that fail, lie or hang; may hurt by a few more."""
-        expected, good = {}, 0.0
+        expected, good, silent = {}, 0.0, self.period + SILENT
         asker = carrier = False
         for name in self.ranked:
             if good >= self.terms.askers:
@@ -282,7 +283,7 @@
                 carrier = good < CARRIERS
                 break
             expected[name] = self.expected.get(name, now)
-            if not self.passed_over(now, name, expected[name]):
+            if not self.passed_over(now, name, expected[name], silent):
                 # Guards against the next who is dead too: until one of them tells, two are to ask.
                 good += 1.0 if name in self.words else 0.5
         self.expected = expected
@@ -299,9 +300,11 @@
     # What the others tell.
 
     def doubted(self, now: float, name: str) -> bool:
-        doubt, word = self.doubts.get(name), self.words.get(name)
-        return doubt is not None and word is not None and now < doubt.until \
-            and word.head.version >= doubt.version
+        doubt = self.doubts.get(name)
+        if doubt is None or now >= doubt.until:
+            return False
+        word = self.words.get(name)
+        return word is not None and word.head.version >= doubt.version
 
     def examine(self, now: float, version: int) -> None:
         """The service itself told a version. Guards against one that tells of a version far too high, and so
@@ -350,13 +353,10 @@
     def needed(self, lines: Lines) -> int:
         """Guards against two that tell one lie, by which all endpoints would be gone at once; may hurt where
         the third is late or fails: then by the calls that are made for what is not here in time."""
-        other = sum(lines.get(id) != data for id, data in self.sure.items())
-        return min(AGREE + 1, self.terms.askers) if other > max(LARGE * len(self.sure), 1) else AGREE
-
-    def failing(self, now: float) -> bool:
-        """Whether two tell that their calls fail, and have lately."""
-        recent = now - 2 * self.period - LAG
-        return sum(word.head.failing and word.at > recent for _, word in self.counted(now)) >= AGREE
+        if self.sure_usable < 0:
+            self.sure_usable = words.usable(self.sure)
+        lost = words.usable(lines) < (1 - LARGE) * self.sure_usable
+        return min(AGREE + 1, self.terms.askers) if lost else AGREE
 
     def look(self, now: float) -> None:
         """What may follow from anything that was heard."""
@@ -376,10 +376,10 @@
         self.change_mode(now)
 
     def follow(self, now: float) -> None:
-        counted = self.counted(now)
+        counted, lately = self.counted(now), now - 2 * self.period - LAG
         # After a move the own call comes first; one that asks is told by the service, unless calls fail.
         if max(self.own_at, self.began) > -math.inf and (not self.asker or self.failed_at > self.own_at):
-            recent = [one for one in counted if one[1].at > now - 2 * self.period - LAG]
+            recent = [one for one in counted if one[1].at > lately]
             newer = sorted({(w.head.version, w.head.digest) for _, w in counted
                             if self.version is None or w.head.version > self.version}, reverse=True)
             for version, digest in newer:
@@ -389,10 +389,11 @@
                 if self.fetch(now, counted, version, digest, votes):
                     break
                 self.short_at = min(self.short_at, now)
-        votes = self.votes(counted, self.version, self.digest) if self.version is not None else 0
-        self.vouched = self.vouched or votes >= AGREE
-        if votes > AGREE:
-            self.sure = self.lines
+        if self.version is not None and (not self.vouched or self.sure is not self.lines):
+            votes = self.votes(counted, self.version, self.digest)
+            self.vouched = self.vouched or votes >= AGREE
+            if votes > AGREE:
+                self.sure, self.sure_usable = self.lines, -1
         disputed = self.own_at < self.changed_at and any(self.against(w) for _, w in counted)
         if not disputed:
             self.dispute_at = math.inf
@@ -409,7 +410,7 @@
                 self.host.urge()
         else:
             self.lag_at = self.short_at = math.inf
-        if not self.failing(now):
+        if sum(word.head.failing and word.at > lately for _, word in counted) < AGREE:
             self.failing_at = math.inf
         elif self.failing_at == math.inf:
             self.failing_at = now
--- a/rainspindle/protocol/listing.py
+++ b/rainspindle/protocol/listing.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import hashlib
 import math
 import zlib
@@ -136,6 +137,15 @@
         raise UnreadableList(f"a line of the list: {fault}") from None
 
 
+def usable(lines: Lines) -> int:
+    """How many of them may get exchanges; none that cannot be read."""
+    count = 0
+    for data in lines.values():
+        with contextlib.suppress(UnreadableList):
+            count += decode(data, Line).state == STATES[State.READY]
+    return count
+
+
 # Whole lists.
 
 
