Tellers of keys that started together no longer tell at the same moment ever after

Cause: each of the 128 told after the same times, so that a fleet started together wrote 107 cells within one second each ten; with 2,000 members the others had a cell after 0.88 s in the median, 1.66 s at seven eighths. Change: each time is drawn up to two fifths shorter or longer.

--- a/rainspindle/decisions/evidence/evidence.py
+++ b/rainspindle/decisions/evidence/evidence.py
@@ -28,6 +28,7 @@
 WARNED_PART = 0.25  # of the endpoints, the most that are warned of at once
 KEY_TELLERS, KEY_LASTS = 128, 30.0  # the first so many by rank tell keys; seconds for which that counts
 KEY_FIRST, KEY_MORE, KEY_GAP = 1.0, 0.5, 10.0  # after 1 s, then after half as long again, at most 10 s
+KEY_APART = 0.4  # part of that time by which it is drawn shorter or longer
 KEY_MOST, KEY_LEAST = 3.0, 0.002  # what one teller counts, times the median's; parts under which none is hot
 BACK_TOLD = 10.0  # seconds for which an answered trial is told
 MOST_OWNERS = 4096
@@ -372,9 +373,12 @@
             self.summed_at, self.keys_news = now, bool(self.shares)
         keyed = now >= self.keys_at
         if keyed:
-            # Guards against hot keys that a fleet just started knows late: often at first, then seldom.
-            self.keys_at = now + min(KEY_GAP, max(KEY_FIRST, KEY_MORE * (now - self.began)))
+            # Guards against hot keys that a fleet just started knows late: often at first, then seldom; and
+            # against tellers that started together, whose cells would ever after be on the way all at once.
+            keys_gap = min(KEY_GAP, max(KEY_FIRST, KEY_MORE * (now - self.began)))
             keyed = self.host.rank() < KEY_TELLERS
+            apart = self.chance.uniform(-KEY_APART, KEY_APART) if keyed else 0.0
+            self.keys_at = now + keys_gap * (1 + apart)
         gap = now - self.wrote_at
         if (self.urgent and gap >= URGENT_GAP) or ((keyed or self.changed) and gap >= WRITE_GAP):
             self.write(now)
