--- a/rainspindle/transport/pool.py
+++ b/rainspindle/transport/pool.py
@@ -31,12 +31,15 @@
     def take(self, peer: Peer, careful: bool = False) -> Connection | None:
         """An idle connection that is still sound: of those that have rested, the last used.
 
-        Guards against writing to one that is just being closed: a peer that ends it right after an answer has
-        done so within a moment, and then it shows. Where that is frequent, a `careful` one gets no other."""
+        Guards against writing to one that is just being closed, and against taking what comes late behind an
+        answer for the next one's: either shows within a moment. None that has not rested is taken while a new
+        one may be opened, or for a `careful` exchange where early ends are frequent. May hurt by connections:
+        as many more as answers come within that moment."""
         now, idle = self.loop.now(), self.idle.get(peer, [])
         while idle:
             connection = next((c for c in reversed(idle) if now - c.idle_since >= self.REST), idle[0])
-            if careful and now - connection.idle_since < self.REST and self.wary():
+            rested = now - connection.idle_since >= self.REST
+            if not rested and (self.open < self.most or (careful and self.wary())):
                 return None
             if connection.sound() and now - connection.idle_since < self.keep:
                 idle.remove(connection)
--- a/tests/test_cases.py
+++ b/tests/test_cases.py
@@ -2,18 +2,21 @@
 
 from __future__ import annotations
 
+import bisect
 import io
 import json
+import math
+import random
 from typing import Any
 
 import pytest
 
 from rainspindle.histogram import Histogram
 from rainspindle.host import Effect, Outcome, State
-from rainspindle.logic import Breaker, Endpoint, Entry, FailoverTable
+from rainspindle.logic import Breaker, ColdBudget, Endpoint, Entry, FailoverTable
 from rainspindle.simhost.adapter import serve
 
-from .fleet import Fleet, kind, line
+from .fleet import COLD, COLD_FROM, MULTIPLE, WINDOW, Fleet, kind, line
 
 
 def serve_some(fleet: Fleet, start: int, count: int, gap: float = 0.05, took: float = 0.02) -> None:
@@ -259,6 +262,23 @@
     assert not fleet.balancer.table.entries
 
 
+@pytest.mark.parametrize("allowed", [3, 8, 20])
+def test_what_all_sidecars_draw_for_a_cold_endpoint_is_within_its_bound(allowed: int) -> None:
+    """Of 200, each by itself, all that is drawn being sent: in any window N + 2 x root of N + 2 at most."""
+    chance, sent = random.Random(allowed), list[float]()
+    budget = ColdBudget(MULTIPLE, WINDOW, COLD_FROM, COLD)
+    for _ in range(200):
+        at = -WINDOW * chance.random()
+        while at < 60.0:  # the endpoint stays as cold as it began; warm ones answer all that they can
+            count, lasts = budget.draw(
+                0.0, allowed / (MULTIPLE * WINDOW * COLD_FROM * 200), Histogram(), 200, chance.random())
+            sent += [at + lasts * chance.random() for _ in range(count)]
+            at += lasts
+    sent.sort()
+    most = max(bisect.bisect(sent, at + WINDOW) - n for n, at in enumerate(sent))
+    assert allowed / 2 < most <= allowed + 2 * math.sqrt(allowed) + 2
+
+
 def test_a_key_is_not_spread_over_a_large_fleet() -> None:
     fleet = Fleet([kind()], [line(n) for n in range(20)])  # overload: spilled keys met only cold endpoints
     for id in range(1200):
