Thin traffic sees a jam by what all warm endpoints took in the last seconds

Ruled out: the cold budget (the newcomers get all that it allows), late lists, endpoints out, windows.

Change: `Balancer.recent`, answers and time-outs at warm endpoints, halved each second. Where a sidecar has no more outcomes of an endpoint than are kept for long (`THIN`), its chance of being turned away follows the longer of the two.

--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -44,8 +44,7 @@
 
     def __init__(self, endpoint: Place, now: float) -> None:
         super().__init__(now)
-        self.first = self.current = endpoint
-        self.tried = [endpoint]
+        self.first, self.current, self.tried = endpoint, endpoint, [endpoint]
         self.retriable, self.other, self.last = 0, 0, now
 
 
@@ -175,8 +174,7 @@
 
     def __init__(self, free: float, share: float, window: float) -> None:
         self.free, self.share, self.window = free, share, window
-        self.taken: deque[float] = deque()
-        self.sent: deque[float] = deque()
+        self.taken, self.sent = deque[float](), deque[float]()
 
     def allows(self, now: float, worth: float) -> bool:
         """`worth`: the exchange's value in parts of the highest. Guards against an allowance that is gone at
@@ -277,7 +275,7 @@
     TICK, SWEEP, FORGET, HALF, AGE = 0.1, 1.0, 2, 5, 10  # seconds; sweeps
     COUNTED, FEW = 128.0, 8.0  # exchanges by which a sidecar knows its hot keys, at most and at least
     SKIP_FACTOR, SKIP_PLUS, QUEUE, DEPTH = 1.25, 2, 1.0, 6  # QUEUE: what all sidecars let wait at an endpoint
-    CROWDED, CROWDED_OUT = 0.2, 0.5  # parts of the promised time
+    CROWDED, CROWDED_OUT, THIN = 0.2, 0.5, 8.0  # parts of the promised time; outcomes that are kept longer
     MOST_TURNED = 0.95  # the highest chance of being turned away: some must pass, or no end of a jam is seen
     LEARN, UNLEARN = 0.2, 0.02  # parts by which the rate of warm endpoints rises and falls at a sweep
     LAST_TRIAL, BACK_WAIT = 15.0, 1.0  # seconds until a binding one may be a trial, or first at one put back
@@ -298,16 +296,13 @@
         self.use_shares, self.local_boost, self.budget = use_shares, math.exp(cross_price * 25), budget
         self.further, self.most_value = further, max(t.value for t in types)
         self.draws, self.warm_rate, self.counted, self.list_failures = 0, 0.0, 0.0, 0
-        self.endpoints: dict[str, Endpoint] = {}
+        self.endpoints, self.ready = dict[str, Endpoint](), list[Endpoint]()
         self.left_out: dict[str, Listed | None] = {}  # by order, each with its line as a list last told it
         self.put_back: dict[str, float] = {}  # when an order ended that; cold from then on, if not from later
-        self.ready: list[Endpoint] = []
-        self.touched: dict[Endpoint, None] = {}  # those with anything to sweep; a dict keeps the order
-        self.ranks: dict[str, list[Endpoint]] = {}
-        self.table: FailoverTable[Endpoint] = FailoverTable()
-        self.exchanges: dict[int, Exchange] = {}
-        self.forwards: dict[tuple[int, int], Forward] = {}
-        self.latency = Histogram()
+        self.touched, self.ranks = dict[Endpoint, None](), dict[str, list[Endpoint]]()  # touched: to be swept
+        self.exchanges, self.forwards = dict[int, Exchange](), dict[tuple[int, int], Forward]()
+        self.table = FailoverTable[Endpoint]()
+        self.latency, self.recent = Histogram(), Histogram()  # recent: at warm ones alone, halved each second
         self.usual = self.slow = self.calm = 0.0
         self.counts: dict[str, float] = {}  # exchanges by key, halved now and then
         self.worths: dict[float, float] = {}  # exchanges by worth, halved likewise
@@ -592,10 +587,8 @@
         if entry and entry.due and not further and entry.first.line.state is State.READY \
                 and not entry.first.breaker and open_to(entry.first):
             return entry.first, entry  # step 5: the key's next exchange alone is the trial
-        if entry and self.table.moved(entry):
-            ranked = [entry.current] + [e for e in ranked if e not in entry.tried]
-        else:
-            ranked = self.spread(x.key, ranked)
+        ranked = ([entry.current] + [e for e in ranked if e not in entry.tried]
+                  if entry and self.table.moved(entry) else self.spread(x.key, ranked))
         # Guards against an endpoint put back that waits for its keys: the next exchange that may goes there.
         for id, at in self.put_back.items():
             e = self.endpoints.get(id)
@@ -604,6 +597,7 @@
                 return e, None
         left, best, best_time, promised = x.promised_at - now, None, math.inf, x.type.promised_time
         usual, drawn, looked = self.latency.low_mean(0.0, 2.0), x.drawn, 0
+        lately = self.recent.low_mean(usual, 2.0)
         for e in ranked:
             if looked >= max(self.DEPTH, len(ranked) / 3):
                 break
@@ -619,6 +613,10 @@
             grade = self.grade(e.line)
             prior = usual if self.cold_age(e, now) is None else 0.0  # it is calm by its budget
             times = grade.at(self.held(e)) if self.tells else e.latency.low_mean(prior, 2.0)
+            # Guards against a jam that thin traffic meets too seldom at each one: what all warm ones take
+            # lately counts. May hurt where most of them are slow and a few are not.
+            if prior and e.latency.total <= self.THIN and not self.tells:
+                times = max(times, lately)
             if not self.ramped(e, x.key, now) or drawn < self.crowding(times, promised, grade.time):
                 continue
             time = e.predicted(now, self.usual)
@@ -631,13 +629,16 @@
                 best, best_time = e, time
         return (best, None) if best else None
 
+    def kept(self, e: Endpoint, now: float) -> list[Histogram]:
+        return [e.latency, self.latency, *([self.recent] if self.cold_age(e, now) is None else [])]
+
     def note_answer(self, forward: Forward, now: float) -> None:
         x, endpoint, latency = forward.exchange, forward.endpoint, now - forward.sent
         promised = x.type.promised_time
         # Guards against taking a cold endpoint for a sick one: by what it would take when warm.
         late = latency * self.able(endpoint, now) > promised
-        endpoint.latency.add(latency)
-        self.latency.add(latency)
+        for times in self.kept(endpoint, now):
+            times.add(latency)
         if self.tells:
             self.grade(endpoint.line).add(forward.held, latency)
         endpoint.answered(now, forward.sent, endpoint.calm or self.calm or promised, promised)
@@ -657,8 +658,8 @@
         if outcome is Outcome.FULL or (outcome is Outcome.TIMED_OUT and not lost):
             endpoint.ease(now, forward.sent)
         if outcome is Outcome.TIMED_OUT and not lost:
-            endpoint.latency.add(now - forward.sent)  # or the quick alone would be seen
-            self.latency.add(now - forward.sent)
+            for times in self.kept(endpoint, now):
+                times.add(now - forward.sent)  # or the quick alone would be seen
         elif outcome is Outcome.FULL:
             self.latency.add(x.type.promised_time)
         # Guards against long work: a time-out says nothing of an endpoint that answered since.
@@ -755,8 +756,8 @@
             self.learn_pool(now)
         self.table.sweep(now)
         self.usual, self.slow = self.latency.quantile(0.5), self.latency.quantile(0.9)
-        if self.latency.total >= 8:
-            self.calm = min(self.calm * 1.01 or math.inf, self.usual)
+        self.calm = min(self.calm * 1.01 or math.inf, self.usual) if self.latency.total >= 8 else self.calm
+        self.recent.halve()
         self.sweeps += 1
         forget, halve, age = (self.sweeps % n == 0 for n in (self.FORGET, self.HALF, self.AGE))
         for e in list(self.touched):
@@ -767,7 +768,7 @@
                 e.calm = min(e.calm * 1.01 or math.inf, e.latency.quantile(0.5))
             if halve and (age or sum(e.outcomes) > 8):  # where little comes, it is kept longer
                 e.failures, e.outcomes = [0.0, e.failures[0]], [0, e.outcomes[0]]
-            if forget and (e.latency.total > 8 or age):
+            if forget and (e.latency.total > self.THIN or age):
                 e.latency.halve()
             if halve and not (e.out or e.breaker or e.latency.total or any(e.outcomes)):
                 del self.touched[e]  # nothing left to sweep: most endpoints, where traffic is thin
--- a/tests/test_cases.py
+++ b/tests/test_cases.py
@@ -4,6 +4,7 @@
 
 import bisect
 import io
+import itertools
 import json
 import math
 import random
@@ -318,6 +319,23 @@
     assert sum(h.answer == "finished" for h in list(fleet.held.values())[-20:]) > 15
 
 
+def test_a_jam_is_seen_though_each_endpoint_is_met_seldom() -> None:
+    """Guards against seconds of forwards into queues; some are sent all the while, to see its end."""
+    fleet = Fleet([kind()], [line(n) for n in range(40)], peers=200)
+    serve_some(fleet, 0, 150)
+    jammed, sent = fleet.now, list[float]()
+    for id in range(1000, 1150):
+        if fleet.arrive(id, key=f"key{id}").sent:
+            sent.append(fleet.now)
+        fleet.wait(0.06)
+        for other, number in fleet.open():
+            if fleet.held[other].sent[number].at < fleet.now - 0.45:
+                fleet.end(other, number, Outcome.SERVED)
+    early = sum(at - jammed < 3.0 for at in sent)
+    assert early < 35, "seen by what each endpoint alone took"
+    assert max(after - at for at, after in itertools.pairwise(sent)) < 4.0
+
+
 def test_failures_everywhere_alike_take_no_endpoint_out() -> None:
     fleet = Fleet([kind()], [line(n) for n in range(6)])  # half a fleet was out for 5 s after a short trouble
     serve_some(fleet, 0, 60)
