--- a/tests/test_cases.py
+++ b/tests/test_cases.py
@@ -2,18 +2,22 @@
 
 from __future__ import annotations
 
+import bisect
 import io
+import itertools
 import json
+import math
+import random
 from typing import Any
 
 import pytest
 
 from rainspindle.histogram import Histogram
 from rainspindle.host import Effect, Outcome, State
-from rainspindle.logic import Breaker, Endpoint, Entry, FailoverTable
+from rainspindle.logic import Breaker, ColdBudget, Endpoint, Entry, FailoverTable
 from rainspindle.simhost.adapter import serve
 
-from .fleet import Fleet, kind, line
+from .fleet import COLD, COLD_FROM, MULTIPLE, WINDOW, Fleet, kind, line
 
 
 def serve_some(fleet: Fleet, start: int, count: int, gap: float = 0.05, took: float = 0.02) -> None:
@@ -259,6 +263,23 @@
     assert not fleet.balancer.table.entries
 
 
+@pytest.mark.parametrize("allowed", [3, 8, 20])
+def test_what_all_sidecars_draw_for_a_cold_endpoint_is_within_its_bound(allowed: int) -> None:
+    """Of 200, each by itself, all that is drawn being sent: in any window N + 2 x root of N + 2 at most."""
+    chance, sent = random.Random(allowed), list[float]()
+    budget = ColdBudget(MULTIPLE, WINDOW, COLD_FROM, COLD)
+    for _ in range(200):
+        at = -WINDOW * chance.random()
+        while at < 60.0:  # the endpoint stays as cold as it began; warm ones answer all that they can
+            count, lasts = budget.draw(
+                0.0, allowed / (MULTIPLE * WINDOW * COLD_FROM * 200), Histogram(), 200, chance.random())
+            sent += [at + lasts * chance.random() for _ in range(count)]
+            at += lasts
+    sent.sort()
+    most = max(bisect.bisect(sent, at + WINDOW) - n for n, at in enumerate(sent))
+    assert allowed / 2 < most <= allowed + 2 * math.sqrt(allowed) + 2
+
+
 def test_a_key_is_not_spread_over_a_large_fleet() -> None:
     fleet = Fleet([kind()], [line(n) for n in range(20)])  # overload: spilled keys met only cold endpoints
     for id in range(1200):
@@ -298,6 +319,23 @@
     assert sum(h.answer == "finished" for h in list(fleet.held.values())[-20:]) > 15
 
 
+def test_a_jam_is_seen_though_each_endpoint_is_met_seldom() -> None:
+    """Guards against seconds of forwards into queues; some are sent all the while, to see its end."""
+    fleet = Fleet([kind()], [line(n) for n in range(40)], peers=200)
+    serve_some(fleet, 0, 150)
+    jammed, sent = fleet.now, list[float]()
+    for id in range(1000, 1150):
+        if fleet.arrive(id, key=f"key{id}").sent:
+            sent.append(fleet.now)
+        fleet.wait(0.06)
+        for other, number in fleet.open():
+            if fleet.held[other].sent[number].at < fleet.now - 0.45:
+                fleet.end(other, number, Outcome.SERVED)
+    early = sum(at - jammed < 3.0 for at in sent)
+    assert early < 35, "seen by what each endpoint alone took"
+    assert max(after - at for at, after in itertools.pairwise(sent)) < 4.0
+
+
 def test_failures_everywhere_alike_take_no_endpoint_out() -> None:
     fleet = Fleet([kind()], [line(n) for n in range(6)])  # half a fleet was out for 5 s after a short trouble
     serve_some(fleet, 0, 60)
