--- a/rainspindle/decisions/shared/cells.py
+++ b/rainspindle/decisions/shared/cells.py
@@ -18,6 +18,7 @@
 MOST_VALUE = 900  # bytes, so that a cell fits in one datagram with what goes around it
 MOST_NAME = 100  # characters
 MOST_MATTERS = 8  # of which cells are kept
+SWEPT = "swept/"  # `swept/MATTER`: up to which of its cells of a matter the owner needs none any more
 PARTS = 64  # in which the cells of one owner are held against another member's
 
 
@@ -66,6 +67,7 @@
         self.fresh: dict[tuple[str, str], tuple[str, ...]] = {}  # changed since spread: (owner, name), toward
         self.wake: Callable[[], None] = lambda: None  # told of each own write, so that it goes out at once
         self.counts: Counter[str] = Counter()  # of others, by matter
+        self.floors: dict[tuple[str, str], tuple[int, int]] = {}  # owner, matter: cells up to it are gone
         self.refused = 0  # news of a cell beyond `most`, or over a limit
 
     def on_change(self, prefix: str, user: Callable[[float, Cell], None]) -> None:
@@ -77,7 +79,8 @@
         if len(value) > MOST_VALUE or len(name) > MOST_NAME:
             raise ValueError(f"cell {name!r:.40}: {len(value)} bytes, {len(name)} characters of name")
         before = self.read(self.own, name)
-        cell = Cell(self.own, name, self.life, before.cell.sequence + 1 if before else 1, value)
+        last = before.cell.sequence if before else self.floor(matter(name))
+        cell = Cell(self.own, name, self.life, last + 1, value)
         self.put(now, cell, tuple(toward))
         self.wake()
         return cell
@@ -86,6 +89,40 @@
         if self.read(self.own, name) is not None:
             self.write(now, name, b"")
 
+    def sweep(self, now: float, about: str, gone: Iterable[str], note: bytes = b"") -> None:
+        """The own cells `gone` of the matter `about`, and all that are left of earlier lives, are forgotten
+        by all, and the room that they took is free. `note` is told in the same cell: who has forgotten them
+        knows it.
+
+        Those that stay are told once more where their sequence is not over a forgotten one's. So one number
+        tells all that are gone, and a word of one of them that comes late is known as such."""
+        names, own = set(gone), [seen.cell for name, seen in self.by_owner.get(self.own, {}).items()
+                                 if matter(name) == about and seen.cell.life == self.life]
+        floor = max([self.floor(about), *(cell.sequence for cell in own if cell.name in names)])
+        for cell in own:
+            if cell.name not in names and cell.sequence <= floor:
+                self.put(now, replace(cell, sequence=floor + 1))
+        self.clear(now, self.write(now, SWEPT + about, b"%d " % floor + note))
+
+    def floor(self, about: str) -> int:
+        """The highest sequence of the own cells that were swept in this life."""
+        life, floor = self.floors.get((self.own, about), (0, 0))
+        return floor if life == self.life else 0
+
+    def note(self, owner: str, about: str) -> bytes:
+        """Of the owner's last sweep."""
+        seen = self.by_name.get(SWEPT + about, {}).get(owner)
+        return b"" if seen is None else seen.cell.value.partition(b" ")[2]
+
+    def clear(self, now: float, swept: Cell) -> None:
+        """Forgets what is swept; who uses it is told that it is empty."""
+        about = swept.name.removeprefix(SWEPT)
+        floor = self.floors[swept.owner, about]
+        for name, seen in list(self.by_owner[swept.owner].items()):
+            if matter(name) == about and seen.cell.order <= floor:
+                self.forget(swept.owner, name)
+                self.tell_users(now, replace(seen.cell, value=b""))
+
     def read(self, owner: str, name: str) -> Seen | None:
         seen = self.by_name.get(name, {}).get(owner)
         return None if seen is None else self.aged(seen)
@@ -118,14 +155,21 @@
                 owners, of_owner = self.by_name[cell.name], self.by_owner[cell.owner]
                 owners[cell.owner] = of_owner[cell.name] = Seen(known.cell, now - age)
             return False
+        if known is None and cell.order <= self.floors.get((cell.owner, matter(cell.name)), (0, 0)):
+            return False
         if known is None and not self.room(matter(cell.name)):
             self.refused += 1
             return False
         self.put(now - age, cell)
+        if cell.name.startswith(SWEPT):
+            self.clear(now, cell)
+        self.tell_users(now, cell)
+        return True
+
+    def tell_users(self, now: float, cell: Cell) -> None:
         for prefix, user in self.users:
             if cell.name.startswith(prefix):
                 user(now, cell)
-        return True
 
     @property
     def count(self) -> int:
@@ -161,6 +205,10 @@
         of_owner = self.by_owner.setdefault(cell.owner, {})
         of_owner.pop(cell.name, None)
         of_owner[cell.name] = seen
+        if cell.name.startswith(SWEPT):
+            floor = cell.value.partition(b" ")[0]
+            self.floors[cell.owner, cell.name.removeprefix(SWEPT)] = (
+                cell.life, int(floor) if floor.isdigit() and len(floor) < 20 else 0)
 
     def reborn(self, now: float, life: int) -> None:
         """The own member has taken a higher life: all that it wrote in its last one stands in the new."""
@@ -178,6 +226,8 @@
             self.flip(seen.cell)
             self.by_owner[owner].pop(name, None)
             self.fresh.pop((owner, name), None)
+            if name.startswith(SWEPT):
+                self.floors.pop((owner, name.removeprefix(SWEPT)), None)
         if not owners:
             self.by_name.pop(name, None)
 
--- a/rainspindle/decisions/wallet/account.py
+++ b/rainspindle/decisions/wallet/account.py
@@ -28,21 +28,22 @@
 class Row:
     """As it goes to disk."""
 
-    __slots__ = ("account", "back", "barred", "given", "got", "number", "off", "spent", "topped")
+    __slots__ = ("account", "back", "barred", "given", "got", "number", "off", "rests", "spent", "topped")
 
     def __init__(self, account: int, number: int = 0, spent: int = 0, back: int = 0, topped: int = 0,
                  given: dict[Who, int] | None = None, got: dict[Who, int] | None = None,
-                 off: dict[str, int] | None = None, barred: str = "") -> None:
+                 off: dict[str, int] | None = None, barred: str = "", rests: bool = False) -> None:
         self.account, self.number = account, number
         self.spent, self.back, self.topped = spent, back, topped
         self.given = given if given is not None else {}
         self.got = got if got is not None else {}
         self.off = off if off is not None else {}  # the home's: accounts up to this one are written off
         self.barred = barred  # the home's: books of which it may have forgotten ids of top-ups
+        self.rests = rests  # its use has ended: nothing is left in it, and others have heard all
 
     def copy(self) -> Row:
         return Row(self.account, self.number, self.spent, self.back, self.topped, dict(self.given),
-                   dict(self.got), dict(self.off), self.barred)
+                   dict(self.got), dict(self.off), self.barred, self.rests)
 
     def rights(self) -> int:
         return self.topped + sum(self.got.values()) - sum(self.given.values()) - self.spent + self.back
@@ -122,6 +123,7 @@
         new = total - self.row.got.get(giver, 0)
         if new > 0:
             self.row.got[giver] = total
+            self.row.rests = False
             self.rights += new
             self.dirty = True
         return max(new, 0)
@@ -133,6 +135,7 @@
         self.ids[id] = amount
         self.fresh.append(id)
         self.row.topped += amount
+        self.row.rests = False
         self.rights += amount
         self.dirty = True
         return True
@@ -192,11 +195,12 @@
         self.lost = 0  # rights left in accounts that are over
 
     def take(self, row: Row | None, ids: dict[str, int], old: list[Row], trust: Trust) -> None:
-        """What was found on disk. A row that is not the last of its account ends the account."""
+        """What was found on disk. A row that is not the last of its account ends the account; so does one
+        that rests and may not be the last, as there is nothing to lose in it."""
         self.old = old[-MOST_OLD:]
         self.account = Account(row if row is not None else Row(self.number()), ids)
         self.unsure = row is not None and trust is Trust.UNSURE
-        if row is not None and trust is Trust.OLD:
+        if row is not None and (trust is Trust.OLD or (row.rests and self.unsure)):
             self.begin_anew()
 
     def number(self, after: int = 0) -> int:
@@ -211,6 +215,20 @@
         self.account.dirty = True
         self.unsure = self.sealing = False
 
+    def may_rest(self) -> bool:
+        """Nothing is left, and all that was done is on disk."""
+        account = self.account
+        return not (self.unsure or self.sealing or account.dirty or account.writing is not None
+                    or account.held or account.row.rests)
+
+    def rest(self) -> None:
+        """Its use has ended, until it gets something or its clients come."""
+        self.account.row.rests = self.account.dirty = True
+
+    def wake(self) -> None:
+        if self.account.row.rests:
+            self.account.row.rests, self.account.dirty = False, True
+
     def others_know(self, number: int) -> bool:
         """The highest row of this account that others have heard of; whether that makes it sure."""
         if self.unsure and number > self.account.kept.number:
--- a/rainspindle/decisions/wallet/wallet.py
+++ b/rainspindle/decisions/wallet/wallet.py
@@ -22,12 +22,14 @@
 from ...protocol.wallet import (
     VERSION,
     Pair,
+    Took,
     Word,
     encode,
     pair_cell,
     word_cell,
 )
 from .account import Holding, Row, Trust, Who
+from .register import Register
 
 RATE_TIME, SLOW_TIME = 0.5, 10.0  # seconds over which the rate of spending is smoothed: to ask, and to keep
 LOOK = 0.1  # seconds between looks at a wallet that is in use
@@ -47,6 +49,7 @@
 OLD_WORD = 3.0  # seconds for which another is taken to have gone on spending since its word
 MARGIN = 0.2  # seconds of spending that are under way while words are
 TINY = 1e-3  # units a second that are none
+MOST_TOOK = 500  # bytes of a word that tell what one that rests has got
 EAGER_PART = 16  # a member without traffic gets at most so small a part of the giver's rights
 
 
@@ -64,6 +67,7 @@
     eager: bool = True  # a member without traffic holds a piece too
     books: str = "1"  # ids of top-ups are told apart within it
     rejoin: str = "heard"  # or "new": an unsure row is taken for an old one
+    rest: float = 300.0  # seconds without an exchange after which the use of a wallet ends here
 
 
 class WalletHost(Protocol):
@@ -83,8 +87,9 @@
 
 class Wallet(Holding):
     def __init__(self, name: str, own: str, life: int, rules: Rules, host: WalletHost, now: float,
-                 chance: int = 0) -> None:
-        """Spends nothing before `load`."""
+                 chance: int = 0, register: Register | None = None) -> None:
+        """Spends nothing before `load`. With no `register` its use never ends here."""
+        self.register = register
         self.name, self.own, self.rules, self.host = name, own, rules, host
         super().__init__(life, chance)
         self.loaded = self.leaving = self.out = self.all_reserved = False
@@ -92,7 +97,9 @@
         self.heard_at: dict[str, float] = {}
         self.highest: dict[Who, int] = {}  # rows heard of
         self.told_pairs: dict[str, tuple[object, ...]] = {}
-        self.answered: dict[str, int] = {}  # asks of others, by number
+        self.from_pairs: dict[str, list[tuple[int, int, int]]] = {}  # what others say they gave
+        self.acked: dict[tuple[int, str, int], int] = {}  # own account, member, its account: has it on disk
+        self.answered: dict[str, tuple[int, int]] = {}  # asks of others, by life and number
         self.waiting: dict[str, Pair] = {}  # what others said while it was unsure
         self.pairs_due: set[str] = set()
         self.rate = self.binding_rate = self.slow = 0.0
@@ -104,13 +111,18 @@
         self.refused = 0  # exchanges, ever
         self.refused_before = 0
         self.paused_since: float | None = None
-        self.hope = False  # others are known to have some
         self.ask, self.of, self.want = 0, "", 0
         self.asked_at = self.calm_until = self.vain_at = -math.inf
         self.tried: set[str] = set()
         self.vain = 0  # rounds of asks in vain since a client asked
         self.begun_at, self.told_at, self.told_held, self.told_slow = now, -math.inf, 0, 0.0
         self.word_due, self.told_row = False, 0
+        self.used_at = now  # when an exchange last came
+        self.found: int | None = None  # the account that was on disk at the start
+        self.resting = False  # its use has ended, and those it dealt with are still to hear of it
+        self.told_took: list[Took] = []
+        self.silent = False  # the home, which nobody needs to hear of
+        self.hope = register is not None and own != rules.home  # others may have some
         self.planned, self.planned_at, self.looked_at = 0, math.inf, -math.inf  # the host's
 
     # The start.
@@ -122,10 +134,19 @@
                 trust = Trust.OLD
             elif self.own == self.rules.home and not row.given and not row.got:
                 trust = Trust.SURE  # there is nobody to ask
+        if row is not None and self.own == self.rules.home:
+            row.rests = False  # it was not the home then: ids of top-ups may be lost with a row
+        rested = row is not None and row.rests
         self.take(row, ids, old, trust)
-        self.loaded, self.begun_at = True, now
-        self.word_due = row is not None
-        if row is not None and trust is Trust.OLD:
+        self.loaded, self.begun_at, self.used_at = True, now, now
+        self.found = row.account if row is not None else None
+        self.silent = row is not None and trust is Trust.SURE and self.may_be_silent()
+        self.word_due = not (row is None or rested or self.silent)
+        if row is not None and rested:
+            for (member, theirs), total in row.given.items():
+                self.acked[row.account, member, theirs] = total
+            self.account.dirty = False  # what has begun anew begins with its use
+        elif row is not None and trust is Trust.OLD:
             self.has_begun_anew("its row on disk may not be the last", row.account)
         self.host.urge(self)
 
@@ -137,7 +158,8 @@
 
     def has_begun_anew(self, why: str, over: int) -> None:
         self.host.log("wallet: begins with nothing", wallet=self.name, why=why, left=self.lost, account=over)
-        self.word_due = True
+        self.word_due, self.resting = True, False
+        self.speak()
         if self.own == self.rules.home:
             self.bar()
         self.host.save(self)
@@ -148,6 +170,7 @@
     def debit(self, now: float, price: int, binding: bool) -> bool:
         account = self.account
         self.demand += price
+        self.used_at = now
         if binding:
             self.binding_demand += price
         if account.free < price or not (binding or account.rights + account.free - price >= self.floor):
@@ -162,6 +185,8 @@
 
     def credit(self, price: int) -> None:
         self.account.credit(price)
+        if self.account.row.rests:
+            self.host.urge(self)
 
     def hold_off(self) -> float:
         """Seconds, for one that is refused."""
@@ -173,22 +198,29 @@
     def on_word(self, now: float, member: str, word: Word) -> None:
         before = self.words.get(member)
         self.words[member], self.heard_at[member] = word, now
-        if before is not None and before.life != word.life:
-            self.answered.pop(member, None)
-            self.told_pairs.pop(member, None)
+        if before is not None and before.life != word.life and member in self.told_pairs:
+            self.told_pairs[member] = ()  # to be told once more
         who = member, word.account
         self.highest[who] = max(self.highest.get(who, 0), word.row)
+        self.hear_took(member, [(account, word.account, total)
+                                for giver, account, total in word.took if giver == self.own])
         if not self.loaded or self.out:
             return
+        self.speak()
         home = self.rules.home
         if (word.unsure and (self.own == home or member == home or self.highest[who] > word.row)) or (
-                member not in self.told_pairs and (
+                not self.told_pairs.get(member) and (
                     self.account.kept.off.get(member, 0) >= word.account
-                    or self.gifts(member))):
-            self.tell_pair(now, member, self.answered.get(member, 0))
+                    or self.owed(member))):
+            self.tell_pair(now, member)
+        if word.resting:
+            self.answer_rest(now, member)
+            if self.own == home and self.told_at == -math.inf:
+                self.word_due = True
+                self.host.urge(self)
         if self.sealing and member == home:
             self.written_off(now)
-        if word.of == self.own and word.ask != self.answered.get(member, 0):
+        if word.of == self.own and (word.life, word.ask) != self.answered.get(member, (word.life, 0)):
             self.grant(now, member, word)
         elif (self.want or self.paused_since is not None or self.rules.reserve) and (
                 before is None or before.held != word.held):
@@ -204,7 +236,18 @@
             return
         if pair.off >= self.account.row.account and member == self.rules.home:
             self.written_off(now)
+        self.from_pairs[member] = pair.entries
+        self.hear_took(member, pair.took)
+        quiet = self.quiet
         gained = self.take_gifts(member, pair.entries)
+        if quiet and gained:
+            self.word_due = True
+        elif quiet and pair.entries:
+            self.tell_pair(now, member)  # it does not know that it was heard
+        elif member not in self.words:
+            self.drop_pair(member)
+        if self.resting:
+            self.host.urge(self)
         if gained:
             self.floor_from_here()
             if not (self.sealing or self.leaving):
@@ -227,6 +270,8 @@
         if pair.seen[2] > self.account.kept.number:
             self.others_know(pair.seen[2])
             self.has_begun_anew(f"{member} has heard of a later row", over)
+        elif self.register is not None and pair.mark < 0 and now - self.begun_at < KNOWS:
+            return  # an older release knows nothing of words that were taken away: the mark has to come
         elif self.rules.home in (member, self.own):
             self.others_know(pair.seen[2])
             self.word_due = True
@@ -261,6 +306,19 @@
                 and not self.old and row.barred != self.rules.books:
             self.bar()
 
+    def older_folder(self, now: float) -> None:
+        """Others know a later state of this member's folder than was found at the start."""
+        if not self.loaded:
+            return
+        if self.found is not None and self.account.row.account == self.found:
+            if self.account.row.rests:
+                self.begin_anew()
+                self.account.dirty = False
+            else:
+                self.anew("others know a later state of its folder")
+        else:
+            self.came_home()
+
     def came_home(self) -> None:
         """By the file it was not the home of these books before: ids may have come in elsewhere."""
         if self.own == self.rules.home and self.account.row.barred != self.rules.books:
@@ -320,9 +378,9 @@
             account.give((member, word.account), amount)
             self.pairs_due.add(member)
             self.host.save(self)
-        self.answered[member] = word.ask
+        self.answered[member] = word.life, word.ask
         if amount <= 0:
-            self.tell_pair(now, member, word.ask)
+            self.tell_pair(now, member)
         return max(amount, 0)
 
     def grant_waiting(self, now: float) -> None:
@@ -332,18 +390,31 @@
             if member in alive and word.want > 0 and word.held < max(word.rate, self.rules.top):
                 self.grant(now, member, word)
 
-    def tell_pair(self, now: float, member: str, ask: int) -> None:
-        entries = self.gifts(member)
+    def tell_pair(self, now: float, member: str) -> None:
         word = self.words.get(member)
+        entries = self.gifts(member) if self.owed(member) else []
         who = (member, word.account) if word is not None else (member, 0)
         seen = (word.life, who[1], self.highest.get(who, 0)) if word is not None else (0, 0, 0)
+        mark = self.register.mark_of(member) if self.register is not None else -1
+        if word is not None and word.unsure and word.mark < mark:
+            # Its folder is older than it has told: there was a later row.
+            seen = word.life, who[1], max(seen[2], min(word.row + 1, 1 << 62))
         # Guards against "no later row" from one that has only just begun, and was not told yet of the later
         # one that others know. May hurt after a failure of power: who is unsure waits so long.
         if word is not None and word.unsure and seen[2] <= word.row and now - self.begun_at < KNOWS:
             seen = 0, 0, 0
-        pair = Pair(VERSION, entries, ask, self.account.kept.off.get(member, 0), seen)
-        self.told_pairs[member] = (entries, ask)
-        self.host.tell(now, pair_cell(self.name, member), encode(pair), (member,))
+        ask = self.answered.get(member, (0, 0))[1]
+        took = self.took_from(member) if self.quiet or (
+            word is not None and word.resting and self.register is not None) else []
+        off = self.account.kept.off.get(member, 0)
+        self.told_pairs[member] = entries, took, off
+        self.tell(now, pair_cell(self.name, member),
+                  encode(Pair(VERSION, entries, ask, off, seen, mark, took)), (member,))
+
+    def tell(self, now: float, name: str, value: bytes, toward: tuple[str, ...]) -> None:
+        if self.register is not None:
+            self.register.told(name)
+        self.host.tell(now, name, value, toward)
 
     # The disk.
 
@@ -357,9 +428,13 @@
             if self.more_for(member):
                 self.pairs_due.add(member)
             else:
-                self.tell_pair(now, member, self.answered.get(member, 0))
+                self.tell_pair(now, member)
         if self.sealing:
             self.written_off(now)
+        for member in [member for member, word in self.words.items() if word.resting]:
+            self.answer_rest(now, member)
+        if self.account.kept.rests and self.account.row.rests:
+            self.has_ended()
         if self.account.dirty:
             self.host.save(self)
         self.host.urge(self)
@@ -394,6 +469,15 @@
 
     def tick(self, now: float) -> float:
         """Does what is due; when to be called next at the latest."""
+        at = self.end_of_use(now)
+        if at is None:
+            at = self.act(now)
+            if self.register is not None and self.loaded and not (self.out or self.leaving or self.silent):
+                idle = self.used_at + self.rules.rest
+                at = min(at, idle if idle > now else at)
+        return at
+
+    def act(self, now: float) -> float:
         self.rates(now)
         if not self.loaded:
             return math.inf
@@ -418,7 +502,8 @@
             self.seek(now, rate)
             self.give_up(now)
         self.refused_before = self.refused
-        self.hope = any(word.held > 0 for word in self.known())
+        self.hope = any(word.held > 0 for word in self.known()) or not (
+            self.own == rules.home or rules.home in self.words)
         if account.dirty:
             self.host.save(self)
         self.say(now)
@@ -585,12 +670,179 @@
         if not (toward or self.word_due or due):
             return
         paused = now - self.paused_since if self.paused_since is not None else 0.0
+        self.told_took = self.took() if self.resting else []
         word = Word(VERSION, self.account.row.account, kept.number, max(held, 0),
                     round(self.usable_rate(), 3), kept.topped, self.ask, self.want, self.of, paused,
-                    self.unsure, self.life, self.rules.home, self.rules.books)
+                    self.unsure, self.life, self.rules.home, self.rules.books,
+                    self.register.found if self.unsure and self.register is not None else -1,
+                    self.resting, self.told_took)
         self.word_due, self.told_at, self.told_held, self.told_slow = False, now, held, self.slow
         self.told_row = kept.number
-        self.host.tell(now, word_cell(self.name), encode(word), (toward,) if toward else ())
+        self.tell(now, word_cell(self.name), encode(word), (toward,) if toward else ())
+
+    # The end of its use here, and of others'. Nothing here can break what the account keeps: a cell that is
+    # gone is told again from the row when it is needed.
+
+    def end_of_use(self, now: float) -> float | None:
+        """When to look again; None while it is in use."""
+        register, row = self.register, self.account.row
+        if register is None or not self.loaded or self.out or self.leaving or self.unsure or self.sealing:
+            return None
+        if now - self.used_at < self.rules.rest:
+            if row.rests or self.resting:
+                self.wake()
+                self.resting, self.hope, self.word_due = False, True, True
+            self.speak()
+            return None
+        if self.own == self.rules.home:
+            return self.fall_silent(now)
+        if self.rules.eager:
+            self.wake()
+            return None
+        if (row.rests and not self.account.held) \
+                or not (row.number or self.told_at > -math.inf or self.word_due):
+            return math.inf
+        return self.end(now)
+
+    def end(self, now: float) -> float:
+        """All goes to the home. When that is on disk, all to whom it gave have heard of it, and the living
+        know what it took, its cells may go."""
+        account, home = self.account, self.rules.home
+        self.rates(now)
+        self.drop_ask(now)
+        self.wake()
+        self.paused_since, alive = None, set(self.host.alive())
+        if home in self.words and home in alive:
+            account.put_back(account.free)
+            if account.give((home, self.words[home].account), account.rights):
+                self.pairs_due.add(home)
+        if account.dirty:
+            self.host.save(self)
+        if not self.resting or self.took() != self.told_took:
+            self.resting = self.word_due = True
+        peers = {member for row in (*self.old, account.row) for member, _ in row.given}
+        peers |= self.told_pairs.keys() | self.from_pairs.keys()
+        waits = [m for m in sorted(peers) if self.owed(m) or (m in alive and self.from_pairs.get(m))]
+        if not (account.dirty or account.writing is not None):
+            for member in waits:
+                if self.owed(member) and member not in self.told_pairs:
+                    self.tell_pair(now, member)
+        self.say(now)
+        if waits or home not in self.words or home not in alive or not self.may_rest():
+            return now + self.rules.rest / 5
+        self.rest()
+        self.host.save(self)
+        return math.inf
+
+    def has_ended(self) -> None:
+        """On disk."""
+        assert self.register is not None
+        self.register.ended([word_cell(self.name), *(pair_cell(self.name, m) for m in self.told_pairs)])
+        self.resting, self.hope, self.told_at = False, True, -math.inf
+        self.told_pairs.clear()
+        self.told_took = []
+
+    def may_be_silent(self) -> bool:
+        return self.register is not None and self.own == self.rules.home \
+            and self.register.silence(self.name, self.rules.books)
+
+    def fall_silent(self, now: float) -> float | None:
+        """The home keeps what it holds. It tells nothing while nobody is there to hear it."""
+        account = self.account
+        if self.silent:
+            return math.inf
+        if self.words or self.told_pairs or any(self.from_pairs.values()) or self.told_at == -math.inf \
+                or account.dirty or account.writing is not None or not self.may_be_silent():
+            return None
+        assert self.register is not None
+        self.silent = True
+        self.register.ended([word_cell(self.name)])
+        return math.inf
+
+    def speak(self) -> None:
+        """It is heard again."""
+        if self.silent and self.register is not None:
+            self.silent, self.word_due = False, True
+            self.register.speaks(self.name)
+            self.host.urge(self)
+
+    @property
+    def quiet(self) -> bool:
+        """Whether it tells no word, and so hears of no end of another's use by an answer to one."""
+        row = self.account.row
+        return self.register is not None and (row.rests or not (row.number or self.told_at > -math.inf))
+
+    def owed(self, member: str) -> bool:
+        """Whether it may not have heard of all gifts to its account."""
+        word = self.words.get(member)
+        return any(self.acked.get((mine, member, theirs), 0) < total
+                   for mine, theirs, total in self.gifts(member) if word is None or theirs >= word.account)
+
+    def hear_took(self, member: str, took: list[tuple[int, int, int]]) -> None:
+        for mine, theirs, total in took:
+            known = self.acked.get((mine, member, theirs), 0)
+            if total > known:
+                self.acked[mine, member, theirs] = total
+
+    def took_from(self, member: str) -> list[tuple[int, int, int]]:
+        """What it need not tell any more; gifts to accounts that are over are taken by nobody."""
+        if self.unsure:
+            return []
+        kept = self.account.kept
+        return [(theirs, kept.account, total) for (giver, theirs), total in kept.got.items()
+                if giver == member][-4:] + [
+                    one for one in self.from_pairs.get(member, ()) if one[1] < kept.account]
+
+    def took(self) -> list[Took]:
+        """As much of it as a word has room for, first what others still tell."""
+        told = sorted(self.account.kept.got.items(), key=lambda one: not self.from_pairs.get(one[0][0]))
+        found, room = list[Took](), MOST_TOOK
+        for (giver, account), total in told:
+            room -= len(giver) + 24
+            if room < 0:
+                break
+            found.append((giver, account, total))
+        return found
+
+    def answer_rest(self, now: float, member: str) -> None:
+        if self.register is None:
+            return
+        entries = self.gifts(member) if self.owed(member) else []
+        took = self.took_from(member)
+        told = entries, took, self.account.kept.off.get(member, 0)
+        if (entries or took or member in self.told_pairs) and self.told_pairs.get(member) != told:
+            self.tell_pair(now, member)
+
+    def on_gone(self, now: float, member: str) -> None:
+        """Its word was taken away: its use has ended, or what an earlier life of it told is over."""
+        word = self.words.pop(member, None)
+        self.heard_at.pop(member, None)
+        for who in [who for who in self.highest if who[0] == member]:
+            del self.highest[who]
+        if word is None or not self.loaded or self.register is None:
+            return
+        if word.resting:
+            self.answered.pop(member, None)
+        for mine, theirs, total in self.gifts(member):
+            if theirs < word.account:  # nobody takes it any more
+                self.acked[mine, member, theirs] = total
+        self.drop_pair(member, word.account)
+        self.host.urge(self)
+
+    def on_pair_gone(self, now: float, member: str) -> None:
+        told = self.from_pairs.pop(member, None)
+        if self.loaded and self.quiet:
+            self.drop_pair(member)
+        if told and self.loaded:
+            self.host.urge(self)
+
+    def drop_pair(self, member: str, account: int = 1) -> None:
+        """What was told to it, where it has heard of all. `account`: the one that it is known to have."""
+        if member in self.told_pairs and not (self.unsure or self.owed(member) or member in self.pairs_due) \
+                and self.register is not None and self.account.row.off.get(member, 0) < account:
+            del self.told_pairs[member]
+            self.register.ended([pair_cell(self.name, member)])
+            self.host.urge(self)
 
     # The home.
 
@@ -598,7 +850,8 @@
         """Whether it is new. It counts when it is on disk: `entered` tells."""
         new = self.account.top_up(id, amount)
         if new:
-            self.word_due = True
+            self.word_due, self.used_at = True, now
+            self.speak()
             self.floor_from_here()
             self.grant_waiting(now)
             self.host.save(self)
@@ -608,9 +861,13 @@
     def other_home(self) -> tuple[str, str] | None:
         """A member that lives and whose file names another home for the same books, and that home."""
         words, rules = self.words, self.rules
-        return next(((m, words[m].home) for m in self.host.alive()
+        told = next(((m, words[m].home) for m in self.host.alive()
                      if m in words and words[m].home not in ("", rules.home) and words[m].books == rules.books
                      ), None)
+        if told is None and self.register is not None:
+            other = self.register.claimant(self.host.alive(), self.name, rules.books)
+            return (other, other) if other else None
+        return told
 
     def entered(self, id: str) -> bool:
         account = self.account
@@ -625,13 +882,18 @@
         """It is not used here any more, until `out` is false again; its rights stay."""
         if not self.out:
             self.out = True
+            if self.silent and self.register is not None:
+                self.register.speaks(self.name)
             self.want, self.of = 0, ""
-            self.say(now, self.rules.home if self.loaded and self.account.row.number else "")
+            if not (self.account.row.rests or self.silent):
+                self.say(now, self.rules.home if self.loaded and self.account.row.number else "")
             self.account.put_back(self.account.free)
             if self.account.dirty:
                 self.host.save(self)
 
     def leave(self, now: float) -> None:
+        if self.account.row.rests or self.silent:
+            return
         self.leaving = True
         self.want, self.of, self.word_due = 0, "", True
         self.host.urge(self)
--- a/rainspindle/lab/fleet/long/planted.py
+++ b/rainspindle/lab/fleet/long/planted.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 from ....decisions.canary.canary import Canary
 from ....decisions.wallet.account import Account, Row, Trust
 from ....decisions.wallet.wallet import Wallet
@@ -59,21 +61,41 @@
 class Vouching(Wallet):
     """Says that it knows of no later row as soon as it has begun."""
 
-    def tell_pair(self, now: float, member: str, ask: int) -> None:
+    def tell_pair(self, now: float, member: str) -> None:
         begun, self.begun_at = self.begun_at, -math.inf
-        super().tell_pair(now, member, ask)
+        super().tell_pair(now, member)
         self.begun_at = begun
 
 
 class Growing(Wallet):
     """Tells each word to another in a cell of its own."""
 
-    def tell_pair(self, now: float, member: str, ask: int) -> None:
-        super().tell_pair(now, member, ask)
+    def tell_pair(self, now: float, member: str) -> None:
+        super().tell_pair(now, member)
         host: Any = self.host
         host.tell(now, words.pair_cell(self.name, member) + f"/{now:.0f}", b"", (member,))
 
 
+class Endless(Wallet):
+    """Its use never ends."""
+
+    def end_of_use(self, now: float) -> float | None:
+        return None
+
+
+class Unmarked(Wallet):
+    """Does not know by what number of its folder a volume that was set back is noticed."""
+
+    def tell_pair(self, now: float, member: str) -> None:
+        word = self.words.get(member)
+        if word is not None and word.unsure:
+            self.words[member] = msgspec.structs.replace(word, mark=1 << 60)
+        super().tell_pair(now, member)
+
+    def older_folder(self, now: float) -> None:
+        pass
+
+
 class Believing(Canary):
     """Goes by the stage that its folder holds, with nobody heard."""
 
@@ -107,4 +129,5 @@
     "": Plant(),
     "early": Plant(wallet=Hurried), "lifeless": Plant(wallet=Forgetful), "unasked": Plant(wallet=Quick),
     "vouching": Plant(wallet=Vouching), "leak": Plant(wallet=Growing),
+    "endless": Plant(wallet=Endless), "unmarked": Plant(wallet=Unmarked),
     "old-stage": Plant(canary=Believing), "stall-unseen": Plant(canary=Unaware), "deaf": Plant(canary=Deaf)}
--- a/rainspindle/lab/fleet/long/purses.py
+++ b/rainspindle/lab/fleet/long/purses.py
@@ -13,17 +13,20 @@
 from dataclasses import replace
 from functools import partial
 
-from ....decisions.shared.cells import Cell, Cells
+from ....decisions.shared.cells import SWEPT, Cell, Cells
 from ....decisions.wallet.account import Row, Trust
+from ....decisions.wallet.register import ABOUT, Register
 from ....decisions.wallet.wallet import Rules, Wallet
 from ....program.fleet.wallet import PACE, decode_row, encode_row
 from ....protocol import wallet as words
-from .ledger import Account, Ledger
+from .ledger import Account, Broken, Ledger
 from .world import CATCH_UP, Member, World
 
 WRITE = 0.004  # seconds that a batch takes on disk
 SLOW, SLOW_WRITE = 0.03, (0.05, 2.0)  # the part of them that takes so long
 TOLD = 10.0  # seconds after which a row has been told to others, where nothing is cut
+ROOM = 10 ** 6  # batches of one life at most
+MOST = 20_000  # cells of wallets that a member keeps
 BYSTANDERS = 3  # members that hear an unsure one, beside those that use the wallet
 Make = Callable[..., Wallet]
 
@@ -31,9 +34,10 @@
 class Disk:
     """What outlasts a member's process."""
 
-    __slots__ = ("ids", "old", "rows")
+    __slots__ = ("ids", "number", "old", "rows")
 
     def __init__(self) -> None:
+        self.number = 0  # of the last batch
         self.rows: dict[str, dict[int, bytes]] = {}  # by wallet and account
         self.ids: dict[str, dict[str, int]] = {}
         self.old: set[tuple[str, int]] = set()  # accounts that were noticed as older copies
@@ -42,10 +46,29 @@
         made = Disk()
         made.rows = {name: dict(rows) for name, rows in self.rows.items()}
         made.ids = {name: dict(ids) for name, ids in self.ids.items()}
-        made.old = set(self.old)
+        made.old, made.number = set(self.old), self.number
         return made
 
 
+class Told(Register):
+    """Knows what its member has heard of, or would have by now."""
+
+    def __init__(self, purse: Purse, found: int) -> None:
+        super().__init__(purse.cells, purse.fleet.world.now, found, ROOM)
+        self.purse = purse
+
+    def plan(self) -> None:
+        super().plan()
+        self.purse.plan_sweep()
+
+    def mark_of(self, member: str) -> int:
+        swept = self.purse.fleet.known_sweep(self.purse.member, member)
+        return max(super().mark_of(member), self.number_of(swept.value.partition(b" ")[2]) if swept else 0)
+
+    def claimant(self, members: Iterable[str], wallet: str, books: str) -> str:
+        return ""  # there is one file for all
+
+
 class Use:
     """One wallet at one member, in one life of it: its host."""
 
@@ -55,7 +78,7 @@
         self.purse, self.name, self.urged, self.planned, self.boot = purse, name, False, 0, 0
         fleet = purse.fleet
         self.wallet = fleet.make(name, purse.member.name, purse.member.life, fleet.rules[name], self,
-                                 fleet.world.now, fleet.chance.randrange(512))
+                                 fleet.world.now, fleet.chance.randrange(512), purse.register)
 
     def save(self, wallet: Wallet) -> None:
         self.purse.unsaved[self.name] = self
@@ -102,6 +125,8 @@
         self.fleet, self.member, self.disk = fleet, member, disk
         self.cells = Cells(member.name, member.life)
         self.cells.on_change("wallet/", self.heard)
+        self.register = Told(self, disk.number)
+        self.sweep_at = math.inf
         self.uses: dict[str, Use] = {}
         self.unsaved: dict[str, Use] = {}
         self.batch: list[tuple[Use, Row, bytes, dict[str, int]]] = []
@@ -124,7 +149,7 @@
             last = max(found)
             row, kept = found[last]
             use.boot = kept.boot
-            trust = (Trust.OLD if (name, last) in disk.old else
+            trust = (Trust.OLD if (name, last) in disk.old or self.register.old > self.register.found else
                      Trust.SURE if kept.boot == member.boot else Trust.UNSURE)
             use.wallet.load(now, row, ids, [found[a][0] for a in sorted(found) if a != last], trust)
         use.wallet.begun_at = member.started  # the program loads all at its start
@@ -135,18 +160,78 @@
             fleet.world.later(member, caught_up - now, partial(fleet.replay, self, name))
         return use
 
+    def begin(self) -> None:
+        """Loads what is not at rest: its word is told again. A home that is sure has none to tell."""
+        fleet, disk = self.fleet, self.disk
+        for name, rows in list(disk.rows.items()):
+            _, kept = decode_row(rows[max(rows)])
+            sure = kept.boot == self.member.boot and (name, max(rows)) not in disk.old
+            silent = sure and fleet.rules[name].home == self.member.name and not any(
+                owner != self.member.name for owner, _ in fleet.board[name])
+            if not (kept.rests or silent):
+                self.use(name)
+        fleet.world.later(self.member, self.member.catch_up, self.hear_old)
+
+    def hear_old(self) -> None:
+        """What the others have of its earlier lives."""
+        fleet, own = self.fleet, self.member.name
+        swept = fleet.swept.get(own)
+        if swept is not None and self.register.heard_own(swept):
+            homes = fleet.names[self.member.index::len(fleet.world.list)]
+            for name in dict.fromkeys([*self.disk.rows, *homes]):
+                self.use(name).wallet.older_folder(fleet.world.now)
+        if swept is not None or fleet.owned.get(own):
+            self.register.plan()
+        told = {*fleet.addressed.get(own, {}).values(), *fleet.owned.get(own, {}).values()}
+        for name in sorted(told - self.uses.keys()):
+            self.use(name)
+
+    @property
+    def sure(self) -> bool:
+        return not any(use.wallet.unsure for use in self.uses.values())
+
+    def plan_sweep(self) -> None:
+        if self.register.due < self.sweep_at:
+            self.sweep_at = self.register.due
+            world = self.fleet.world
+            world.later(self.member, self.sweep_at - world.now, self.sweep)
+
+    def sweep(self) -> None:
+        self.sweep_at, now = math.inf, self.fleet.world.now
+        if self.member.leaving:
+            return
+        if now < self.register.due:
+            pass
+        elif not self.sure or self.batch:
+            self.register.due = now + 2.0
+        else:
+            if not self.register.ready:
+                self.batch_done()
+            self.register.sweep(now)
+            self.fleet.swept_by(self)
+        if self.register.due < math.inf:
+            self.plan_sweep()
+
+    def batch_done(self) -> None:
+        self.disk.number = max(self.disk.number, self.register.over if self.sure else 0) + 1
+        self.register.written(self.disk.number)
+
     def take(self, cell: Cell) -> None:
-        """A cell that has come; it is about a wallet that this one has to do with."""
-        self.use(cell.name.split("/", 2)[1])
+        """A cell that has come; it is about a wallet that this one has to do with, or about all of one's."""
+        if not cell.name.startswith(SWEPT):
+            self.use(cell.name.split("/", 2)[1])
         self.cells.heard(self.fleet.world.now, cell)
         self.cells.fresh.clear()  # the model carries it on
 
     def heard(self, now: float, cell: Cell) -> None:
         name, _, to = cell.name.removeprefix("wallet/").partition("/t/")
         use = self.uses.get(name)
-        if use is None or not cell.value or (to and to != words.short(self.member.name)):
+        if use is None or (to and to != words.short(self.member.name)):
             return
-        if to:
+        if not cell.value:
+            if cell.owner != self.member.name:
+                (use.wallet.on_pair_gone if to else use.wallet.on_gone)(now, cell.owner)
+        elif to:
             if cell.owner != self.member.name:
                 use.wallet.on_pair(now, cell.owner, words.decode_pair(cell.value))
         elif cell.owner != self.member.name:
@@ -178,8 +263,11 @@
 
     def to_disk(self) -> list[Use]:
         batch, self.batch = self.batch, []
+        if batch:
+            self.batch_done()
         for use, row, value, ids in batch:
             self.disk.rows.setdefault(use.name, {})[row.account] = value
+            self.fleet.holders[use.name].add(self.member.name)
             if ids:
                 self.disk.ids.setdefault(use.name, {}).update(ids)
         return [use for use, *_ in batch]
@@ -216,7 +304,7 @@
     """The wallets of all members, and the last word of each."""
 
     def __init__(self, world: World, ledger: Ledger, wallets: int, seed: int, make: Make = Wallet,
-                 slow: float = SLOW) -> None:
+                 slow: float = SLOW, most: int = MOST) -> None:
         """Half of the wallets have `rejoin = "new"`."""
         self.world, self.ledger, self.make, self.slow = world, ledger, make, slow
         self.chance = random.Random(f"{seed} wallets")
@@ -226,10 +314,18 @@
                       for n, name in enumerate(self.names)}
         self.users: dict[str, dict[str, Purse]] = {name: {} for name in self.names}
         self.board: dict[str, dict[tuple[str, str], Cell]] = {name: {} for name in self.names}
+        self.owned: dict[str, dict[str, str]] = {}  # by owner: its cells on the board, and of which wallet
+        self.addressed: dict[str, dict[tuple[str, str], str]] = {}  # by who is to hear: key, and its wallet
+        self.swept: dict[str, Cell] = {}
+        self.swept_at: dict[str, float] = {}
+        self.holders: dict[str, set[str]] = {name: set() for name in self.names}  # have a row of it
+        self.most, self.refused, self.cells_most = most, 0, 0  # the last since it was last looked at
+        self.held_up: dict[tuple[str, str], tuple[Purse, str, Cell, tuple[str, ...]]] = {}  # no room for it
         self.earlier: dict[tuple[str, str], tuple[float, Cell]] = {}  # a word that a new life has replaced
         self.told_at: dict[tuple[str, str], float] = {}
         self.others: dict[str, set[str]] = {name: set() for name in self.names}  # were asked as bystanders
         self.missed: set[str] = set()  # wallets of which something was told in a cut
+        self.missed_sweeps: set[str] = set()  # by owner
         self.events: dict[str, int] = {}
         self.cells = self.bytes = self.told = 0  # on the board; words ever
         self.told_bytes = 0
@@ -240,17 +336,31 @@
     # How words travel.
 
     def tell(self, purse: Purse, name: str, cell_name: str, value: bytes, toward: tuple[str, ...]) -> None:
-        world, owner = self.world, purse.member
-        cell = purse.cells.write(world.now, cell_name, value, toward)
+        cell = purse.cells.write(self.world.now, cell_name, value, toward)
         purse.cells.fresh.clear()
+        self.carry(purse, name, cell, toward)
+
+    def carry(self, purse: Purse, name: str, cell: Cell, toward: tuple[str, ...]) -> None:
+        world, owner, cell_name, value = self.world, purse.member, cell.name, cell.value
         board, key = self.board[name], (owner.name, cell_name)
         before = board.get(key)
-        size = len(value) + len(cell_name) + len(owner.name) + 32  # as `Spread.size`
+        size = self.size(cell)
         self.told += 1
         self.told_bytes += size
+        if before is None and self.cells >= self.most:  # as `Cells.heard` of all others
+            self.refused += 1
+            self.held_up[key] = purse, name, cell, toward
+            if self.refused == 1:
+                self.ledger.broken.append(Broken(world.now, "refused", name,
+                                                 f"a cell, as {self.cells} are there already"))
+            return
         if before is None:
             self.cells += 1
+            self.cells_most = max(self.cells_most, self.cells)
             self.bytes += size
+            self.owned.setdefault(owner.name, {})[cell_name] = name
+            if to := cell_name.partition("/t/")[2]:
+                self.addressed.setdefault(to, {})[key] = name
         else:
             self.bytes += len(value) - len(before.value)
             if before.life != cell.life and "/t/" not in cell_name:
@@ -263,8 +373,9 @@
             hearers = [self.purses[to]] if to in self.purses else []
         else:
             self.told_at[owner.name, name] = world.now
-            hearers = [p for p in self.users[name].values() if p is not purse]
-            hearers += [self.purses[m] for m in toward if m not in self.users[name]]
+            there = [*self.users[name], *sorted({self.rules[name].home, *toward, *self.holders[name]}
+                                                - self.users[name].keys())]
+            hearers = [self.purses[m] for m in there if m != owner.name]
             if words.decode_word(value).unsure:
                 hearers += self.bystanders(purse, name)
         for hearer in hearers:
@@ -272,6 +383,47 @@
                               to == hearer.member.name or hearer.member.name in toward):
                 self.missed.add(name)
 
+    def size(self, cell: Cell) -> int:
+        return len(cell.value) + len(cell.name) + len(cell.owner) + 32  # as `Spread.size`
+
+    def swept_by(self, purse: Purse) -> None:
+        """What is left of its cells, by the real class: those told once more, then what is gone."""
+        world, owner, cells = self.world, purse.member, purse.cells
+        again = [cells.by_name[name][own].cell for own, name in cells.fresh if own == owner.name]
+        cells.fresh.clear()
+        hearers: dict[str, Purse] = {}
+        for cell in again:
+            if not cell.name.startswith(SWEPT):
+                self.carry(purse, cell.name.split("/", 2)[1], cell, ())
+                continue
+            self.swept[owner.name], self.swept_at[owner.name] = cell, world.now
+            self.told += 1
+            self.told_bytes += self.size(cell)
+            floor = cells.floors[owner.name, ABOUT]
+            for cell_name, name in list(self.owned.get(owner.name, {}).items()):
+                gone = self.board[name][owner.name, cell_name]
+                if gone.order <= floor:
+                    del self.board[name][owner.name, cell_name], self.owned[owner.name][cell_name]
+                    self.earlier.pop((owner.name, cell_name), None)
+                    self.addressed.get(cell_name.partition("/t/")[2], {}).pop((owner.name, cell_name), None)
+                    self.cells -= 1
+                    self.bytes -= self.size(gone)
+                    hearers.update((m, p) for m, p in self.users[name].items() if p is not purse)
+            for hearer in hearers.values():
+                if not world.send(owner, hearer.member, partial(self.take, hearer, cell)):
+                    self.missed_sweeps.add(owner.name)
+        for key in list(self.held_up):
+            if self.cells < self.most:
+                waiting, name, cell, toward = self.held_up.pop(key)
+                if self.purses[waiting.member.name] is waiting:
+                    self.carry(waiting, name, cell, toward)
+
+    def known_sweep(self, by: Member, of: str) -> Cell | None:
+        swept = self.swept.get(of)
+        there = self.world.members[of].side == by.side or not self.world.splits
+        heard = max(self.swept_at.get(of, 0.0), by.started) + CATCH_UP[1]
+        return swept if there and heard <= self.world.now else None
+
     def take(self, purse: Purse, cell: Cell) -> None:
         if self.purses[purse.member.name] is purse:
             purse.take(cell)
@@ -300,6 +452,17 @@
 
     def healed(self) -> None:
         missed, self.missed = self.missed, set()
+        sweeps, self.missed_sweeps = self.missed_sweeps, set()
+        for owner_name in sorted(sweeps):
+            owner, cell = self.world.members[owner_name], self.swept[owner_name]
+            for purse in self.purses.values():
+                member = purse.member
+                if owner_name not in purse.cells.by_owner or member is owner or not member.alive:
+                    continue
+                if member.side != owner.side:
+                    self.missed_sweeps.add(owner_name)
+                else:
+                    self.world.later(member, self.chance.uniform(*CATCH_UP), partial(self.take, purse, cell))
         for name in sorted(missed):
             for cell in list(self.board[name].values()):
                 to = cell.name.partition("/t/")[2]
@@ -330,11 +493,19 @@
             else:
                 self.set_back(member, disk, copy)
         self.purses[member.name] = Purse(self, member, disk)
+        self.purses[member.name].begin()
         self.missed |= {name for name in disk.rows if name in self.missed}
 
     def set_back(self, member: Member, disk: Disk, copy: Disk) -> None:
         """Unnoticed by files. Where an unsure member goes by what others have heard, only to rows after which
         a later one was told in time: more cannot be proved, as the design says."""
+        swept = self.swept.get(member.name)
+        calm = not self.world.splits and not self.world.deaf and \
+            self.world.now - self.swept_at.get(member.name, math.inf) > TOLD
+        if swept is not None and calm and self.purses[member.name].register.number_of(
+                swept.value.partition(b" ")[2]) > copy.number:
+            disk.rows, disk.ids, disk.number = copy.rows, copy.ids, copy.number  # the whole of it
+            return
         for name, rows in copy.rows.items():
             told = self.board[name].get((member.name, words.word_cell(name)))
             heard = told is not None and not self.world.splits and not self.world.deaf and \
--- a/rainspindle/lab/fleet/long/run.py
+++ b/rainspindle/lab/fleet/long/run.py
@@ -14,7 +14,7 @@
 from .canaries import BEFORE, Canaries, Run
 from .ledger import Ledger
 from .planted import PLANTS
-from .purses import SLOW, Purses
+from .purses import MOST, SLOW, Purses
 from .traffic import DAY, RUSH, Load, Traffic
 from .world import World
 
@@ -37,6 +37,7 @@
     runs: tuple[Run, ...] = ()
     slow: float = SLOW  # of the batches take the disk long
     rate: float = Load().rate  # exchanges a second of a wallet's clients at a member, while they come
+    most: int = MOST  # cells of wallets that a member keeps
 
     @property
     def names(self) -> list[str]:
@@ -113,7 +114,7 @@
          steps: int = 1) -> Outcome:
     """`first`: ends at the first thing that is broken. `report` is given figures `steps` times a day."""
     world, ledger, plant = World(plan.names, plan.seed), Ledger(), PLANTS[planted]
-    purses = Purses(world, ledger, plan.wallets, plan.seed, plant.wallet, plan.slow)
+    purses = Purses(world, ledger, plan.wallets, plan.seed, plant.wallet, plan.slow, plan.most)
     small = plan.members <= 100
     canaries = Canaries(world, ledger, plan.runs, plan.seed, max(0.1, 24.0 / plan.members), plant.canary)
     length = plan.days * DAY
@@ -131,6 +132,7 @@
         if until in due or until > length:
             out.days.append(figures(plan, world, ledger, purses, canaries, gone))
             report(out.days[-1])
+            purses.cells_most = purses.cells
         if first and ledger.broken:
             break
     out.figures = out.days[-1] if out.days else {}
@@ -156,7 +158,8 @@
         "broken": len(ledger.broken), "first_broken": str(ledger.broken[0]) if ledger.broken else "",
         "to_new": ledger.to_new, "to_old": ledger.to_old, "late": round(ledger.late, 2),
         "late_cut": round(ledger.late_cut, 2), "runs": canaries.count,
-        "cells_now": purses.cells, "cell_bytes_now": purses.bytes,
+        "cells_now": purses.cells, "cells_most": purses.cells_most, "cell_bytes_now": purses.bytes,
+        "refused": purses.refused, "swept_now": len(purses.swept),
         "told": purses.told + canaries.told, "told_bytes": purses.told_bytes + canaries.told_bytes,
         "in_use_a_member_now": round(sum(uses) / len(uses), 2), "rows_a_member_now": round(sum(
             len(rows) for p in purses.purses.values() for rows in p.disk.rows.values()) / plan.members, 2),
--- a/rainspindle/lab/fleet/wallets.py
+++ b/rainspindle/lab/fleet/wallets.py
@@ -65,7 +65,7 @@
     """One for each member, that asks at a steady pace from `begin` on."""
 
     def __init__(self, fleet: Fleet) -> None:
-        self.fleet, self.ended = fleet, threading.Event()
+        self.fleet, self.ended, self.quiet = fleet, threading.Event(), set[str]()
         self.answers: dict[str, list[tuple[float, int]]] = {name: [] for name in fleet.sidecars}
         self.threads = [threading.Thread(target=self.ask, args=(name,), daemon=True)
                         for name in fleet.sidecars]
@@ -75,6 +75,8 @@
     def ask(self, name: str) -> None:
         connection, count = None, 0
         while not self.ended.wait(1 / RATE):
+            if name in self.quiet:
+                continue
             count += 1
             try:
                 connection = connection or http.client.HTTPConnection(
--- a/rainspindle/lab/walletcheck.py
+++ b/rainspindle/lab/walletcheck.py
@@ -4,7 +4,9 @@
 with the row on it or not; it may crash at every step, with a write half done that turns out either way, and
 start again by its folder, by an older copy of it that is noticed, or by none. What was ever told may come at
 any time later, again and again, in any order, or never: words are a set that only grows. The home may write
-others off, whether they live or not. In no state may more have been done than was paid for.
+others off, whether they live or not. A member's use may end when nothing is left in its account: its words
+of rows are forgotten by all then, and only the number of its folder's last batch is known; it begins again
+with a gift at any time. In no state may more have been done than was paid for.
 """
 
 from __future__ import annotations
@@ -16,7 +18,7 @@
 from ..decisions.wallet.account import SHIFT, Account, Holding, Row, Trust
 from .explore import Found, explore
 
-Frozen = tuple[Any, ...]  # a row: account, number, spent, back, topped, given, got, off, barred
+Frozen = tuple[Any, ...]  # a row: account, number, spent, back, topped, given, got, off, rests, barred
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,6 +34,7 @@
     copies: int = 0
     offs: int = 0
     boots: int = 0  # restarts of the machine, by the volume as it is or set back, which is not noticed
+    ends: int = 0  # of a member's use
     members: int = 3
 
 
@@ -39,6 +42,7 @@
 class Disk:
     rows: tuple[tuple[Frozen, bool], ...] = ()  # and whether it was noticed as an older copy
     ids: frozenset[str] = frozenset()
+    number: int = 0  # of its last batch, where uses end
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +60,7 @@
     old: tuple[Frozen, ...] = ()
     sealing: bool = False
     unsure: bool = False
+    found: int = 0  # the last batch that was on disk at its start
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,24 +74,25 @@
 @dataclass(frozen=True, slots=True)
 class World:
     members: tuple[Member, ...]
-    left: tuple[int, ...]  # of gives, aheads, backs, crashes, fails, copies, offs, boots
+    left: tuple[int, ...]  # of gives, aheads, backs, crashes, fails, copies, offs, boots, ends
     words: frozenset[tuple[Any, ...]] = frozenset()
     paid: frozenset[int] = frozenset()  # top-ups that were ever asked for
     done: int = 0
 
 
 Next = tuple[str, World]
-GIVES, AHEADS, BACKS, CRASHES, FAILS, COPIES, OFFS, BOOTS = range(8)
+GIVES, AHEADS, BACKS, CRASHES, FAILS, COPIES, OFFS, BOOTS, ENDS = range(9)
+LIFE = 1000  # batches of one life at most
 
 
 def frozen(row: Row) -> Frozen:
     return (row.account, row.number, row.spent, row.back, row.topped, tuple(sorted(row.given.items())),
-            tuple(sorted(row.got.items())), tuple(sorted(row.off.items())), row.barred)
+            tuple(sorted(row.got.items())), tuple(sorted(row.off.items())), row.rests, row.barred)
 
 
 def thawed(row: Frozen) -> Row:
-    account, number, spent, back, topped, given, got, off, barred = row
-    return Row(account, number, spent, back, topped, dict(given), dict(got), dict(off), barred)
+    account, number, spent, back, topped, given, got, off, rests, barred = row
+    return Row(account, number, spent, back, topped, dict(given), dict(got), dict(off), barred, rests)
 
 
 def name(member: int) -> str:
@@ -97,13 +103,15 @@
     def __init__(self, size: Size, make_account: Callable[[Row, dict[str, int]], Account] = Account,
                  make_holding: Callable[[int], Holding] = Holding, notices: bool = True,
                  keeps_ids: bool = True, returns: bool = False, bars: bool = True,
-                 hears_last: bool = True) -> None:
+                 hears_last: bool = True, marks: bool = True, hasty: bool = False) -> None:
         """The rest is for planting faults: older copies are not noticed, ids of top-ups are not written down,
         a write-off gives the home what the other was last heard to hold, a home that was put back goes on
-        taking top-ups. Not `hears_last`: who answers the unsure may have missed its last rows."""
+        taking top-ups. Not `hears_last`: who answers the unsure may have missed its last rows. Not `marks`:
+        the number of the last batch is not told with the end of a use; `hasty`: a use ends before what was
+        handed back is on disk."""
         self.size, self.make_account, self.make_holding = size, make_account, make_holding
         self.notices, self.keeps_ids, self.returns, self.bars = notices, keeps_ids, returns, bars
-        self.hears_last = hears_last
+        self.hears_last, self.marks, self.hasty = hears_last, marks, hasty
 
     # Between the classes and their states.
 
@@ -133,11 +141,13 @@
         others = [name(n) for n in range(self.size.members) if n != m]
         told: set[tuple[Any, ...]] = {("gift", who, to, *gift) for to in others for gift in holding.gifts(to)}
         kept = holding.account.kept
-        if self.size.boots and not holding.unsure:
+        if self.size.boots and not (holding.unsure or kept.rests):
             told.add(("row", who, kept.account, kept.number))
         if m == 0:
             told.update(("off", *off) for off in holding.account.kept.off.items())
-        members = (*w.members[:m], replace(w.members[m], live=self.life(holding)), *w.members[m + 1:])
+        before = w.members[m].live
+        live = replace(self.life(holding), found=before.found if before else w.members[m].disk.number)
+        members = (*w.members[:m], replace(w.members[m], live=live), *w.members[m + 1:])
         return replace(w, members=members, words=w.words | told)
 
     def spend(self, w: World, what: int) -> World:
@@ -193,7 +203,10 @@
 
     def on_disk(self, member: Member, row: Frozen, ids: tuple[str, ...]) -> Disk:
         rows = tuple(sorted([(r, aged) for r, aged in member.disk.rows if r[0] != row[0]] + [(row, False)]))
-        return Disk(rows, member.disk.ids | frozenset(ids) if self.keeps_ids else frozenset())
+        number, live = member.disk.number, member.live
+        if self.size.ends:
+            number = max(number, 0 if live is None or live.unsure else member.life * LIFE) + 1
+        return Disk(rows, member.disk.ids | frozenset(ids) if self.keeps_ids else frozenset(), number)
 
     def disk(self, w: World, m: int, member: Member) -> Iterator[Next]:
         live, who = member.live, name(m)
@@ -248,6 +261,17 @@
                                 made.account.row.topped += amount
                                 made.account.rights += amount
                             yield f"{name(n)} is written off", self.with_live(self.spend(w, OFFS), m, made)
+        if m and w.left[ENDS]:
+            made = self.holding(member)
+            if made.may_rest() or (self.hasty and not (made.account.held or live.row[-2])):
+                made.rest()
+                yield f"{who}'s use ends", self.with_live(self.spend(w, ENDS), m, made)
+        if live.row[-2] and (live.kept[-2] or self.hasty) and m:
+            words = {word for word in w.words if word[:2] not in (("row", who), ("mark", who))}
+            if self.marks:
+                words.add(("mark", who, member.disk.number))
+            if words != w.words:
+                yield f"{who}'s words are forgotten", replace(w, words=frozenset(words))
         if live.row is not None and self.holding(member).account.rights > 0:
             if w.left[AHEADS]:
                 made = self.holding(member)
@@ -274,6 +298,8 @@
         live = member.live
         if live is not None and live.unsure:
             told = [word[3] for word in w.words if word[:3] == ("row", name(m), live.row[0])]
+            if any(word[:2] == ("mark", name(m)) and word[2] > live.found for word in w.words):
+                told.append(live.kept[1] + 1)  # its folder is older than it has told
             for number in [max(told, default=0)] if self.hears_last else [0, *told]:
                 made = self.holding(member)
                 made.others_know(number)
@@ -299,12 +325,19 @@
         paid = sum(self.size.top_ups[n] for n in w.paid)
         if w.done > paid:
             return f"{w.done} done, {paid} paid"
+        if self.size.ends:  # a shorter way to the same: what the living may spend is paid for, and not done
+            held = sum(self.held(member.live) for member in w.members if member.live is not None)
+            if w.done + held > paid:
+                return f"{w.done} done, {held} held, {paid} paid"
         return ""
 
+    def held(self, live: Life) -> int:
+        return 0 if live.unsure else thawed(live.row).rights() + live.free + live.row[2] - live.kept[2]
+
     def run(self, most: int = 10_000_000) -> Found:
         s = self.size
         first = World(tuple(Member() for _ in range(s.members)),
-                      (s.gives, s.aheads, s.backs, s.crashes, s.fails, s.copies, s.offs, s.boots))
+                      (s.gives, s.aheads, s.backs, s.crashes, s.fails, s.copies, s.offs, s.boots, s.ends))
         for m in range(s.members):
             first = self.started(first, m, first.members[m], Trust.SURE)
         return explore(first, self.steps, self.violation, lambda w: w.done == sum(s.top_ups), most)
@@ -376,6 +409,13 @@
         return gained
 
 
+class Waking(Holding):
+    """Goes on with an account that rests, though a later row of it may be known."""
+
+    def take(self, row: Row | None, ids: dict[str, int], old: list[Row], trust: Trust) -> None:
+        super().take(row, ids, old, Trust.SURE if row is not None and row.rests else trust)
+
+
 class Trusting(Holding):
     """Goes on after a restart of the machine, with nobody heard."""
 
--- a/rainspindle/lab/walletday.py
+++ b/rainspindle/lab/walletday.py
@@ -8,18 +8,21 @@
 
 import heapq
 import itertools
+import math
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from ..decisions.shared.cells import Cell, Cells
+from ..decisions.shared.cells import SWEPT, Cell, Cells
 from ..decisions.wallet.account import Row, Trust
+from ..decisions.wallet.register import SWEEP, Register
 from ..decisions.wallet.wallet import Rules, Wallet
 from ..protocol import wallet as words
 
 HOP, GOSSIP, DIGEST = 0.002, (0.05, 0.6), 2.0  # seconds
 SEEN_DEAD, SEEN_ALIVE = 3.0, 0.5  # seconds until the others believe it
 WRITE = 0.004  # seconds for a batch on disk
+ROOM = 10 ** 6  # batches of one life at most
 
 
 @dataclass(slots=True)
@@ -31,9 +34,25 @@
     old: set[int] = field(default_factory=set)  # accounts that were noticed as older copies
     takes: float = WRITE
     fails: bool = False
+    number: int = 0  # of the last batch
 
     def copy(self) -> Disk:
-        return Disk({a: r.copy() for a, r in self.rows.items()}, dict(self.ids), set(self.old))
+        return Disk({a: r.copy() for a, r in self.rows.items()}, dict(self.ids), set(self.old),
+                    number=self.number)
+
+
+class Nothing(dict[tuple[str, str], tuple[int, int]]):
+    def __setitem__(self, key: tuple[str, str], value: tuple[int, int]) -> None: ...
+
+
+class OlderCells(Cells):
+    """Of a release that keeps what others have swept."""
+
+    def __init__(self, own: str, life: int) -> None:
+        super().__init__(own, life)
+        self.floors = Nothing()
+
+    def clear(self, now: float, swept: Cell) -> None: ...
 
 
 class VirtualMember:
@@ -41,8 +60,12 @@
 
     def __init__(self, day: WalletDay, name: str, life: int, trust: Trust) -> None:
         self.day, self.name, self.life = day, name, life
-        self.cells = Cells(name, life)
-        self.wallet = Wallet("w", name, life, day.rules, self, day.now)
+        self.cells = OlderCells(name, life) if name in day.older else Cells(name, life)
+        self.register = Register(self.cells, day.now, day.disks[name].number, ROOM)
+        self.register.pace = min(SWEEP, day.rules.rest / 5)
+        self.wallet = Wallet("w", name, life, day.rules, self, day.now,
+                             register=None if name in day.older else self.register)
+        self.sweep_at = math.inf
         self.dead = self.stalled = False
         self.writing = False
         self.urged = False
@@ -50,6 +73,7 @@
         self.logs: list[tuple[float, str, dict[str, object]]] = []
         self.late: list[Callable[[], None]] = []  # what came while it was stalled
         self.cells.on_change("wallet/", self.heard)
+        self.cells.on_change(SWEPT, self.heard)
         disk = day.disks[name]
         if trust is Trust.OLD:
             disk.old.update(disk.rows)
@@ -84,9 +108,36 @@
                 return
             disk.rows[row.account] = row.copy()
             disk.ids.update(amounts)
+            self.batch_done()
             self.when_awake(lambda: self.wallet.written(self.day.now))
+            self.plan_sweep()
         self.day.at(disk.takes, done)
 
+    def batch_done(self) -> None:
+        disk = self.day.disks[self.name]
+        disk.number = max(disk.number, 0 if self.wallet.unsure else self.register.over) + 1
+        self.register.written(disk.number)
+
+    def plan_sweep(self) -> None:
+        if self.wallet.register is not None and self.register.due < self.sweep_at:
+            self.sweep_at = self.register.due
+            self.day.at(self.sweep_at - self.day.now, lambda: self.when_awake(self.sweep))
+
+    def sweep(self) -> None:
+        self.sweep_at = math.inf
+        if self.wallet.unsure:
+            self.register.due = self.day.now + 2.0
+        else:
+            if not self.register.ready:
+                self.batch_done()
+            self.cells.fresh.clear()
+            self.register.sweep(self.day.now)
+            for owner, name in list(self.cells.fresh):
+                seen = self.cells.read(owner, name)
+                if seen is not None:
+                    self.day.spread(self, seen.cell, ())
+        self.plan_sweep()
+
     def tell(self, now: float, cell: str, value: bytes, toward: tuple[str, ...]) -> None:
         self.day.spread(self, self.cells.write(now, cell, value, toward), toward)
 
@@ -118,14 +169,22 @@
         self.wallet.looked_at = now
         at = self.wallet.tick(now)
         self.planned = number = next(self.day.numbers)
-        if at != float("inf"):
+        if at != math.inf:
             self.day.at(at - now, lambda: self.tick() if self.planned == number else None)
+        self.plan_sweep()
 
     def heard(self, now: float, cell: Cell) -> None:
         _, _, to = cell.name.partition("/t/")
-        if (to and to != self.name) or not cell.value:
+        if cell.owner == self.name and cell.life < self.life and cell.value:
+            if self.register.heard_own(cell):
+                self.wallet.older_folder(now)
+            self.plan_sweep()
+        if (to and to != self.name) or cell.name.startswith(SWEPT):
             return
-        if to:
+        if not cell.value:
+            if cell.owner != self.name:
+                (self.wallet.on_pair_gone if to else self.wallet.on_gone)(now, cell.owner)
+        elif to:
             self.wallet.on_pair(now, cell.owner, words.decode_pair(cell.value))
         elif cell.owner != self.name:
             self.wallet.on_word(now, cell.owner, words.decode_word(cell.value))
@@ -149,8 +208,10 @@
 
 
 class WalletDay:
-    def __init__(self, count: int, seed: int, rules: Rules | None = None, loss: float = 0.0) -> None:
-        """`count` members, of which the first is the home."""
+    def __init__(self, count: int, seed: int, rules: Rules | None = None, loss: float = 0.0,
+                 older: frozenset[str] = frozenset()) -> None:
+        """`count` members, of which the first is the home. `older`: never let their use end."""
+        self.older = older
         self.rng, self.now, self.loss = random.Random(seed), 0.0, loss
         self.names = [f"m{n:02}" for n in range(count)]
         self.rules = rules or Rules(self.names[0])
--- a/rainspindle/program/fleet/wallet.py
+++ b/rainspindle/program/fleet/wallet.py
@@ -19,7 +19,8 @@
 from ...decisions.members.members import Member, Standing
 from ...decisions.shared.cells import MOST_NAME, Cell
 from ...decisions.wallet.account import SHIFT, Row, Trust
-from ...decisions.wallet.wallet import Rules, Wallet
+from ...decisions.wallet.register import SWEEP, Register
+from ...decisions.wallet.wallet import KNOWS, Rules, Wallet
 from ...errors import Trouble
 from ...protocol import wallet as words
 from ...protocol.wallet import Kept as KeptRow
@@ -59,6 +60,8 @@
     repeat: float = 60.0  # seconds for which an exchange's X-Request-ID is remembered
     books: str = "1"  # ids of top-ups are told apart within it
     rejoin: str = "heard"  # or "new"
+    rest: float = 300.0  # seconds without an exchange after which its use at a member ends
+    eager: bool | None = None  # whether members without traffic hold a piece: while there are few wallets
 
 
 class WalletTrouble(Trouble):
@@ -124,6 +127,7 @@
                 ("price", part.price, 0, MOST_UNITS), ("reserve", part.reserve, 0, MOST_UNITS),
                 ("piece", part.piece, 1, MOST_UNITS), ("alone", part.alone, 1.0, 86_400.0),
                 ("come_back", part.come_back, 0.1, 3_600.0), ("repeat", part.repeat, 0.0, 3_600.0),
+                ("rest", part.rest, 1.0, 86_400.0),
                 *((f"prices.{name}", price, 0, MOST_UNITS) for name, price in part.prices.items())):
             if not low <= value <= high:
                 yield f"{at}.{key}: is {value}; expected {low} to {high}"
@@ -136,7 +140,8 @@
 def rules_of(part: WalletPart, types: Sequence[str], eager: bool) -> Rules:
     prices = [part.prices.get(name, part.price) for name in part.match or types]
     return Rules(part.home, part.piece, part.reserve, part.alone, part.come_back, max(min(prices), 1),
-                 max(*prices, 1), eager, part.books, part.rejoin)
+                 max(*prices, 1), eager if part.eager is None else part.eager, part.books, part.rejoin,
+                 part.rest)
 
 
 def encode_row(row: Row, boot: int, rules: Rules) -> bytes:
@@ -144,7 +149,7 @@
         words.VERSION, row.account, row.number, row.spent, row.back, row.topped,
         [(*who, total) for who, total in row.given.items()],
         [(*who, total) for who, total in row.got.items()],
-        list(row.off.items()), row.barred, boot, rules.home, rules.books))
+        list(row.off.items()), row.barred, boot, rules.home, rules.books, row.rests))
 
 
 def decode_row(value: bytes) -> tuple[Row, KeptRow]:
@@ -153,7 +158,7 @@
     return Row(kept.account, kept.row, kept.spent, kept.back, kept.topped,
                {(name, account): total for name, account, total in kept.given},
                {(name, account): total for name, account, total in kept.got},
-               dict(kept.off), kept.barred), kept
+               dict(kept.off), kept.barred, kept.rests), kept
 
 
 class WalletRun:
@@ -172,6 +177,7 @@
         self.urged: set[Wallet] = set()
         self.numbers = 0
         self.unsaved: set[Wallet] = set()
+        self.unsure: set[Wallet] = set()
         self.batch: list[Wallet] = []
         self.batch_number, self.batch_at = 0, math.inf
         self.again_at = -math.inf
@@ -182,6 +188,7 @@
         self.boots: dict[Wallet, int] = {}
         self.unread = 0
         self.others: tuple[str, ...] = ()
+        self.met_at = math.inf  # since when there are others
         self.told, self.teller = socket.socketpair()
         self.told.setblocking(False)
         self.teller.setblocking(False)
@@ -189,9 +196,11 @@
         if ground.folder is None:
             raise WalletTrouble("wallets need a folder that lasts", "name one in [members] folder")
         self.store = Kept(ground.folder, "wallets", self.own, self.store_told)
+        self.register = Register(self.cells, self.loop.now())
         self.take_members()
         self.take_tables(self.loop.now(), tables)
         self.cells.on_change("wallet/", self.heard)
+        self.cells.on_change("swept/wallet", self.heard_own)
         self.store.start()
         self.worker = self.loop.spawn(self.loop.lasting(self.work))
 
@@ -214,6 +223,7 @@
             wallet.put_away(now)
             log.info("wallet: not in the file any more", extra={"fields": {
                 "wallet": name, "held": wallet.account.held}})
+        self.register.pace = min([SWEEP, *(part.rest / 5 for part in new.values())])
         self.purses.clear()
         for name, part in new.items():
             before = self.parts.get(name)
@@ -224,8 +234,11 @@
             self.parts[name] = part
             rules = rules_of(part, types, eager)
             wallet = self.wallets.get(name) or self.shelf.pop(name, None) or Wallet(
-                name, self.own, self.ground.members.own_life, rules, self, now, secrets.randbits(9))
+                name, self.own, self.ground.members.own_life, rules, self, now, secrets.randbits(9),
+                self.register)
             fresh = name not in self.wallets
+            if wallet.rules != rules:
+                wallet.speak()
             wallet.rules, self.wallets[name] = rules, wallet
             if fresh and wallet.loaded:
                 wallet.out = False
@@ -245,6 +258,8 @@
     # The members and their cells.
 
     def take_members(self) -> None:
+        if not self.others:
+            self.met_at = self.loop.now()
         self.others = tuple(m.name for m in self.ground.members.members()
                             if m.name != self.own and m.standing is Standing.ALIVE)
 
@@ -257,10 +272,15 @@
     def heard(self, now: float, cell: Cell) -> None:
         name, _, to = cell.name.removeprefix("wallet/").partition("/t/")
         wallet = self.wallets.get(name)
-        if wallet is None or not cell.value or (to and to != words.short(self.own)):
+        if cell.owner == self.own:
+            self.heard_own(now, cell)
+        if wallet is None or (to and to != words.short(self.own)):
             return
         try:
-            if to:
+            if not cell.value:
+                if cell.owner != self.own:
+                    (wallet.on_pair_gone if to else wallet.on_gone)(now, cell.owner)
+            elif to:
                 if cell.owner != self.own:
                     wallet.on_pair(now, cell.owner, words.decode_pair(cell.value))
             elif cell.owner == self.own:
@@ -274,6 +294,20 @@
                 log.warning("unreadable word", extra={"fields": {
                     "from": cell.owner, "why": fault, "remedy": fault.remedy}})
 
+    def heard_own(self, now: float, cell: Cell) -> None:
+        if cell.owner == self.own and cell.life < self.ground.members.own_life and cell.value:
+            older = self.register.old
+            if self.register.heard_own(cell) and self.register.old > older and self.found is not None:
+                self.older_folder(now)
+            self.worker.wake()
+
+    def older_folder(self, now: float) -> None:
+        log.error("wallets: others know a later state of this folder, what it holds is not spent",
+                  extra={"fields": {"folder": self.ground.folder, "remedy": "stop the process and move the "
+                                    "newest folder back, or write the old life off at the home"}})
+        for wallet in self.wallets.values():
+            wallet.older_folder(now)
+
     def replay(self, now: float, wallet: Wallet) -> None:
         """What was told while this wallet was not looked at."""
         for name in (words.word_cell(wallet.name), words.pair_cell(wallet.name, self.own)):
@@ -331,11 +365,13 @@
                 self.troubled = self.stalled = False
                 log.info("wallets are written again")
             batch, self.batch, self.batch_at = self.batch, [], math.inf
+            self.register.written(done.number)
             for wallet in batch:
                 wallet.written(now)
 
     def opened(self, now: float, found: Found) -> None:
         self.found = found
+        self.register.opened(found.number)
         if self.troubled:
             self.troubled = False
             log.info("wallets are open", extra={"fields": {"folder": self.ground.folder}})
@@ -347,6 +383,8 @@
             self.unclaimed.setdefault(key.lstrip("-#").partition("/")[0], {})[key] = value
         for wallet in self.wallets.values():
             self.load(now, wallet)
+        if self.register.old > found.number:
+            self.older_folder(now)
 
     def load(self, now: float, wallet: Wallet) -> None:
         assert self.found is not None
@@ -365,14 +403,18 @@
         if not rows:
             self.boots[wallet] = self.found.boot
             wallet.load(now, None, ids, [], Trust.SURE)
+            if not (self.found.newest or self.found.fresh):
+                wallet.came_home()  # a row may have been there
         else:
             last = max(rows)
             row, kept, aged = rows[last]
             self.boots[wallet] = kept.boot
             old = [rows[account][0] for account in sorted(rows) if account != last]
-            trust = Trust.OLD if aged else (
+            trust = Trust.OLD if aged or self.register.old > self.found.number else (
                 Trust.SURE if self.boots[wallet] == self.found.boot else Trust.UNSURE)
             wallet.load(now, row, ids, old, trust)
+            if wallet.unsure:
+                self.unsure.add(wallet)
             if kept.home not in ("", self.own) and kept.books == wallet.rules.books:
                 wallet.came_home()
         self.replay(now, wallet)
@@ -398,8 +440,31 @@
                 rows[f"#{wallet.name}/{id}"] = b"%d" % wallet.account.ids[id]
             self.batch.append(wallet)
         if rows:
-            self.batch_number, self.batch_at = self.batch_number + 1, now
-            self.store.write(rows, self.batch_number)
+            self.write(now, rows)
+
+    def write(self, now: float, rows: dict[str, bytes]) -> None:
+        self.batch_number, self.batch_at = self.batch_number + 1, now
+        self.store.write(rows, self.batch_number, self.register.over if self.all_sure() else 0)
+
+    def all_sure(self) -> bool:
+        self.unsure = {wallet for wallet in self.unsure if wallet.unsure}
+        return not self.unsure
+
+    def sweep(self, now: float) -> float:
+        """Takes away the cells that are needed no more; when to look again."""
+        if self.batch_at < math.inf or self.found is None or self.handing:
+            return math.inf  # until that has been told
+        at = max(self.register.due, self.again_at)
+        if now < at:
+            return at
+        # Guards against own words that tell of a later row, swept away before they were heard of here.
+        if not self.all_sure() or not self.others or now - self.met_at < min(KNOWS, self.register.pace):
+            return now + min(STALLED, self.register.pace)
+        if self.register.ready:
+            self.register.sweep(now)
+            return math.inf
+        self.write(now, {})
+        return math.inf
 
     def hand_on(self, now: float) -> None:
         """A process that came later waits for the folder: this one spends no more."""
@@ -433,11 +498,12 @@
             if wallet.planned == number:
                 self.look(now, wallet)
         self.begin_batch(now)
+        sweep_at = self.sweep(now)
         if self.batch and now - self.batch_at > STALLED and not self.stalled and not self.troubled:
             self.stalled = True
             log.error("wallets: the disk has stalled, spending goes on by what is written", extra={"fields": {
                 "folder": self.ground.folder, "remedy": "see what holds up the disk; it goes on by itself"}})
-        until = self.due[0][0] if self.due else math.inf
+        until = min(self.due[0][0] if self.due else math.inf, sweep_at)
         if self.batch and not self.stalled:
             until = min(until, self.batch_at + STALLED + PACE)
         if self.unsaved and not self.batch:
@@ -550,6 +616,7 @@
             "paused_since": None if wallet.paused_since is None else round(now - wallet.paused_since, 2),
             "state": "closed" if not wallet.loaded or self.handed_on else
                      "unsure" if wallet.unsure else "leaving" if wallet.leaving else
+                     "at rest" if account.row.rests or wallet.silent else
                      "paused" if wallet.paused_since is not None else "open",
             "refused": wallet.refused, "not_spent": wallet.lost, "topped_up": account.kept.topped,
             "written_off": {member: account >> SHIFT for member, account in off.items()},
--- a/rainspindle/protocol/wallet.py
+++ b/rainspindle/protocol/wallet.py
@@ -23,6 +23,9 @@
     remedy = "see that all members run a release that is beside this one"
 
 
+Took = tuple[str, int, int]  # the giver, its account, all that was got of it
+
+
 class Word(msgspec.Struct, array_like=True, frozen=True):
     """`wallet/NAME`: what a member says of itself."""
 
@@ -40,6 +43,9 @@
     life: int = 0
     home: str = ""  # by its file
     books: str = ""
+    mark: int = -1  # of the unsure: the last batch that its folder has; -1 by a release that knows of none
+    resting: bool = False  # its use has ended: it waits for those it dealt with, and its cells go then
+    took: list[Took] = []  # while it rests: what its account got, as it is on disk
 
 
 class Pair(msgspec.Struct, array_like=True, frozen=True):
@@ -50,6 +56,16 @@
     ask: int = 0  # the number of its last ask that was answered
     off: int = 0  # the home's word: accounts of it up to this one are written off
     seen: tuple[int, int, int] = (0, 0, 0)  # its life that asked, its account, the highest row heard of it
+    mark: int = -1  # the last batch of its folder that was heard of; -1 by a release that knows of none
+    took: list[tuple[int, int, int]] = []  # its account, own account, all got from it, as it is on disk
+
+
+class Mark(msgspec.Struct, array_like=True, frozen=True):
+    """With `swept/wallet`: what stays of the words that a member has taken away."""
+
+    version: int
+    number: int  # of the last batch of its folder: one that has not come so far was set back
+    homes: list[int] = []  # claims of the wallets whose home it is by its file, and of which it tells no word
 
 
 class Kept(msgspec.Struct, array_like=True):
@@ -68,10 +84,11 @@
     boot: int = 0  # tells the start of the machine, and the volume, in which it was known to be the last
     home: str = ""  # by the file of then
     books: str = ""
+    rests: bool = False  # nothing is left in it, and others were told all
 
 
 word_of, pair_of = msgspec.msgpack.Decoder(Word), msgspec.msgpack.Decoder(Pair)
-kept_of = msgspec.msgpack.Decoder(Kept)
+kept_of, mark_of = msgspec.msgpack.Decoder(Kept), msgspec.msgpack.Decoder(Mark)
 encode = msgspec.msgpack.Encoder().encode
 
 
@@ -94,6 +111,14 @@
         raise UnreadableWord(f"a member's word to another of a wallet: {fault}") from None
 
 
+def decode_mark(note: bytes) -> Mark:
+    """Raises UnreadableWord."""
+    try:
+        return mark_of.decode(note)
+    except msgspec.MsgspecError as fault:
+        raise UnreadableWord(f"what a member has swept of its wallets: {fault}") from None
+
+
 def decode_kept(value: bytes) -> Kept:
     """Raises UnreadableWord."""
     try:
@@ -110,6 +135,11 @@
     return member[:20] + "~" + hashlib.blake2b(member.encode(), digest_size=8).hexdigest()
 
 
+def claim(wallet: str, books: str) -> int:
+    """32 bits that stand for a wallet and its books."""
+    return int.from_bytes(hashlib.blake2b(f"{wallet}\0{books}".encode(), digest_size=4).digest(), "big")
+
+
 def word_cell(wallet: str) -> str:
     return f"wallet/{wallet}"
 
--- a/rainspindle/store/kept.py
+++ b/rainspindle/store/kept.py
@@ -58,6 +58,7 @@
     newest: bool  # these are the very files that were written last, as far as files can tell
     why: str = ""  # they are not
     boot: int = 0  # this start of the machine, and this volume
+    number: int = 0  # of the last batch: what others know of it shows a volume that was set back
 
 
 @dataclass(slots=True)
@@ -67,6 +68,7 @@
     found: Found | None = None
     trouble: Trouble | None = None
     batch: int = 0
+    number: int = 0  # that it has in the store
     wanted: bool = False  # a process that came later waits for the folder
 
 
@@ -74,6 +76,7 @@
 class Job:
     rows: dict[str, bytes] = field(default_factory=dict)
     batch: int = 0
+    over: int = 0
 
 
 class Kept:
@@ -92,8 +95,9 @@
     def start(self) -> None:
         self.thread.start()
 
-    def write(self, rows: dict[str, bytes], batch: int) -> None:
-        self.jobs.put(Job(rows, batch))
+    def write(self, rows: dict[str, bytes], batch: int, over: int = 0) -> None:
+        """`over`: which its number in the store is to be over, beside that of the one before."""
+        self.jobs.put(Job(rows, batch, over))
 
     def end(self) -> None:
         """After what was given to `write`."""
@@ -131,8 +135,8 @@
             if job is None:
                 break
             try:
-                self.put(job.rows)
-                self.tell(Done(batch=job.batch))
+                self.put(job.rows, job.over)
+                self.tell(Done(batch=job.batch, number=self.number))
             except Exception as fault:
                 with contextlib.suppress(sqlite3.Error):
                     self.database.rollback()
@@ -194,7 +198,7 @@
             boot = secrets.token_hex(16)
         volume = os.fstat(self.last).st_dev
         return Found(rows, fresh, not why, "" if fresh else why,
-                     (int(boot[:14], 16) ^ volume * 0x9E3779B1) & ((1 << 62) - 1))
+                     (int(boot[:14], 16) ^ volume * 0x9E3779B1) & ((1 << 62) - 1), self.number)
 
     def why_not_newest(self, about: dict[str, str]) -> str:
         try:
@@ -249,10 +253,10 @@
     def as_bytes(self, number: int) -> bytes:
         return b"%020d\n" % number
 
-    def put(self, rows: dict[str, bytes]) -> None:
+    def put(self, rows: dict[str, bytes], over: int = 0) -> None:
         """One batch; it is on disk for certain when this returns. Raises OSError, sqlite3.Error."""
         assert self.database is not None and self.last is not None
-        self.number += 1
+        self.number = max(self.number, over) + 1
         self.database.execute("BEGIN IMMEDIATE")
         self.database.executemany("INSERT OR REPLACE INTO rows VALUES (?, ?)", list(rows.items()))
         self.about(number=str(self.number))
--- a/tests/golden/forms.py
+++ b/tests/golden/forms.py
@@ -132,17 +132,27 @@
                 module=type(value).__module__, **more)
 
 
+def as_known(kind: Any, *values: Any) -> Any:
+    """Of them, those that the build in front has fields for."""
+    return kind(*values[:len(kind.__struct_fields__)])
+
+
 def wallet() -> Iterator[Form]:
     from rainspindle.protocol import wallet as words
-    yield struct("wallet-word", words.Word(
-        words.VERSION, 7 << 22, 12, 340, 17.5, 500, 3, 60, "b", 1.25, True, 7 << 12, "a", "2026"),
+    yield struct("wallet-word", as_known(
+        words.Word, words.VERSION, 7 << 22, 12, 340, 17.5, 500, 3, 60, "b", 1.25, True, 7 << 12, "a", "2026",
+        7 << 20, True, [("c", 9 << 22, 40)]),
         words.decode_word, words.UnreadableWord, cell="wallet/*")
-    yield struct("wallet-pair", words.Pair(
-        words.VERSION, [(7 << 22, 8 << 22, 250), (7 << 22, 0, 90)], 4, 6 << 22, (8 << 12, 8 << 22, 9)),
+    yield struct("wallet-pair", as_known(
+        words.Pair, words.VERSION, [(7 << 22, 8 << 22, 250), (7 << 22, 0, 90)], 4, 6 << 22,
+        (8 << 12, 8 << 22, 9), 8 << 20, [(8 << 22, 7 << 22, 40)]),
         words.decode_pair, words.UnreadableWord, cell="wallet/*/t/*")
-    yield struct("wallet-row", words.Kept(
-        words.VERSION, 7 << 22, 13, 160, 4, 500, [("b", 8 << 22, 250)], [("c", 9 << 22, 40)],
-        [("d", 5 << 22)], "2025", 1 << 61, "a", "2026"), words.decode_kept, words.UnreadableWord)
+    yield struct("wallet-row", as_known(
+        words.Kept, words.VERSION, 7 << 22, 13, 160, 4, 500, [("b", 8 << 22, 250)], [("c", 9 << 22, 40)],
+        [("d", 5 << 22)], "2025", 1 << 61, "a", "2026", True), words.decode_kept, words.UnreadableWord)
+    if hasattr(words, "Mark"):  # its cell begins with a number and a blank, by `Cells.sweep`
+        yield struct("wallet-mark", words.Mark(words.VERSION, 7 << 20, [words.claim("north", "2026")]),
+                     words.decode_mark, words.UnreadableWord, cell="swept/wallet")
 
 
 def canary() -> Iterator[Form]:
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
 
 from rainspindle.decisions.shared.cells import MOST_MATTERS, Cell, Cells
@@ -53,6 +54,14 @@
     assert found == BROKEN[planted]
 
 
+def test_the_bound_of_cells_holds_and_uses_that_never_end_pass_it() -> None:
+    made = plan(12, 201, 0, 1, 1, 0.3)
+    out = play(msgspec.structs.replace(made, most=200))
+    assert not out.broken and out.figures["cells_now"] == 0
+    small_room = msgspec.structs.replace(made, most=200)
+    assert [b.what for b in play(small_room, "endless").ledger.broken] == ["refused"]
+
+
 @pytest.mark.parametrize("path", KEPT, ids=lambda path: path.stem)
 def test_what_was_shrunk_fails_with_its_fault_alone(path: Path) -> None:
     kept: dict[str, Any] = json.loads(path.read_text())
--- a/tests/test_wallet.py
+++ b/tests/test_wallet.py
@@ -20,7 +20,7 @@
 from rainspindle.decisions.wallet.wallet import Rules
 from rainspindle.lab import walletcheck as wc
 from rainspindle.lab.walletcheck import Checker, Size
-from rainspindle.lab.walletday import WalletDay
+from rainspindle.lab.walletday import Disk, WalletDay
 from rainspindle.lab.wallettable import Table
 from rainspindle.program.config import check
 from rainspindle.program.fleet import wallet as program
@@ -56,6 +56,7 @@
     (Size((1,), gives=1, aheads=2, crashes=1, copies=1), 1_500),
     (Size((1,), gives=1, aheads=2, crashes=1, boots=1, members=2), 2_500),
     (Size((1,), gives=1, aheads=2, crashes=1, copies=1, offs=1, members=2), 30_000),
+    (Size((1,), gives=1, aheads=2, crashes=1, boots=1, ends=1, members=2), 15_000),
     (Size((1, 1), gives=0, aheads=2, backs=1, crashes=2, fails=1, copies=1, members=1), 20_000)])
 def test_no_order_of_events_spends_more_than_was_paid(size: Size, states: int) -> None:
     """Guards against a cut in the middle of a hand-over, a giver killed between its write and its word, words
@@ -65,6 +66,9 @@
     assert found.whole and found.states > states and found.ends > 0
 
 
+END = Size((1,), gives=2, aheads=0, crashes=1, boots=1, ends=1, members=2)
+
+
 @pytest.mark.parametrize("checker", [
     Checker(Size((1,), gives=0, members=1), wc.Early),  # spends before the write
     Checker(Size((1,), gives=1, members=2), wc.Adding),  # takes each word for a further gift
@@ -78,7 +82,10 @@
     Checker(Size((1,), gives=0, crashes=1, boots=1, members=1), make_holding=wc.Trusting),  # asks nobody
     # What can't be proved, as the page says: a volume set back, and the rows since then heard by nobody.
     Checker(Size((1,), gives=0, crashes=1, boots=1, members=1), hears_last=False),
-    Checker(Size((1,), gives=1, offs=1, members=2), returns=True)])  # a write-off gives back
+    Checker(Size((1,), gives=1, offs=1, members=2), returns=True),  # a write-off gives back
+    Checker(END, marks=False),  # words are forgotten, and the number by which a volume is known is not told
+    Checker(END, hasty=True),  # a use ends before what it handed back is on disk
+    Checker(END, make_holding=wc.Waking)])  # what rests goes on, with nobody heard
 def test_the_search_finds_each_planted_fault(checker: Checker) -> None:
     found = checker.run(100_000)
     assert "done" in found.violation and len(found.trace) > 4
@@ -91,10 +98,13 @@
 
 
 @settings(max_examples=30, deadline=None, derandomize=True)
-@given(st.lists(EVENT, max_size=25), st.integers(0, 3), st.sampled_from([0.0, 0.3]))
+@given(st.lists(EVENT, max_size=25), st.integers(0, 3), st.sampled_from([0.0, 0.3]),
+       st.sampled_from(["", "ends", "ends, with older ones beside"]))
 def test_no_history_overspends_and_what_is_left_can_be_spent_once_it_is_over(
-        events: list[tuple[str, int, float]], seed: int, loss: float) -> None:
-    day = WalletDay(5, seed, Rules("m00", piece=3, reserve=5, top=2), loss)
+        events: list[tuple[str, int, float]], seed: int, loss: float, ends: str) -> None:
+    """With `ends`, the use of a member ends in a fifth of a second without an exchange, so all the time."""
+    rules = Rules("m00", piece=3, reserve=5, top=2, eager=not ends, rest=0.2 if ends else 300.0)
+    day = WalletDay(5, seed, rules, loss, frozenset({"m01", "m03"}) if "older" in ends else frozenset())
     for name in day.names:
         day.traffic(name, 15.0, 300.0, binding=0.3)
     day.top_up("first", 150)
@@ -327,6 +337,59 @@
     assert day.over == 0 and day.executed == day.topped
 
 
+def ended(older: frozenset[str] = frozenset()) -> tuple[WalletDay, Disk]:
+    """A day on which the uses of all have ended, and the second's folder from before that."""
+    day = WalletDay(3, 1, Rules("m00", eager=False, rest=10.0), older=older)
+    day.run(1.0)
+    for name in ("m01", "m02"):
+        day.traffic(name, 20.0, 10.0)
+    day.top_up("first", 1000)
+    day.run(8.0)
+    copy = day.disks["m01"].copy()
+    assert max(copy.rows.values(), key=lambda row: row.number).rights() > 0
+    day.run(60.0)
+    return day, copy
+
+
+def test_when_a_use_has_ended_its_cells_are_gone_and_it_begins_again_at_any_moment() -> None:
+    day, _ = ended()
+    for member in day.members.values():
+        assert not [seen for seen in member.cells.all() if seen.cell.name.startswith("wallet/")]
+    assert day.members["m00"].wallet.account.held == day.topped - day.executed == day.held()
+    for n in range(60):  # a client comes back in each moment of the end
+        day.traffic("m01", 200.0, day.now + 0.05)
+        day.run(9.5 + n * 0.025)
+    day.run(60.0)
+    assert day.over == 0 and day.held() >= day.topped - day.executed - 20
+    assert all(member.cells.counts["wallet"] == 0 for member in day.members.values())
+
+
+@pytest.mark.parametrize("home", ["lives", "restarts", "is of an older release"])
+def test_a_volume_set_back_to_before_the_end_of_its_use_is_noticed(home: str) -> None:
+    day, copy = ended()
+    account = max(copy.rows)
+    day.kill("m01")
+    if home == "restarts":
+        day.restart("m00")
+    elif home != "lives":
+        day.older = frozenset({"m00"})
+        day.restart("m00")
+    day.disks["m01"] = copy
+    day.restart("m01", Trust.UNSURE)
+    day.run(30.0)
+    assert day.members["m01"].wallet.account.row.account > account
+    day.traffic("m01", 50.0, day.now + 40.0)
+    day.run(60.0)
+    assert day.over == 0 and day.held() + day.executed <= day.topped
+    assert day.executed > 900 or home.endswith("release")
+
+
+def test_a_use_that_ends_beside_an_older_release_keeps_its_cells_and_loses_nothing() -> None:
+    day, _ = ended(frozenset({"m00"}))
+    assert day.held() == day.topped - day.executed and day.members["m01"].wallet.resting
+    assert day.members["m02"].cells.read("m01", "wallet/w") is not None
+
+
 def test_the_reserve_is_left_to_binding_exchanges() -> None:
     day = WalletDay(4, 2, Rules("m00", reserve=100))
     day.top_up("a", 1000)
@@ -406,7 +469,8 @@
     shelf = Shelf(tmp_path)
     found = shelf.found()
     assert found.fresh and not found.rows
-    assert shelf.write(x=b"1", y=b"2") == Done(batch=1) and shelf.write(x=b"3") == Done(batch=2)
+    assert shelf.write(x=b"1", y=b"2") == Done(batch=1, number=1) \
+        and shelf.write(x=b"3") == Done(batch=2, number=2)
     shelf.kept.close()
     for _ in range(3):
         found = opened(tmp_path)
@@ -583,15 +647,17 @@
     if fault == "full":
         pages = store.database.execute("PRAGMA page_count").fetchone()[0]
         store.database.execute(f"PRAGMA max_page_count={pages}")
-        store.put = lambda rows: put({**rows, "ballast": bytes(100_000)})  # type: ignore[method-assign]
+        def ballast(rows: dict[str, bytes], over: int = 0) -> None:
+            put({**rows, "ballast": bytes(100_000)}, over)
+        store.put = ballast  # type: ignore[method-assign]
     elif fault == "read-only":
         store.database.execute("PRAGMA query_only=ON")
     else:
         stuck = time.monotonic() + 1.5
 
-        def late(rows: dict[str, bytes]) -> None:
+        def late(rows: dict[str, bytes], over: int = 0) -> None:
             time.sleep(max(0.0, stuck - time.monotonic()))
-            put(rows)
+            put(rows, over)
         store.put = late  # type: ignore[method-assign]
     done = spend(t, "a", seconds=0.5)
     assert done == 10 and logged("can't be written" if fault != "stalled" else "has stalled") == 1
--- a/tests/test_wallet_processes.py
+++ b/tests/test_wallet_processes.py
@@ -110,6 +110,39 @@
         assert left <= 2 * 2.0 * RATE + LOST  # what it held is spent by nobody
 
 
+def test_uses_end_and_begin_again_under_a_kill_and_a_cut(tmp_path: Path) -> None:
+    with rig(tmp_path, eager=False, rest=1.0) as r:
+        fleet, clients = r.fleet, r.clients
+
+        def rests(*names: str) -> bool:
+            r.audit()
+            return all(r.shown(name)["state"] == "at rest" for name in names)
+
+        def begin_again(*names: str) -> None:
+            clients.quiet.difference_update(names)
+            since = time.monotonic()
+            wait_until(lambda: all(clients.served(name, since) for name in names), 20.0, "served again")
+        r.top_up("one", 900)
+        wait_until(lambda: all(clients.served(name) for name in "bcd"), 20.0, "served at all")
+        fleet.network.begin(Split(0.0, (("a", "b", "c"), ("d",))))
+        fleet.await_agreed({"d": "dead"}, 15.0, "a", "b", "c")
+        clients.quiet.update("bcd")
+        wait_until(lambda: rests("b", "c"), 30.0, "b and c at rest")
+        fleet["c"].kill()
+        assert not rests("d")  # what it holds can't be handed back
+        begin_again("b")
+        r.back("c")
+        fleet.network.clear()
+        clients.quiet.add("b")
+        wait_until(lambda: rests("b", "c", "d"), 30.0, "all but the home at rest")
+        wait_until(lambda: r.shown("a")["others"] == [], 30.0, "their words are forgotten")
+        clients.quiet.add("a")
+        wait_until(lambda: rests("a"), 30.0, "the home is silent")
+        assert 0 < r.shown("a")["own"] <= r.audit()
+        begin_again("a", "b", "c", "d")
+        assert r.spend_all(30.0) <= 4 + LOST
+
+
 def test_a_successor_takes_the_folder_over_and_clients_are_served_on(tmp_path: Path) -> None:
     with rig(tmp_path, 2) as r:
         r.top_up("one", 500)
