--- a/rainspindle/decisions/wallet/register.py
+++ b/rainspindle/decisions/wallet/register.py
@@ -20,7 +20,7 @@
 from ..shared.cells import Cell, Cells, matter
 
 ABOUT = "wallet"
-SWEEP = 60.0  # seconds between two sweeps of one member at least, and to the first after its start
+SWEEP = 60.0  # seconds between two sweeps of one member, and to the first after its start, at most
 MOST_CLAIMS = 150  # that fit in one cell; a home of more goes on telling a word of each
 
 
@@ -31,6 +31,7 @@
         """`found`: the number of the last batch that was in the folder when it was opened. `room`: batches
         between two lives that follow each other, where lives are no milliseconds."""
         self.cells, self.found, self.number, self.room = cells, found, found, room
+        self.pace = SWEEP
         self.gone: set[str] = set()
         self.homes: dict[str, int] = {}  # wallets of which it tells no word, as their home; their claims
         self.due = math.inf
@@ -67,7 +68,7 @@
         self.homes.pop(wallet, None)  # what was claimed is no less true now
 
     def plan(self) -> None:
-        self.due = min(self.due, self.swept_at + SWEEP)
+        self.due = min(self.due, self.swept_at + self.pace)
 
     @property
     def over(self) -> int:
--- a/rainspindle/decisions/wallet/wallet.py
+++ b/rainspindle/decisions/wallet/wallet.py
@@ -49,7 +49,6 @@
 OLD_WORD = 3.0  # seconds for which another is taken to have gone on spending since its word
 MARGIN = 0.2  # seconds of spending that are under way while words are
 TINY = 1e-3  # units a second that are none
-REST = 300.0  # seconds without an exchange after which the use of a wallet ends here
 MOST_TOOK = 500  # bytes of a word that tell what one that rests has got
 EAGER_PART = 16  # a member without traffic gets at most so small a part of the giver's rights
 
@@ -68,6 +67,7 @@
     eager: bool = True  # a member without traffic holds a piece too
     books: str = "1"  # ids of top-ups are told apart within it
     rejoin: str = "heard"  # or "new": an unsure row is taken for an old one
+    rest: float = 300.0  # seconds without an exchange after which the use of a wallet ends here
 
 
 class WalletHost(Protocol):
@@ -404,7 +404,8 @@
         if word is not None and word.unsure and seen[2] <= word.row and now - self.begun_at < KNOWS:
             seen = 0, 0, 0
         ask = self.answered.get(member, (0, 0))[1]
-        took = self.took_from(member) if self.quiet or (word is not None and word.resting) else []
+        took = self.took_from(member) if self.quiet or (
+            word is not None and word.resting and self.register is not None) else []
         off = self.account.kept.off.get(member, 0)
         self.told_pairs[member] = entries, took, off
         self.tell(now, pair_cell(self.name, member),
@@ -472,7 +473,7 @@
         if at is None:
             at = self.act(now)
             if self.register is not None and self.loaded and not (self.out or self.leaving or self.silent):
-                idle = self.used_at + REST
+                idle = self.used_at + self.rules.rest
                 at = min(at, idle if idle > now else at)
         return at
 
@@ -687,7 +688,7 @@
         register, row = self.register, self.account.row
         if register is None or not self.loaded or self.out or self.leaving or self.unsure or self.sealing:
             return None
-        if now - self.used_at < REST:
+        if now - self.used_at < self.rules.rest:
             if row.rests or self.resting:
                 self.wake()
                 self.resting, self.hope, self.word_due = False, True, True
@@ -728,7 +729,7 @@
                     self.tell_pair(now, member)
         self.say(now)
         if waits or home not in self.words or home not in alive or not self.may_rest():
-            return now + REST / 5
+            return now + self.rules.rest / 5
         self.rest()
         self.host.save(self)
         return math.inf
@@ -804,6 +805,8 @@
         return found
 
     def answer_rest(self, now: float, member: str) -> None:
+        if self.register is None:
+            return
         entries = self.gifts(member) if self.owed(member) else []
         took = self.took_from(member)
         told = entries, took, self.account.kept.off.get(member, 0)
--- a/rainspindle/lab/fleet/long/purses.py
+++ b/rainspindle/lab/fleet/long/purses.py
@@ -177,11 +177,13 @@
         fleet, own = self.fleet, self.member.name
         swept = fleet.swept.get(own)
         if swept is not None and self.register.heard_own(swept):
-            for name in list(self.disk.rows):
+            homes = fleet.names[self.member.index::len(fleet.world.list)]
+            for name in dict.fromkeys([*self.disk.rows, *homes]):
                 self.use(name).wallet.older_folder(fleet.world.now)
         if swept is not None or fleet.owned.get(own):
             self.register.plan()
-        for name in sorted(set(fleet.addressed.get(own, {}).values()) - self.uses.keys()):
+        told = {*fleet.addressed.get(own, {}).values(), *fleet.owned.get(own, {}).values()}
+        for name in sorted(told - self.uses.keys()):
             self.use(name)
 
     @property
--- a/rainspindle/lab/walletday.py
+++ b/rainspindle/lab/walletday.py
@@ -15,7 +15,7 @@
 
 from ..decisions.shared.cells import SWEPT, Cell, Cells
 from ..decisions.wallet.account import Row, Trust
-from ..decisions.wallet.register import Register
+from ..decisions.wallet.register import SWEEP, Register
 from ..decisions.wallet.wallet import Rules, Wallet
 from ..protocol import wallet as words
 
@@ -41,16 +41,30 @@
                     number=self.number)
 
 
+class Nothing(dict[tuple[str, str], tuple[int, int]]):
+    def __setitem__(self, key: tuple[str, str], value: tuple[int, int]) -> None: ...
+
+
+class OlderCells(Cells):
+    """Of a release that keeps what others have swept."""
+
+    def __init__(self, own: str, life: int) -> None:
+        super().__init__(own, life)
+        self.floors = Nothing()
+
+    def clear(self, now: float, swept: Cell) -> None: ...
+
+
 class VirtualMember:
     """One life of one member."""
 
     def __init__(self, day: WalletDay, name: str, life: int, trust: Trust) -> None:
         self.day, self.name, self.life = day, name, life
-        self.cells = Cells(name, life)
+        self.cells = OlderCells(name, life) if name in day.older else Cells(name, life)
         self.register = Register(self.cells, day.now, day.disks[name].number, ROOM)
-        older = name in day.older
+        self.register.pace = min(SWEEP, day.rules.rest / 5)
         self.wallet = Wallet("w", name, life, day.rules, self, day.now,
-                             register=None if older else self.register)
+                             register=None if name in day.older else self.register)
         self.sweep_at = math.inf
         self.dead = self.stalled = False
         self.writing = False
--- a/rainspindle/program/fleet/wallet.py
+++ b/rainspindle/program/fleet/wallet.py
@@ -19,8 +19,8 @@
 from ...decisions.members.members import Member, Standing
 from ...decisions.shared.cells import MOST_NAME, Cell
 from ...decisions.wallet.account import SHIFT, Row, Trust
-from ...decisions.wallet.register import Register
-from ...decisions.wallet.wallet import Rules, Wallet
+from ...decisions.wallet.register import SWEEP, Register
+from ...decisions.wallet.wallet import KNOWS, Rules, Wallet
 from ...errors import Trouble
 from ...protocol import wallet as words
 from ...protocol.wallet import Kept as KeptRow
@@ -60,6 +60,8 @@
     repeat: float = 60.0  # seconds for which an exchange's X-Request-ID is remembered
     books: str = "1"  # ids of top-ups are told apart within it
     rejoin: str = "heard"  # or "new"
+    rest: float = 300.0  # seconds without an exchange after which its use at a member ends
+    eager: bool | None = None  # whether members without traffic hold a piece: while there are few wallets
 
 
 class WalletTrouble(Trouble):
@@ -125,6 +127,7 @@
                 ("price", part.price, 0, MOST_UNITS), ("reserve", part.reserve, 0, MOST_UNITS),
                 ("piece", part.piece, 1, MOST_UNITS), ("alone", part.alone, 1.0, 86_400.0),
                 ("come_back", part.come_back, 0.1, 3_600.0), ("repeat", part.repeat, 0.0, 3_600.0),
+                ("rest", part.rest, 1.0, 86_400.0),
                 *((f"prices.{name}", price, 0, MOST_UNITS) for name, price in part.prices.items())):
             if not low <= value <= high:
                 yield f"{at}.{key}: is {value}; expected {low} to {high}"
@@ -137,7 +140,8 @@
 def rules_of(part: WalletPart, types: Sequence[str], eager: bool) -> Rules:
     prices = [part.prices.get(name, part.price) for name in part.match or types]
     return Rules(part.home, part.piece, part.reserve, part.alone, part.come_back, max(min(prices), 1),
-                 max(*prices, 1), eager, part.books, part.rejoin)
+                 max(*prices, 1), eager if part.eager is None else part.eager, part.books, part.rejoin,
+                 part.rest)
 
 
 def encode_row(row: Row, boot: int, rules: Rules) -> bytes:
@@ -184,6 +188,7 @@
         self.boots: dict[Wallet, int] = {}
         self.unread = 0
         self.others: tuple[str, ...] = ()
+        self.met_at = math.inf  # since when there are others
         self.told, self.teller = socket.socketpair()
         self.told.setblocking(False)
         self.teller.setblocking(False)
@@ -218,6 +223,7 @@
             wallet.put_away(now)
             log.info("wallet: not in the file any more", extra={"fields": {
                 "wallet": name, "held": wallet.account.held}})
+        self.register.pace = min([SWEEP, *(part.rest / 5 for part in new.values())])
         self.purses.clear()
         for name, part in new.items():
             before = self.parts.get(name)
@@ -252,6 +258,8 @@
     # The members and their cells.
 
     def take_members(self) -> None:
+        if not self.others:
+            self.met_at = self.loop.now()
         self.others = tuple(m.name for m in self.ground.members.members()
                             if m.name != self.own and m.standing is Standing.ALIVE)
 
@@ -395,6 +403,8 @@
         if not rows:
             self.boots[wallet] = self.found.boot
             wallet.load(now, None, ids, [], Trust.SURE)
+            if not (self.found.newest or self.found.fresh):
+                wallet.came_home()  # a row may have been there
         else:
             last = max(rows)
             row, kept, aged = rows[last]
@@ -447,8 +457,9 @@
         at = max(self.register.due, self.again_at)
         if now < at:
             return at
-        if not self.all_sure():
-            return now + STALLED
+        # Guards against own words that tell of a later row, swept away before they were heard of here.
+        if not self.all_sure() or not self.others or now - self.met_at < min(KNOWS, self.register.pace):
+            return now + min(STALLED, self.register.pace)
         if self.register.ready:
             self.register.sweep(now)
             return math.inf
