A service that answers some is busy, not down: the others' own calls wait while it does

Change: others draw sooner only where no asker whose calls do not fail was answered lately; newcomers that know nobody ask from 0.4 to 0.7 of the asking period.

--- a/rainspindle/decisions/listing/relay.py
+++ b/rainspindle/decisions/listing/relay.py
@@ -37,8 +37,8 @@
 SET_EVERY = 3.0  # seconds between whole lists told, unless the head can't carry the change
 # Of the asking period: when a newcomer asks to whom no word has come, with a list and without one: if it has
 # no way to hear of others, if it has not heard of any yet, if it has.
-JOINING = ((0.03, 0.33), (0.3, 0.62), (0.4, 0.78))
-JOINING_BARE = ((0.03, 0.13), (0.3, 0.55), (0.35, 0.7))
+JOINING = ((0.03, 0.33), (0.4, 0.7), (0.4, 0.78))
+JOINING_BARE = ((0.03, 0.13), (0.35, 0.6), (0.35, 0.7))
 SIGHTED = 1.0  # seconds after a newcomer knows of others until it may ask for all
 LARGE = 0.5  # of the endpoints in use: where more are lost since three told alike, two are not enough
 AUDITS, LEAST_AUDIT = 1.0, 60.0  # calls a second over the fleet; seconds at one sidecar at least
@@ -126,6 +126,7 @@
         self.sure_usable = -1  # -1: not counted yet
         self.sighted = math.inf  # when others were first known to be there
         self.failing_at = math.inf  # since when two tell that their calls fail
+        self.up_at = -math.inf  # when one whose calls do not fail was answered last
         self.vouched = False  # whether two tell of the list that is here
         self.anew_at = -math.inf  # when the service was found to count its versions anew
         self.down: set[str] = set()  # who has told a version since that is not above the one here
@@ -410,6 +411,7 @@
                 self.host.urge()
         else:
             self.lag_at = self.short_at = math.inf
+        self.up_at = max((w.confirmed for _, w in counted if not w.head.failing), default=-math.inf)
         if sum(word.head.failing and word.at > lately for _, word in counted) < AGREE:
             self.failing_at = math.inf
         elif self.failing_at == math.inf:
@@ -591,8 +593,9 @@
             until = max(until, self.began + bound if self.vouched else self.joining())
         if self.failing_at < math.inf and known > -math.inf:
             # Guards against all others falling at once on a service that fails: they draw from all the time
-            # that is left to them.
-            since = max(self.failing_at, known + FAILING_PART * self.terms.ask_within)
+            # that is left to them; not while it answers some, as then it is they who would make it fail.
+            since = max(self.failing_at, known + FAILING_PART * self.terms.ask_within,
+                        self.up_at + self.period + SILENT)
             until = min(until, since + self.part * max(known + last - since, 0.0))
         if self.dispute_at < math.inf:
             until = min(until, max(self.dispute_at, self.failed_at) + LAG
