--- a/rainspindle/decisions/members/health.py
+++ b/rainspindle/decisions/members/health.py
@@ -33,6 +33,8 @@
     greetings: float = 100.0  # the same to those not known yet
     urgent: float = 2.0  # datagrams a second that go out for news of members alone, `at_once` at once
     at_once: float = 12.0
+    more: float = 8.0  # a second, for each: second opinions, probes further along the ring, crowded news
+    more_at_once: float = 24.0
     words: float = 500.0  # datagrams a second of the pool's word
     most: int = 4096  # members that are kept
     forget: float = 3600.0  # that the dead and those who left are kept
@@ -69,6 +71,7 @@
     follows: bool = False  # another had it before, whose verdict comes first
     words: int = 0  # last pings sent before it is buried
     verdict: bool = False  # others have buried it
+    ask: float = math.inf  # when it is probed for that, where the verdict has not been confirmed by then
 
     def lasts(self, tuning: Tuning, factor: float, others: int) -> float:
         """Seconds. Shorter with each member that suspects it independently."""
--- a/rainspindle/decisions/members/swim.py
+++ b/rainspindle/decisions/members/swim.py
@@ -8,6 +8,7 @@
 
 import math
 import random
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import asdict, dataclass
 
@@ -30,8 +31,14 @@
 FIRST = 8  # members that a cell may be told first
 PAGES = 6  # datagrams of members that answer one exchange
 SETTLE = 3.0  # seconds from the first other on, in which a higher life of the own name is one's own last
+HERD, HERD_WITHIN = 3, 1.0  # probes without answer, within so many seconds, that tell of many dead at once
+HERD_PART, HERD_LASTS = 0.05, 5.0  # of all that are suspected, which tells the same; seconds it is held for
+HERD_NEXT, HERD_MOST = 2, 16  # members that each probe without answer has probed then; probes under way
+HERD_HEARD = 2.0  # seconds in which one was heard that needs no such probe
+CROWD = 30  # news, more than a datagram takes: more datagrams go out for them where many are dead
 SECOND = 2.0  # members in the mean that probe one of whose suspicion they hear from others
 DOUBT = 2.0  # seconds after a stop in which nobody is suspected
+HEARSAY = 0.3  # seconds in which others' word of a death may be confirmed, before it is probed
 OWN_WORD = 1.0  # seconds for an own probe of one that others suspect, before it is buried
 FRESH = 1.0  # seconds for which a member's own message speaks against word of its death
 LEAVE_TOLD = 10  # members that are told at once of one that leaves
@@ -124,6 +131,9 @@
         self.news: Repeats[str] = Repeats(tuning.most)
         self.will = Budget(tuning.rate, tuning.burst, now)
         self.urgent = Budget(tuning.urgent, tuning.at_once, now)
+        self.further = Budget(tuning.more, tuning.more_at_once, now)
+        self.crowd = Budget(tuning.more, tuning.more_at_once, now)
+        self.opinions = Budget(tuning.more, tuning.more_at_once, now)
         self.answers = Budget(tuning.answers, tuning.answers, now)
         self.greetings = Budget(tuning.greetings, tuning.greetings, now)
         self.words = Budget(tuning.words, tuning.words, now)
@@ -139,6 +149,7 @@
         self.round: list[str] = []
         self.last = self.last_heard = now
         self.ring = False  # whether the last probe was for the next in the ring
+        self.silent: deque[float] = deque([-math.inf] * HERD, HERD)  # when the last probes went unanswered
         self.next_probe = now + chance.random() * tuning.period
         self.next_whole = self.next_far = now
         self.next_sums = now + chance.random() * tuning.sums
@@ -147,7 +158,7 @@
         self.gossip_at, self.gossiped = math.inf, -math.inf
         self.encore = False  # whether urgent news have gone to a few, and are to go to a few more
         self.filled = -math.inf  # when news last went along with a message
-        self.doubt_until = -math.inf
+        self.doubt_until = self.herd_until = -math.inf
         self.settled = math.inf
         self.leaving = False
         self.namesake: Namesake | None = None  # asked whether it is there
@@ -376,7 +387,7 @@
             return
         known = self.table.records.get(message.target)
         news = [self.raw(now, known)] if known is not None and known.standing != wire.ALIVE else []
-        data = self.compose(now, wire.PING, target=message.target, news=news)
+        data = self.compose(now, wire.PING, target=message.target, news=news, fill=False)
         self.relays[self.number] = Relay(asker.packed, message.number, now + self.tuning.indirect * 0.7,
                                          now + 2.0)
         self.post(message.at, data)
@@ -479,7 +490,7 @@
         """`alone`: no helpers are asked, since others have tried already."""
         self.will.take(now)
         data = self.compose(now, wire.PING, target=record.name, news=self.of(now, record),
-                            fill=record.standing == wire.ALIVE)
+                            fill=record.standing == wire.ALIVE and not alone)
         factor = self.health.factor
         self.probes[self.number] = Probe(record.name, record.life, self.number, factor,
                                          now + self.tuning.direct * factor / PINGS, alone)
@@ -493,12 +504,34 @@
         if probe.step > PINGS + 1:
             self.failed(now, probe)
             return
+        if probe.step == PINGS:
+            self.silent.append(now)
+            self.look_further(now)
         if not probe.alone and (probe.step == PINGS or (
                 probe.step == PINGS + 1 and self.tuning.lifeguard)):
             self.ask_others(now, probe)
-        self.ping_again(now, probe)
+        if not probe.alone or probe.step != PINGS:  # many of these go out: four pings do
+            self.ping_again(now, probe)
         probe.due = now + length * probe.factor
 
+    def look_further(self, now: float) -> None:
+        """Guards against many that die at once, of whom a probe each second meets one after the other: where
+        probes go without answer, or many are suspected, the next few in the ring are probed at once. May hurt
+        where most datagrams are lost: some more pings go out, as many as a budget allows."""
+        if now - self.last_heard > 2 * self.tuning.period or not self.tuning.lifeguard:
+            return  # it is this member that hears nobody
+        if not self.herd and now - self.silent[0] > HERD_WITHIN:
+            return  # by chance
+        under = {probe.target for probe in self.probes.values()}
+        for record in self.table.nearest(under, now - HERD_HEARD, min(HERD_NEXT, HERD_MOST - len(under))):
+            if self.further.take(now):
+                self.probe(now, record, alone=True)
+
+    @property
+    def herd(self) -> bool:
+        """Whether many are suspected at once."""
+        return len(self.suspects) >= max(HERD, HERD_PART * len(self.table.living()))
+
     def ask_others(self, now: float, probe: Probe) -> None:
         record = self.table.records.get(probe.target)
         if record is None or record.life != probe.life:
@@ -531,6 +564,7 @@
                 or record.direct > now - self.tuning.indirect):
             return
         self.suspect(now, record, record.incarnation, self.own.name, own=True)
+        self.look_further(now)
 
     def forget_probe(self, probe: Probe) -> None:
         for number in [number for number, one in self.probes.items() if one is probe]:
@@ -545,6 +579,10 @@
             if suspicion is None or record.standing != wire.SUSPECT:
                 self.suspects.pop(record.name, None)
                 continue
+            if now >= suspicion.ask:
+                suspicion.ask = math.inf
+                if not suspicion.own:
+                    self.probe(now, record, alone=True)
             left = suspicion.since + suspicion.lasts(self.tuning, self.health.factor, others) - now
             if left <= 0 and not suspicion.own and suspicion.words < 2:
                 # Guards against a burial on hearsay alone: a probe of one's own comes before.
@@ -556,7 +594,7 @@
                 self.stand(now, record, wire.DEAD, record.incarnation)
             elif self.tuning.lifeguard and suspicion.own and left < LAST_WORD and not suspicion.words:
                 suspicion.words += 1  # so that one lost refutation buries nobody
-                self.probe(now, record)
+                self.probe(now, record, alone=self.herd)
 
     def look_at_name(self, now: float) -> None:
         if now >= self.twin_until and self.twin and not self.outnamed:
@@ -695,7 +733,7 @@
         if record.standing == wire.LEFT:
             return
         same = news.incarnation == record.incarnation
-        if news.standing == record.standing and same:
+        if news.standing == record.standing and same and record.living:
             self.news.heard(news.name, times(len(self.table.records)))
         if news.standing == wire.LEFT:
             self.stand(now, record, wire.LEFT, max(news.incarnation, record.incarnation), age)
@@ -712,12 +750,13 @@
             if self.tuning.lifeguard and record.living and (
                     whole or record.direct > now - FRESH or now < self.doubt_until):
                 # Guards against word of a death that is old, or that own ears speak against. May hurt where
-                # it is dead: so it is probed at once, and the verdict counts as the opinion of several.
+                # it is dead: so it is probed, unless the news comes otherwise too, and the verdict counts as
+                # the opinion of several.
                 self.suspect(now, record, news.incarnation, teller)
                 if record.suspicion is not None and not record.suspicion.verdict:
                     record.suspicion.verdict = True
-                    if self.will.look(now) > 5.0:
-                        self.probe(now, record, alone=True)
+                    fresh = record.direct > now - FRESH
+                    record.suspicion.ask = now if fresh else max(now, self.doubt_until) + HEARSAY
             else:
                 self.stand(now, record, wire.DEAD, news.incarnation, age)
 
@@ -796,13 +835,15 @@
         record.incarnation, record.standing, record.since = incarnation, wire.SUSPECT, now
         record.suspicion = Suspicion(now, {by}, own or not self.tuning.lifeguard, follows=not own)
         self.suspects[record.name] = record
+        if self.herd:
+            self.herd_until = now + HERD_LASTS
         self.changed(now, record, before)
         # A second opinion by those whom the first to suspect it tells, and by a few more, so that the truth
         # is known soon either way.
         if not own and self.tuning.lifeguard and not self.leaving and now >= self.doubt_until and (
                 first or self.chance.random() * len(self.table.living()) < SECOND) and (
-                self.will.look(now) > 5.0):
-            self.probe(now, record)
+                self.opinions.take(now)):
+            self.probe(now, record, alone=True)
 
     def agree(self, now: float, record: Record, others: Iterable[str]) -> None:
         """Tells those who suspect it that a probe of this member has failed too: the others need not know."""
@@ -810,7 +851,8 @@
             return
         for name in others:
             other = self.table.records.get(name)
-            if other is not None and other.living and other is not self.own and self.answers.take(now):
+            if other is not None and other.living and other is not self.own and (
+                    self.answers.take(now, keep=20.0)):
                 self.post(other.packed, self.compose(now, wire.NEWS, news=[self.raw(now, record)]))
 
     def note(self, now: float, event: str, record: Record) -> None:
@@ -826,8 +868,9 @@
     # What goes out.
 
     def sample(self, count: int) -> list[Record]:
-        living = self.table.living()
-        return self.chance.sample(living, min(count, len(living)))
+        """Of those that nobody is known to suspect, where there are any."""
+        there = self.table.alive() or self.table.living()
+        return self.chance.sample(there, min(count, len(there)))
 
     def gossip(self, now: float) -> None:
         """Tells news to a few."""
@@ -839,7 +882,8 @@
                     self.send(now, record, wire.NEWS, free=True)
         cells = spread is not None and spread.queue.untold
         once_more, self.encore = self.encore, bool(self.news.untold)
-        fresh = cells or self.news.untold or once_more
+        crowded = now < self.herd_until and len(self.news) > CROWD
+        fresh = cells or self.news.untold or once_more or crowded
         if not fresh and self.news and not (spread is not None and spread.queue) and (
                 now < self.filled + AGAIN):
             self.gossip_at = self.filled + AGAIN  # what has gone out meanwhile had it along
@@ -850,16 +894,16 @@
         for record in self.sample(fan):
             if not self.waiting:
                 break
-            if not free and not self.urgent.take(now):
+            if not free and not (self.crowd if crowded else self.urgent).take(now):
                 break  # it rides along, as all news do
-            if not self.will.take(now, keep=2.0 if fresh else 8.0):
+            if not self.will.take(now, keep=2.0 if fresh else 8.0) and free:
                 break
             self.send(now, record, wire.NEWS, free=True)
         if not self.waiting:
             self.gossip_at = math.inf
         else:
             fresh = self.news.untold or (spread is not None and spread.queue.untold)
-            pause = SOON if fresh else ENCORE if self.encore else AGAIN
+            pause = SOON if fresh else ENCORE if self.encore or crowded else AGAIN
             pause = max(pause, 0.1 if self.will.level < 4.0 or self.urgent.level < 1.0 else 0.0)
             self.gossip_at = now + pause * (0.8 + 0.4 * self.chance.random())
 
@@ -945,7 +989,9 @@
 
     def size(self, name: str) -> int:
         record = self.table.records.get(name)
-        return 0 if record is None else len(name) * 2 + len(record.packed) + 30
+        if record is None:
+            return 0
+        return len(name) * (1 if record.suspicion is None else 2) + len(record.packed) + 25
 
     def send(self, now: float, to: Record, kind: int, echo: int = 0, free: bool = False) -> None:
         """A message to one that is known; `free` of the budget where it was taken before."""
@@ -966,7 +1012,8 @@
         if fill and self.waiting:
             self.filled = now
             room = wire.MOST - wire.ROOM - len(wire.encode(draft))
-            for name in self.news.pick(room * 3 // 4 if self.spread is not None else room, 40, self.size):
+            shared = self.spread is not None and bool(self.spread.queue)
+            for name in self.news.pick(room * 3 // 4 if shared else room, 40, self.size):
                 piece = self.raw(now, self.table.records[name])
                 if len(piece) <= room:
                     draft.members.append(piece)
--- a/rainspindle/decisions/members/table.py
+++ b/rainspindle/decisions/members/table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import heapq
 import math
 import zlib
 from collections.abc import Iterator
@@ -73,6 +74,7 @@
     sums: list[int] = field(default_factory=lambda: [0] * wire.MARKS)
     gone: dict[str, None] = field(default_factory=dict)  # the dead and those who left, the first to go first
     there: list[Record] | None = None  # those who live, made anew after changes
+    sound: list[Record] | None = None  # of them those whom nobody suspects
     after: Record | None = None  # the next alive in the ring of all names, where that is known
 
     def living(self) -> list[Record]:
@@ -81,6 +83,11 @@
                           if record.living and record.name != self.own]
         return self.there
 
+    def alive(self) -> list[Record]:
+        if self.sound is None:
+            self.sound = [record for record in self.living() if record.standing == wire.ALIVE]
+        return self.sound
+
     def way(self, record: Record) -> int:
         """How far it stands behind the own name in the ring, which is the same at each member."""
         return zlib.crc32(record.name.encode()) - zlib.crc32(self.own.encode()) & 0xffffffff
@@ -88,10 +95,14 @@
     def next(self) -> Record | None:
         """Who comes after the own name in the ring of those alive, where anybody does."""
         if self.after is None:
-            alive = [one for one in self.living() if one.standing == wire.ALIVE]
-            self.after = min(alive, key=self.way, default=None)
+            self.after = min(self.alive(), key=self.way, default=None)
         return self.after
 
+    def nearest(self, but: set[str], since: float, count: int) -> list[Record]:
+        """The first so many after the own name in that ring, without some and those heard `since`."""
+        there = (one for one in self.alive() if one.direct < since and one.name not in but)
+        return heapq.nsmallest(max(count, 0), there, key=self.way)
+
     def dead(self) -> list[Record]:
         return [r for name in self.gone if (r := self.records[name]).standing == wire.DEAD]
 
@@ -112,7 +123,7 @@
         del self.buckets[bucket][name]
         self.sums[bucket] ^= record.mark
         self.gone.pop(name, None)
-        self.there = None
+        self.there = self.sound = None
         if record is self.after:
             self.after = None
 
@@ -127,7 +138,7 @@
             self.gone.pop(record.name, None)
         else:
             self.gone.setdefault(record.name)
-        self.there = None
+        self.there = self.sound = None
         if record is self.after:
             self.after = record if record.standing == wire.ALIVE else None
         elif (self.after is not None and record.standing == wire.ALIVE and record.name != self.own
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -257,10 +257,44 @@
 @pytest.mark.parametrize("size", [12, 60])
 def test_seven_in_ten_killed_at_once(size: int) -> None:
     world = settled(size)
-    wrong = buried(world)
+    wrong, sent = buried(world), {p.name: p.sent for p in world.running()}
     for n in range(size * 7 // 10):
         world.kill(f"m{n + 2}")
-    assert world.run_until(world.agreed, AGREE) and not wrong
+    assert world.run_until(world.agreed, 5.5) and not wrong  # not one after the other, at any size
+    tuning = world.tuning  # a second's own will, answers, and two more kinds of probe of five pings each
+    most = tuning.rate + tuning.answers + 10 * tuning.more
+    assert max(p.sent - sent[p.name] for p in world.running()) < 10 * tuning.more_at_once + 5.5 * most
+
+
+def test_stalls_bury_nobody_that_is_there_and_cost_few_datagrams() -> None:
+    world, size = ready(100, 1), 100
+    wrong: list[str] = []
+
+    def changed(process: Any, before: Member | None, after: Member) -> None:
+        if after.standing.value == "dead" and world.processes[after.name].paused_until < world.now - 1.0:
+            wrong.append(after.name)
+
+    world.on_change.append(changed)
+    sent, seconds = sum(p.sent for p in world.running()), 40
+    for _ in range(seconds):
+        world.pause(f"m{world.chance.randrange(size)}", world.chance.uniform(1, 8))
+        world.run(world.now + 1)
+    assert not wrong and (sum(p.sent for p in world.running()) - sent) / seconds / size < 10.6
+    assert world.run_until(world.agreed, 10)
+
+
+def test_a_death_is_told_on_though_all_others_tell_it_too() -> None:
+    world = ready(30, 1)
+    members, record = world.processes["m0"].members, world.processes["m0"].members.table.records["m1"]
+    world.loss = 1.0
+    members.stand(world.now, record, wire.DEAD, 0)
+    news = wire.News("m1", record.packed, record.life, 0, wire.DEAD)
+    for _ in range(40):
+        members.hear(world.now, news, "m2")
+    assert members.news.at["m1"] == 0
+    for _ in range(times(30)):
+        members.news.told("m1", times(30))
+    assert "m1" not in members.news.at
 
 
 def test_a_thousand_start_together_at_three_hundred() -> None:
