A newcomer without a list waits for word by ten seconds' asking at most

It asked after 0.35 to 0.7 of the asking period, however long that is: 21 to 42 s of 60, while its door waits for a list. The period counts as 10 s at most there. The test fails without it.

--- a/rainspindle/decisions/listing/relay.py
+++ b/rainspindle/decisions/listing/relay.py
@@ -39,6 +39,7 @@
 # no way to hear of others, if it has not heard of any yet, if it has.
 JOINING = ((0.03, 0.33), (0.4, 0.7), (0.4, 0.78))
 JOINING_BARE = ((0.03, 0.13), (0.35, 0.6), (0.35, 0.7))
+BARE = 10.0  # seconds that count for a longer asking period where there is no list: the door waits for it
 SIGHTED = 1.0  # seconds after a newcomer knows of others until it may ask for all
 LARGE = 0.5  # of the endpoints in use: where more are lost since three told alike, two are not enough
 AUDITS, LEAST_AUDIT = 1.0, 60.0  # calls a second over the fleet; seconds at one sidecar at least
@@ -566,7 +567,8 @@
         others. May hurt by so many seconds where none of them tells anything."""
         ways = JOINING if self.lines else JOINING_BARE
         first, last = ways[2 if self.size > 1 else self.terms.seeded]
-        at = (first + (last - first) * self.part_of_start()) * self.terms.ask_within
+        within = self.terms.ask_within if self.lines else min(self.terms.ask_within, BARE)
+        at = (first + (last - first) * self.part_of_start()) * within
         if 1 < self.size <= self.terms.askers:
             # Guards against a wait for word in a fleet in which each asks for itself.
             at = min(at, self.sighted - self.began + SETTLE)
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -249,6 +249,15 @@
         assert len(lonely.service.calls) >= 1
 
 
+@pytest.mark.parametrize(("known", "least", "most"), [({"e1": b"x"}, 24.0, 42.1), ({}, 3.5, 7.1)])
+def test_without_a_list_a_newcomer_asks_in_time_however_long_the_asking_period(
+        known: dict[str, bytes], least: float, most: float) -> None:
+    for n in range(20):
+        relay = Relay(0.0, f"s{n}", n, Terms(3, 60.0), AT, Alone([]), random.Random(1))
+        relay.lines = known
+        assert least <= relay.joining() <= most
+
+
 @pytest.mark.parametrize("scene", ["restart", "bare"])
 def test_a_herd_that_starts_at_once_costs_calls_that_do_not_grow_with_it(scene: str) -> None:
     """Of 200 and 40 seven in ten, with a list and without one; alone there are over 100 calls in a second."""
