What warm endpoints took lately counts only where there is enough of it

Cause: in thin traffic one time-out at a silent server was the whole of the last second, so the next exchanges were rejected for a jam; five cases of test_mysql failed. Change: Balancer.recent is asked from THIN outcomes on. Result: those cases pass.

--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -597,7 +597,7 @@
                 return e, None
         left, best, best_time, promised = x.promised_at - now, None, math.inf, x.type.promised_time
         usual, drawn, looked = self.latency.low_mean(0.0, 2.0), x.drawn, 0
-        lately = self.recent.low_mean(usual, 2.0)
+        lately = self.recent.low_mean(usual, 2.0) if self.recent.total >= self.THIN else 0.0
         for e in ranked:
             if looked >= max(self.DEPTH, len(ranked) / 3):
                 break
@@ -614,7 +614,7 @@
             prior = usual if self.cold_age(e, now) is None else 0.0  # it is calm by its budget
             times = grade.at(self.held(e)) if self.tells else e.latency.low_mean(prior, 2.0)
             # Guards against a jam that thin traffic meets too seldom at each one: what all warm ones take
-            # lately counts. May hurt where most of them are slow and a few are not.
+            # lately counts, if they are more than that. May hurt where most of them are slow and a few are not.
             if prior and e.latency.total <= self.THIN and not self.tells:
                 times = max(times, lately)
             if not self.ramped(e, x.key, now) or drawn < self.crowding(times, promised, grade.time):
