--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -201,4 +201,4 @@
                                    lambda now: r.watch(0.0), 7.0)
         assert played.over and "not the one that was written last" in r.fleet["c"].logged()
         r.top_up("two", 100)
-        r.spend_all(2 * 2.0 * RATE + 3 * LOST)  # what the copied one held, and three crashes
+        r.spend_all(2 * 2.0 * RATE + 3 * LOST)  # the copied one's, three crashes
--- a/tests/test_wallet_processes.py
+++ b/tests/test_wallet_processes.py
@@ -12,6 +12,7 @@
 from rainspindle.lab.fleet.schedule import Split, Weather
 from rainspindle.lab.fleet.wallets import LOST, RATE, rig, settings
 
+
 def test_all_is_spent_then_all_pause_and_a_top_up_wakes_them(tmp_path: Path) -> None:
     with rig(tmp_path) as r:
         r.top_up("one", 400)
