--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -614,7 +614,7 @@
             prior = usual if self.cold_age(e, now) is None else 0.0  # it is calm by its budget
             times = grade.at(self.held(e)) if self.tells else e.latency.low_mean(prior, 2.0)
             # Guards against a jam that thin traffic meets too seldom at each one: what all warm ones take
-            # lately counts, if they are more than that. May hurt where most of them are slow and a few are not.
+            # lately counts, if that is enough. May hurt where most of them are slow and a few are not.
             if prior and e.latency.total <= self.THIN and not self.tells:
                 times = max(times, lately)
             if not self.ramped(e, x.key, now) or drawn < self.crowding(times, promised, grade.time):
