A client's end is seen behind bytes that nobody has read

Cause: Connection.left (transport/connection.py) peeked one byte, so with a pipelined request or the rest of a body unread it answered "still there" until the loop's next look brought RDHUP. Up to a whole round of the loop late, an attempt went out for a client that had closed.

Change: where the peek finds a byte, the kernel is asked with a zero-time poll for RDHUP, HUP and ERR. A connection that was closed here counts as left too: the flag stayed False if the other side had not ended it. A half-close stays an end, as the loop's own event has always treated it: its FIN is that of close().

With the poll undone: six of nine cases of test_an_end_is_seen_behind_unread_bytes fail ("the loop has not looked, and the kernel was not asked"), and a second request is sent on in test_behind_another_request_with_a_third_unread[close, half_close] and test_while_a_connection_comes_up_with_a_further_request_unread. With the second undone: test_a_connection_that_was_closed_here_has_no_client fails. Holds without a change: a client that sends more than the receive buffer takes and goes is known by the reset that meets the first answer (test_much_at_once_from_a_client_that_goes).

--- a/rainspindle/transport/connection.py
+++ b/rainspindle/transport/connection.py
@@ -17,6 +17,7 @@
 
 CHUNK = 65536
 ENDED = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
+POLL_ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 SHORT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -151,19 +152,32 @@
         return False
 
     def left(self) -> bool:
-        """Whether the other side has ended it by now.
+        """Whether the other side has ended the connection, as the kernel knows it now.
 
-        Guards against news that the loop's next look will bring: where the processor is short it is late. May
-        hurt by a call to the kernel; with bytes unread the end behind them is not seen."""
-        if not self.ended and not self.closed:
+        The loop's own events come one round later, which is late where the processor is short. An end is seen
+        behind unread bytes too: pipelined requests, or the rest of a body. Not seen is a FIN that the peer
+        can't send yet because the receive buffer is full; a reset is.
+
+        A half-close (`shutdown(SHUT_WR)`) counts as an end: on the wire it is the same FIN as that of
+        `close()`, and only a write that is answered by a reset would tell them apart."""
+        if self.closed:
+            return True
+        if not self.ended:
             try:
-                self.ended = self.sock.recv(1, socket.MSG_PEEK) == b""
+                unread = self.sock.recv(1, socket.MSG_PEEK)
+                self.ended = not unread or self.end_behind_unread()
             except BlockingIOError:
                 pass
             except OSError:
                 self.ended = True
         return self.ended
 
+    def end_behind_unread(self) -> bool:
+        """Whether a FIN or a reset has come, whatever lies unread before it."""
+        poll = select.poll()
+        poll.register(self.sock, POLL_ENDED)
+        return bool(poll.poll(0))
+
     def pending(self) -> bool:
         """Whether bytes have come that nobody has read."""
         try:
--- /dev/null
+++ b/tests/test_client_gone.py
@@ -0,0 +1,138 @@
+"""A client that has closed its connection: nothing is sent for it, wherever its request waited."""
+
+from __future__ import annotations
+
+import select
+import socket
+import struct
+from collections.abc import Callable
+
+import pytest
+
+from rainspindle.transport.connection import Connection
+
+from .fleet import Client, Rig, SteppedLoop, ask, only
+
+
+def close(sock: socket.socket) -> None:
+    sock.close()
+
+
+def reset(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+def half_close(sock: socket.socket) -> None:
+    sock.shutdown(socket.SHUT_WR)
+
+
+WAYS_TO_GO = [close, reset, half_close]
+
+
+def tcp_pair() -> tuple[socket.socket, socket.socket]:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        near = socket.create_connection(listener.getsockname())
+        far, _ = listener.accept()
+    near.setblocking(False)
+    far.setblocking(False)
+    return near, far
+
+
+def pipeline(rig: Rig, client: Client) -> None:
+    """Two requests together, the first of them out, and a third that stays unread in the kernel."""
+    client.send(ask("first") + ask("second"))
+    rig.settle()
+    client.sock.sendall(ask("third"))
+    rig.loop.settle()
+
+
+def nothing_is_held(rig: Rig) -> bool:
+    return rig.core.held == {} and rig.facade.in_flight() == 0 and not rig.front.clients \
+        and not rig.front.open_ids and not rig.front.room.waiting and rig.front.room.taken == 0
+
+
+# What the kernel knows.
+
+
+@pytest.mark.parametrize("unread", [b"", b"x" * 10, b"x" * 20_000])
+@pytest.mark.parametrize("go", WAYS_TO_GO)
+def test_an_end_is_seen_behind_unread_bytes(go: Callable[[socket.socket], None], unread: bytes) -> None:
+    client, accepted = tcp_pair()
+    loop = SteppedLoop()
+    connection = Connection(loop, accepted, connected=True)
+    client.sendall(unread)
+    assert not connection.left()
+    go(client)
+    assert connection.left(), "the loop has not looked, and the kernel was not asked"
+    connection.close()
+    client.close()
+    loop.epoll.close()
+
+
+def test_a_connection_that_was_closed_here_has_no_client() -> None:
+    client, accepted = tcp_pair()
+    loop = SteppedLoop()
+    connection = Connection(loop, accepted, connected=True)
+    connection.close()
+    assert connection.left()
+    client.close()
+    loop.epoll.close()
+
+
+def test_much_at_once_from_a_client_that_goes() -> None:
+    """The end can't come while the receive buffer is full; the first answer is met by a reset, which can."""
+    rig = Rig(1)
+    client = rig.client()
+    rig.loop.settle()  # accepted, and nothing read
+    many = b"".join(ask(f"x{n}") for n in range(5000))
+    sent = client.sock.send(many)
+    assert sent > 300_000, "all of it may fit into the receive buffer"
+    client.close()
+    first = only(rig.got())
+    assert first.id == "x0"
+    first.answer()
+    assert rig.got() == [] and nothing_is_held(rig)
+
+
+# Each place in which a request waits.
+
+
+@pytest.mark.parametrize("go", WAYS_TO_GO)
+def test_behind_another_request_with_a_third_unread(go: Callable[[socket.socket], None]) -> None:
+    rig = Rig(1)
+    warm = [rig.client(), rig.client()]  # two kept connections: the second request waits for no new one
+    for n, other in enumerate(warm):
+        other.send(ask(f"warm{n}"))
+    rig.serve_all()
+    for other in warm:
+        other.close()
+    rig.wait(0.1)  # the kept connections have rested
+    assert sum(map(len, rig.pool.idle.values())) == 2
+    client = rig.client()
+    pipeline(rig, client)
+    only(rig.got()).answer()
+    rig.loop.step()  # the answer has been seen, and the coroutine has not gone on
+    go(client.sock)
+    assert rig.got() == [] and nothing_is_held(rig)
+
+
+def test_while_a_connection_comes_up_with_a_further_request_unread(rig: Rig) -> None:
+    client = rig.client()
+    client.send(ask("first"))
+    while not rig.pool.open:  # one coroutine or one look at a time, to stop before the connection's event
+        if rig.loop.ready:
+            rig.loop.resume(rig.loop.ready.popleft())
+        else:
+            rig.loop.step()
+    connecting(rig).on_events(select.EPOLLOUT)  # it is up, and the coroutine has not gone on
+    client.sock.sendall(ask("second"))
+    client.close()
+    assert rig.got() == [] and nothing_is_held(rig) and rig.pool.open == 0
+
+
+def connecting(rig: Rig) -> Connection:
+    """The one connection to an endpoint."""
+    connection, = (owner for owner in rig.loop.watched.values()
+                   if isinstance(owner, Connection) and owner not in rig.front.clients)
+    return connection
