A request that is being written stops where its client goes in the same round

Cause: Connection.send (transport/connection.py) asked `unless` before each wait, but not after it. When room to write and the client's end came in one look of the loop, the next part was written for nobody, and so were a request's last bytes, with which an endpoint begins.

--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import select
 import socket
 import struct
@@ -9,7 +10,8 @@
 
 import pytest
 
-from rainspindle.transport.connection import Connection
+from rainspindle.transport.connection import Connection, Unwanted
+from rainspindle.transport.loop import Coroutine
 
 from .fleet import Client, Rig, SteppedLoop, ask, only
 
@@ -136,3 +138,37 @@
     connection, = (owner for owner in rig.loop.watched.values()
                    if isinstance(owner, Connection) and owner not in rig.front.clients)
     return connection
+
+
+def test_between_two_writes_of_one_request() -> None:
+    """The endpoint's buffer gets room in the same round in which the client goes."""
+    near, far = tcp_pair()
+    loop = SteppedLoop()
+    connection = Connection(loop, near, connected=True)
+    gone = False
+    outcome = list[str]()
+
+    def request() -> Coroutine[None]:
+        try:
+            yield from connection.send(b"x" * 30_000_000, loop.now() + 1.0, lambda: gone)
+        except Unwanted:
+            outcome.append("unwanted")
+
+    def read_all() -> int:
+        count = 0
+        with contextlib.suppress(BlockingIOError):
+            while data := far.recv(1 << 20):
+                count += len(data)
+        return count
+
+    loop.spawn(request())
+    loop.settle()
+    assert not connection.writable
+    gone = True
+    while read_all():  # until the kernel has moved on all that was written
+        pass
+    loop.settle()
+    assert outcome == ["unwanted"] and read_all() == 0
+    connection.close()
+    far.close()
+    loop.epoll.close()
