Who has gone no longer waits for a place for its long body or answer

Cause: Room.enter (fronts/http1/room.py) looked at places and the clock alone. A client that left while its body waited for a place stayed in the queue for up to 10 s, with its descriptor, its id and its forward in the module's count; one whose answer waited, up to the expiry, with the connection to the endpoint. A forward that the module called off meanwhile waited on as well.

Change: enter takes `unless`, as all other waits do, and raises Unwanted; HttpBack.forward hands it `unwanted` for a body and `after` for an answer. Who stands behind moves up at once.

With it undone test_a_long_body_that_waits_for_a_place and test_a_long_answer_that_waits_for_a_place fail three ways each (close, reset, half-close: the exchange is still held), and test_others_move_up_when_a_client_leaves_the_line_for_a_place finds two waiting.

--- a/rainspindle/fronts/http1/back.py
+++ b/rainspindle/fronts/http1/back.py
@@ -49,9 +49,11 @@
             return before() or endpoint in self.directory.left_out
         if ask.more and streams is not None:
             try:
-                yield from streams.enter(self.loop.now() + SILENCE)
+                yield from streams.enter(self.loop.now() + SILENCE, unwanted)
             except Late:
                 return Forwarded(Outcome.UNSENT)
+            except Unwanted:
+                return Forwarded(Outcome.CALLED_OFF if before() else Outcome.UNSENT)
             # Guards against word on the endpoint that came during that wait: nothing is sent past the grace.
             if endpoint in self.directory.draining or self.directory.addresses.get(endpoint) != address:
                 return Forwarded(Outcome.UNSENT)
@@ -98,7 +100,7 @@
                         if call.call.got > MOST_BODY or self.loop.now() >= long_at:
                             self.heard[endpoint] = self.loop.now()
                             try:
-                                yield from streams.enter(given.expires_at)
+                                yield from streams.enter(given.expires_at, after)
                             except Late:  # no fault of the endpoint
                                 return Forwarded(Outcome.CALLED_OFF)
                             started()
--- a/rainspindle/fronts/http1/room.py
+++ b/rainspindle/fronts/http1/room.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 
-from ...transport.connection import Late
+from ...transport.connection import Late, Unless, Unwanted
 from ...transport.loop import Coroutine, Loop, Task
 
 STREAM = 320 * 1024  # bytes that one stream may hold: a piece read, parsed, written, and the parser's copy
@@ -19,13 +19,15 @@
         self.taken = 0
         self.waiting: deque[Task] = deque()
 
-    def enter(self, until: float) -> Coroutine[None]:
-        """Waits for a place, in the order of coming. Raises Late."""
+    def enter(self, until: float, unless: Unless = None) -> Coroutine[None]:
+        """Waits for a place, in the order of coming. Raises Late, and Unwanted where `unless` holds."""
         task = self.loop.current
         assert task is not None
         self.waiting.append(task)
         try:
             while self.taken >= self.places or self.waiting[0] is not task:
+                if unless is not None and unless():
+                    raise Unwanted
                 if self.loop.now() >= until:
                     raise Late
                 yield until
--- a/rainspindle/fronts/http1/stream.py
+++ b/rainspindle/fronts/http1/stream.py
@@ -42,10 +42,10 @@
         self.whole = self.chunked = self.closed = False
         self.whole_at = -math.inf  # when the last byte of the body came
 
-    def enter(self, until: float) -> Coroutine[None]:
-        """Waits for room; once for an exchange. Raises Late."""
+    def enter(self, until: float, unless: Unless) -> Coroutine[None]:
+        """Waits for room; once for an exchange. Raises Late, and Unwanted where `unless` holds."""
         if not self.entered:
-            yield from self.room.enter(until)
+            yield from self.room.enter(until, unless)
             self.entered = True
 
     def leave(self) -> None:
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -14,6 +14,7 @@
 from rainspindle.transport.loop import Coroutine
 
 from .fleet import Client, Rig, SteppedLoop, ask, only
+from .test_streams import pour
 
 
 def close(sock: socket.socket) -> None:
@@ -172,3 +173,53 @@
     connection.close()
     far.close()
     loop.epoll.close()
+
+
+def long_request(id: str, length: int) -> bytes:
+    return ask(id, "book").replace(b"Content-Length: 0", b"Content-Length: %d" % length)
+
+
+@pytest.mark.parametrize("go", WAYS_TO_GO)
+def test_a_long_body_that_waits_for_a_place(rig: Rig, go: Callable[[socket.socket], None]) -> None:
+    room = rig.front.room
+    room.taken = room.places  # others hold all
+    client = rig.client()
+    client.sock.sendall(long_request("x", 200_000))
+    pour(rig, client.sock, b"x" * 100_000)
+    assert len(room.waiting) == 1 and rig.facade.in_flight() == 1
+    go(client.sock)
+    rig.loop.settle()
+    room.taken = 0
+    assert nothing_is_held(rig) and rig.pool.open == 0
+    assert rig.got() == []
+
+
+@pytest.mark.parametrize("go", WAYS_TO_GO)
+def test_a_long_answer_that_waits_for_a_place(rig: Rig, go: Callable[[socket.socket], None]) -> None:
+    room = rig.front.room
+    room.taken = room.places  # others hold all
+    client = rig.asked(ask("x"))
+    got = only(rig.got())
+    got.raw(b"HTTP/1.1 200 OK\r\nContent-Length: 500000\r\n\r\n" + b"x" * 100_000)
+    rig.loop.settle()
+    assert len(room.waiting) == 1
+    go(client.sock)
+    rig.loop.settle()
+    room.taken = 0
+    assert nothing_is_held(rig) and rig.pool.open == 0
+    assert rig.got() == []
+
+
+def test_others_move_up_when_a_client_leaves_the_line_for_a_place(rig: Rig) -> None:
+    room = rig.front.room
+    room.taken = room.places  # others hold all
+    first, second = rig.client(), rig.client()
+    for n, client in enumerate((first, second)):
+        client.sock.sendall(long_request(f"x{n}", 200_000))
+        pour(rig, client.sock, b"x" * 100_000)
+    first.close()
+    rig.loop.settle()
+    assert len(room.waiting) == 1
+    room.leave()
+    pour(rig, second.sock, b"x" * 100_000)
+    assert only([got for _ in range(40) for got in rig.got()]).id == "x1"
