The rest of a long body is not sent on for a client that has gone

Cause: HttpBack.upload (fronts/http1/back.py) asked `before` only where it had to wait. A body whose rest came together with its client's end was read and sent on to its last byte without a wait, and the endpoint began.

The cost is one call to the kernel for each piece.

--- a/rainspindle/fronts/http1/back.py
+++ b/rainspindle/fronts/http1/back.py
@@ -142,6 +142,8 @@
         bound(connection)
         piece, answer = first, None
         while True:
+            if before():  # a body that has come with its end would go on without any wait
+                raise Unwanted
             yield from connection.send(piece, self.loop.now() + SILENCE, before)
             if streams.whole:
                 return None, given.written()
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -14,7 +14,7 @@
 from rainspindle.transport.loop import Coroutine
 
 from .fleet import Client, Rig, SteppedLoop, ask, only
-from .test_streams import pour
+from .test_streams import Raw, pour
 
 
 def close(sock: socket.socket) -> None:
@@ -223,3 +223,21 @@
     room.leave()
     pour(rig, second.sock, b"x" * 100_000)
     assert only([got for _ in range(40) for got in rig.got()]).id == "x1"
+
+
+@pytest.mark.parametrize("go", WAYS_TO_GO)
+def test_a_long_body_whose_rest_comes_with_the_end(rig: Rig, go: Callable[[socket.socket], None]) -> None:
+    """The rest goes on to nobody: an endpoint begins when the last byte has come."""
+    raw, client = Raw(rig), rig.client()
+    client.sock.sendall(long_request("x", 120_000))
+    pour(rig, client.sock, b"x" * 100_000)
+    endpoint = raw.accept()
+    rig.loop.settle()
+    endpoint.look()
+    assert len(endpoint.body()) > 60_000, "the attempt has not begun"
+    client.sock.sendall(b"x" * 20_000)
+    go(client.sock)
+    rig.loop.settle()
+    endpoint.look()
+    assert len(endpoint.body()) < 120_000, "the whole body was sent for nobody"
+    assert nothing_is_held(rig) and rig.pool.open == 0
