A client that has gone takes nothing of the module's budgets or the kept connections

Cause: Core.run (routing/core.py) handed each request to the module before anybody had looked whether its client was still there, and reported a failed attempt likewise, so that the module picked for nobody: a cold endpoint's draw, a further attempt's credit and allowance, a trial and the mark of the last request were spent, and HttpBack.forward then closed the kept connection that it had taken. Nothing was sent.

Change: the client is looked at before the first pick, and before the report of an attempt that failed; not where a part of the answer has gone, since that connection has to be broken off.

With the first undone test_a_turn_that_comes_too_late_costs_the_module_and_the_pool_nothing fails (counted 2 instead of 1); with the second test_before_a_further_attempt, three ways (credit 2.0 instead of 3.0).

--- a/rainspindle/routing/core.py
+++ b/rainspindle/routing/core.py
@@ -282,6 +282,9 @@
 
         given.spent, given.written = spent, written
         try:
+            # A request that waited behind another on its connection takes no budget or place in the module.
+            if gone():
+                return Left()
             self.apply(self.facade.pick(
                 self.loop.now(), exchange, given.type_index, given.key, given.expires_at, given.repeat,
                 given.expiry is not None, given.tenant))
@@ -300,6 +303,8 @@
                     until = min(self.loop.now() + step.patience, given.expires_at)
                     came = yield from self.back.forward(given, step.endpoint, address, until, before, after,
                                                         started)
+                if came.outcome is not Outcome.SERVED and not came.broke:
+                    left()  # or the module would pick a further endpoint for nobody
                 held.out, held.called_off = None, False
                 held.ran = held.ran or came.outcome not in NEVER_RAN
                 self.apply(self.facade.report(
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -120,6 +120,22 @@
     assert rig.got() == [] and nothing_is_held(rig)
 
 
+def test_a_turn_that_comes_too_late_costs_the_module_and_the_pool_nothing() -> None:
+    """Guards against a cold endpoint's budget, or a kept connection, spent on who has gone."""
+    rig = Rig(1)
+    warm = rig.asked(ask("warm"))
+    rig.serve_all()
+    assert warm.status() == 200
+    rig.wait(0.1)  # the kept connection has rested
+    counted, sent_at = rig.balancer.counted, rig.balancer.endpoints["e0"].sent_at
+    warm.send(ask("late"))
+    rig.loop.step()  # the request has been seen, and the coroutine has not gone on
+    warm.close()
+    assert rig.got() == [] and nothing_is_held(rig)
+    assert (rig.balancer.counted, rig.balancer.endpoints["e0"].sent_at) == (counted, sent_at)
+    assert rig.pool.open == sum(map(len, rig.pool.idle.values())) == 1
+
+
 def test_while_a_connection_comes_up_with_a_further_request_unread(rig: Rig) -> None:
     client = rig.client()
     client.send(ask("first"))
@@ -141,6 +157,23 @@
     return connection
 
 
+@pytest.mark.parametrize("go", WAYS_TO_GO)
+def test_before_a_further_attempt(rig: Rig, go: Callable[[socket.socket], None]) -> None:
+    """Nothing is sent again, and the budget of further attempts is not drawn on."""
+    client = rig.client()
+    client.send(ask("first"))
+    rig.settle()
+    turned_away = only(rig.got())
+    credits_before = [e.credit for e in rig.balancer.endpoints.values()]
+    client.sock.sendall(ask("second"))
+    rig.loop.settle()
+    turned_away.answer(503, headers="X-Not-Processed: 1\r\n")
+    rig.loop.step()  # the answer has been seen, and the coroutine has not gone on
+    go(client.sock)
+    assert rig.got() == [] and nothing_is_held(rig)
+    assert [e.credit for e in rig.balancer.endpoints.values()] == credits_before
+
+
 def test_between_two_writes_of_one_request() -> None:
     """The endpoint's buffer gets room in the same round in which the client goes."""
     near, far = tcp_pair()
