A long answer holds nothing for a client that has gone while its endpoint pauses

Cause: HttpBack.pass_on (fronts/http1/back.py) waited for the endpoint's next bytes until the client's connection was closed here, which nobody does before the exchange ends. With an endpoint that paused, a client that had left kept its place for long answers, two connections and its id for up to 10 s of silence.

Change: the wait also ends on the client's end, which wakes it anyway. Where the settings allow no attempt to be given up it goes on as before, until a write fails; the settings of the network code tell which (may_call_off).

With it undone test_a_long_answer_whose_endpoint_pauses fails three ways (close, reset, half-close): the exchange is still held after the loop has settled.

--- a/rainspindle/fronts/http1/back.py
+++ b/rainspindle/fronts/http1/back.py
@@ -169,6 +169,9 @@
         """A long answer goes to its client while it comes; whether the connection can be used again.
 
         Guards against memory that long answers fill: no more is read than the client takes."""
+        def unwanted() -> bool:  # the client's end wakes this wait: no need to ask the kernel
+            client = streams.client
+            return client.closed or (client.ended and self.settings.may_call_off)
         assert call.call.response is not None
         try:
             yield from streams.begin(going_on(call.call.response.headers), call.call.length())
@@ -176,7 +179,7 @@
             while True:
                 yield from streams.send(call.call.take())
                 data = yield from connection.await_bytes(
-                    self.loop.now() + SILENCE, lambda: streams.client.closed)
+                    self.loop.now() + SILENCE, unwanted)
                 answer = call.receive(data)
                 if answer is not None:
                     yield from streams.send(answer.body)
--- a/rainspindle/protocol/settings.py
+++ b/rainspindle/protocol/settings.py
@@ -134,6 +134,7 @@
     ask_within: float
     drain_grace: float
     kinds: tuple[str, ...]  # of machine, as the list names them
+    may_call_off: bool  # whether an attempt may be given up
 
 
 def socket_settings(s: dict[str, Any]) -> SocketSettings:
@@ -147,6 +148,6 @@
             tuple(min(seconds(limits.get("connect-timeout")) or 1.0,
                       CONNECT_PART * seconds(t["promised-time"])) for t in s["traffic-types"]),
             tuple(s["failure-domains"]), seconds(limits.get("conn-idle")), seconds(contract["ask-within"]),
-            seconds(contract["stop-sending-within"]), kinds(s))
+            seconds(contract["stop-sending-within"]), kinds(s), bool(limits.get("cancel")))
     except KeyError as e:
         raise ValueError(f"the settings lack {e}") from None
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -274,3 +274,15 @@
     endpoint.look()
     assert len(endpoint.body()) < 120_000, "the whole body was sent for nobody"
     assert nothing_is_held(rig) and rig.pool.open == 0
+
+
+@pytest.mark.parametrize("go", WAYS_TO_GO)
+def test_a_long_answer_whose_endpoint_pauses(rig: Rig, go: Callable[[socket.socket], None]) -> None:
+    """Its place, its connections and its id are free at once, not after the time that a pause may last."""
+    client = rig.asked(ask("x"))
+    only(rig.got()).raw(b"HTTP/1.1 200 OK\r\nContent-Length: 500000\r\n\r\n" + b"x" * 100_000)
+    rig.loop.settle()
+    assert len(client.sock.recv(1 << 20)) > 60_000 and rig.front.room.taken == 1
+    go(client.sock)
+    rig.loop.settle()
+    assert nothing_is_held(rig) and rig.pool.open == 0
