An answer without a length is reset, not ended, also for a client taken as gone

Cause: HttpFront.exchange (fronts/http1/front.py) broke an answer off only after Broke. Where nothing may be called off, an answer without a length still begins for a client whose FIN has come; cut short by its endpoint, the exchange ended as Left, the connection with a FIN, and a client that had only shut its sending side took half an answer for a whole one.

Change: after Left the answer is broken off likewise: a reset where one without a length has begun, else a close.

With it undone test_an_answer_without_a_length_does_not_seem_whole_to_who_reads_on fails: no reset came. The same test fails ("called off") where the wait for a pausing endpoint ends without leave to give attempts up.

--- a/rainspindle/fronts/http1/front.py
+++ b/rainspindle/fronts/http1/front.py
@@ -182,6 +182,7 @@
             streams.leave()
             self.open_ids.discard(ask.request_id)
         if isinstance(final, Left):
+            streams.break_off()  # an answer without a length must not seem whole
             return False
         if isinstance(final, Finished) and isinstance(final.payload, Passed):
             return streams.framed and not streams.closed and (not ask.more or streams.whole)
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -13,7 +13,7 @@
 from rainspindle.transport.connection import Connection, Unwanted
 from rainspindle.transport.loop import Coroutine
 
-from .fleet import Client, Rig, SteppedLoop, ask, only
+from .fleet import SETTINGS, Client, Rig, SteppedLoop, ask, only
 from .test_streams import Raw, pour
 
 
@@ -286,3 +286,22 @@
     go(client.sock)
     rig.loop.settle()
     assert nothing_is_held(rig) and rig.pool.open == 0
+
+
+def test_an_answer_without_a_length_does_not_seem_whole_to_who_reads_on() -> None:
+    """Where nothing may be called off, an answer also goes on for a client that has shut its sending side."""
+    limits = {**SETTINGS["policy-limits"], "cancel": False}
+    rig = Rig(settings={**SETTINGS, "policy-limits": limits})
+    client = rig.client()
+    client.send(ask("x").replace(b"HTTP/1.1", b"HTTP/1.0"))
+    got = only(rig.got())
+    half_close(client.sock)
+    rig.loop.settle()
+    got.raw(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * 100_000)
+    rig.loop.settle()
+    assert not got.gone(), "called off"
+    got.reset()
+    rig.loop.settle()
+    with pytest.raises(ConnectionResetError):
+        while client.sock.recv(1 << 20):
+            pass
