--- a/rainspindle/fronts/http1/back.py
+++ b/rainspindle/fronts/http1/back.py
@@ -49,9 +49,11 @@
             return before() or endpoint in self.directory.left_out
         if ask.more and streams is not None:
             try:
-                yield from streams.enter(self.loop.now() + SILENCE)
+                yield from streams.enter(self.loop.now() + SILENCE, unwanted)
             except Late:
                 return Forwarded(Outcome.UNSENT)
+            except Unwanted:
+                return Forwarded(Outcome.CALLED_OFF if before() else Outcome.UNSENT)
             # Guards against word on the endpoint that came during that wait: nothing is sent past the grace.
             if endpoint in self.directory.draining or self.directory.addresses.get(endpoint) != address:
                 return Forwarded(Outcome.UNSENT)
@@ -98,7 +100,7 @@
                         if call.call.got > MOST_BODY or self.loop.now() >= long_at:
                             self.heard[endpoint] = self.loop.now()
                             try:
-                                yield from streams.enter(given.expires_at)
+                                yield from streams.enter(given.expires_at, after)
                             except Late:  # no fault of the endpoint
                                 return Forwarded(Outcome.CALLED_OFF)
                             started()
@@ -140,6 +142,8 @@
         bound(connection)
         piece, answer = first, None
         while True:
+            if before():  # a body that has come with its end would go on without any wait
+                raise Unwanted
             yield from connection.send(piece, self.loop.now() + SILENCE, before)
             if streams.whole:
                 return None, given.written()
@@ -165,6 +169,9 @@
         """A long answer goes to its client while it comes; whether the connection can be used again.
 
         Guards against memory that long answers fill: no more is read than the client takes."""
+        def unwanted() -> bool:  # the client's end wakes this wait: no need to ask the kernel
+            client = streams.client
+            return client.closed or (client.ended and self.settings.may_call_off)
         assert call.call.response is not None
         try:
             yield from streams.begin(going_on(call.call.response.headers), call.call.length())
@@ -172,7 +179,7 @@
             while True:
                 yield from streams.send(call.call.take())
                 data = yield from connection.await_bytes(
-                    self.loop.now() + SILENCE, lambda: streams.client.closed)
+                    self.loop.now() + SILENCE, unwanted)
                 answer = call.receive(data)
                 if answer is not None:
                     yield from streams.send(answer.body)
--- /dev/null
+++ b/tests/test_client_gone.py
@@ -0,0 +1,307 @@
+"""A client that has closed its connection: nothing is sent for it, wherever its request waited."""
+
+from __future__ import annotations
+
+import contextlib
+import select
+import socket
+import struct
+from collections.abc import Callable
+
+import pytest
+
+from rainspindle.transport.connection import Connection, Unwanted
+from rainspindle.transport.loop import Coroutine
+
+from .fleet import SETTINGS, Client, Rig, SteppedLoop, ask, only
+from .test_streams import Raw, pour
+
+
+def close(sock: socket.socket) -> None:
+    sock.close()
+
+
+def reset(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+def half_close(sock: socket.socket) -> None:
+    sock.shutdown(socket.SHUT_WR)
+
+
+WAYS_TO_GO = [close, reset, half_close]
+
+
+def tcp_pair() -> tuple[socket.socket, socket.socket]:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        near = socket.create_connection(listener.getsockname())
+        far, _ = listener.accept()
+    near.setblocking(False)
+    far.setblocking(False)
+    return near, far
+
+
+def pipeline(rig: Rig, client: Client) -> None:
+    """Two requests together, the first of them out, and a third that stays unread in the kernel."""
+    client.send(ask("first") + ask("second"))
+    rig.settle()
+    client.sock.sendall(ask("third"))
+    rig.loop.settle()
+
+
+def nothing_is_held(rig: Rig) -> bool:
+    return rig.core.held == {} and rig.facade.in_flight() == 0 and not rig.front.clients \
+        and not rig.front.open_ids and not rig.front.room.waiting and rig.front.room.taken == 0
+
+
+# What the kernel knows.
+
+
+@pytest.mark.parametrize("unread", [b"", b"x" * 10, b"x" * 20_000])
+@pytest.mark.parametrize("go", WAYS_TO_GO)
+def test_an_end_is_seen_behind_unread_bytes(go: Callable[[socket.socket], None], unread: bytes) -> None:
+    client, accepted = tcp_pair()
+    loop = SteppedLoop()
+    connection = Connection(loop, accepted, connected=True)
+    client.sendall(unread)
+    assert not connection.left()
+    go(client)
+    assert connection.left(), "the loop has not looked, and the kernel was not asked"
+    connection.close()
+    client.close()
+    loop.epoll.close()
+
+
+def test_a_connection_that_was_closed_here_has_no_client() -> None:
+    client, accepted = tcp_pair()
+    loop = SteppedLoop()
+    connection = Connection(loop, accepted, connected=True)
+    connection.close()
+    assert connection.left()
+    client.close()
+    loop.epoll.close()
+
+
+def test_much_at_once_from_a_client_that_goes() -> None:
+    """The end can't come while the receive buffer is full; the first answer is met by a reset, which can."""
+    rig = Rig(1)
+    client = rig.client()
+    rig.loop.settle()  # accepted, and nothing read
+    many = b"".join(ask(f"x{n}") for n in range(5000))
+    sent = client.sock.send(many)
+    assert sent > 300_000, "all of it may fit into the receive buffer"
+    client.close()
+    first = only(rig.got())
+    assert first.id == "x0"
+    first.answer()
+    assert rig.got() == [] and nothing_is_held(rig)
+
+
+# Each place in which a request waits.
+
+
+@pytest.mark.parametrize("go", WAYS_TO_GO)
+def test_behind_another_request_with_a_third_unread(go: Callable[[socket.socket], None]) -> None:
+    rig = Rig(1)
+    warm = [rig.client(), rig.client()]  # two kept connections: the second request waits for no new one
+    for n, other in enumerate(warm):
+        other.send(ask(f"warm{n}"))
+    rig.serve_all()
+    for other in warm:
+        other.close()
+    rig.wait(0.1)  # the kept connections have rested
+    assert sum(map(len, rig.pool.idle.values())) == 2
+    client = rig.client()
+    pipeline(rig, client)
+    only(rig.got()).answer()
+    rig.loop.step()  # the answer has been seen, and the coroutine has not gone on
+    go(client.sock)
+    assert rig.got() == [] and nothing_is_held(rig)
+
+
+def test_a_turn_that_comes_too_late_costs_the_module_and_the_pool_nothing() -> None:
+    """Guards against a cold endpoint's budget, or a kept connection, spent on who has gone."""
+    rig = Rig(1)
+    warm = rig.asked(ask("warm"))
+    rig.serve_all()
+    assert warm.status() == 200
+    rig.wait(0.1)  # the kept connection has rested
+    counted, sent_at = rig.balancer.counted, rig.balancer.endpoints["e0"].sent_at
+    warm.send(ask("late"))
+    rig.loop.step()  # the request has been seen, and the coroutine has not gone on
+    warm.close()
+    assert rig.got() == [] and nothing_is_held(rig)
+    assert (rig.balancer.counted, rig.balancer.endpoints["e0"].sent_at) == (counted, sent_at)
+    assert rig.pool.open == sum(map(len, rig.pool.idle.values())) == 1
+
+
+def test_while_a_connection_comes_up_with_a_further_request_unread(rig: Rig) -> None:
+    client = rig.client()
+    client.send(ask("first"))
+    while not rig.pool.open:  # one coroutine or one look at a time, to stop before the connection's event
+        if rig.loop.ready:
+            rig.loop.resume(rig.loop.ready.popleft())
+        else:
+            rig.loop.step()
+    connecting(rig).on_events(select.EPOLLOUT)  # it is up, and the coroutine has not gone on
+    client.sock.sendall(ask("second"))
+    client.close()
+    assert rig.got() == [] and nothing_is_held(rig) and rig.pool.open == 0
+
+
+def connecting(rig: Rig) -> Connection:
+    """The one connection to an endpoint."""
+    connection, = (owner for owner in rig.loop.watched.values()
+                   if isinstance(owner, Connection) and owner not in rig.front.clients)
+    return connection
+
+
+@pytest.mark.parametrize("go", WAYS_TO_GO)
+def test_before_a_further_attempt(rig: Rig, go: Callable[[socket.socket], None]) -> None:
+    """Nothing is sent again, and the budget of further attempts is not drawn on."""
+    client = rig.client()
+    client.send(ask("first"))
+    rig.settle()
+    turned_away = only(rig.got())
+    credits_before = [e.credit for e in rig.balancer.endpoints.values()]
+    client.sock.sendall(ask("second"))
+    rig.loop.settle()
+    turned_away.answer(503, headers="X-Not-Processed: 1\r\n")
+    rig.loop.step()  # the answer has been seen, and the coroutine has not gone on
+    go(client.sock)
+    assert rig.got() == [] and nothing_is_held(rig)
+    assert [e.credit for e in rig.balancer.endpoints.values()] == credits_before
+
+
+def test_between_two_writes_of_one_request() -> None:
+    """The endpoint's buffer gets room in the same round in which the client goes."""
+    near, far = tcp_pair()
+    loop = SteppedLoop()
+    connection = Connection(loop, near, connected=True)
+    gone = False
+    outcome = list[str]()
+
+    def request() -> Coroutine[None]:
+        try:
+            yield from connection.send(b"x" * 30_000_000, loop.now() + 1.0, lambda: gone)
+        except Unwanted:
+            outcome.append("unwanted")
+
+    def read_all() -> int:
+        count = 0
+        with contextlib.suppress(BlockingIOError):
+            while data := far.recv(1 << 20):
+                count += len(data)
+        return count
+
+    loop.spawn(request())
+    loop.settle()
+    assert not connection.writable
+    gone = True
+    while read_all():  # until the kernel has moved on all that was written
+        pass
+    loop.settle()
+    assert outcome == ["unwanted"] and read_all() == 0
+    connection.close()
+    far.close()
+    loop.epoll.close()
+
+
+def long_request(id: str, length: int) -> bytes:
+    return ask(id, "book").replace(b"Content-Length: 0", b"Content-Length: %d" % length)
+
+
+@pytest.mark.parametrize("go", WAYS_TO_GO)
+def test_a_long_body_that_waits_for_a_place(rig: Rig, go: Callable[[socket.socket], None]) -> None:
+    room = rig.front.room
+    room.taken = room.places  # others hold all
+    client = rig.client()
+    client.sock.sendall(long_request("x", 200_000))
+    pour(rig, client.sock, b"x" * 100_000)
+    assert len(room.waiting) == 1 and rig.facade.in_flight() == 1
+    go(client.sock)
+    rig.loop.settle()
+    room.taken = 0
+    assert nothing_is_held(rig) and rig.pool.open == 0
+    assert rig.got() == []
+
+
+@pytest.mark.parametrize("go", WAYS_TO_GO)
+def test_a_long_answer_that_waits_for_a_place(rig: Rig, go: Callable[[socket.socket], None]) -> None:
+    room = rig.front.room
+    room.taken = room.places  # others hold all
+    client = rig.asked(ask("x"))
+    got = only(rig.got())
+    got.raw(b"HTTP/1.1 200 OK\r\nContent-Length: 500000\r\n\r\n" + b"x" * 100_000)
+    rig.loop.settle()
+    assert len(room.waiting) == 1
+    go(client.sock)
+    rig.loop.settle()
+    room.taken = 0
+    assert nothing_is_held(rig) and rig.pool.open == 0
+    assert rig.got() == []
+
+
+def test_others_move_up_when_a_client_leaves_the_line_for_a_place(rig: Rig) -> None:
+    room = rig.front.room
+    room.taken = room.places  # others hold all
+    first, second = rig.client(), rig.client()
+    for n, client in enumerate((first, second)):
+        client.sock.sendall(long_request(f"x{n}", 200_000))
+        pour(rig, client.sock, b"x" * 100_000)
+    first.close()
+    rig.loop.settle()
+    assert len(room.waiting) == 1
+    room.leave()
+    pour(rig, second.sock, b"x" * 100_000)
+    assert only([got for _ in range(40) for got in rig.got()]).id == "x1"
+
+
+@pytest.mark.parametrize("go", WAYS_TO_GO)
+def test_a_long_body_whose_rest_comes_with_the_end(rig: Rig, go: Callable[[socket.socket], None]) -> None:
+    """The rest goes on to nobody: an endpoint begins when the last byte has come."""
+    raw, client = Raw(rig), rig.client()
+    client.sock.sendall(long_request("x", 120_000))
+    pour(rig, client.sock, b"x" * 100_000)
+    endpoint = raw.accept()
+    rig.loop.settle()
+    endpoint.look()
+    assert len(endpoint.body()) > 60_000, "the attempt has not begun"
+    client.sock.sendall(b"x" * 20_000)
+    go(client.sock)
+    rig.loop.settle()
+    endpoint.look()
+    assert len(endpoint.body()) < 120_000, "the whole body was sent for nobody"
+    assert nothing_is_held(rig) and rig.pool.open == 0
+
+
+@pytest.mark.parametrize("go", WAYS_TO_GO)
+def test_a_long_answer_whose_endpoint_pauses(rig: Rig, go: Callable[[socket.socket], None]) -> None:
+    """Its place, its connections and its id are free at once, not after the time that a pause may last."""
+    client = rig.asked(ask("x"))
+    only(rig.got()).raw(b"HTTP/1.1 200 OK\r\nContent-Length: 500000\r\n\r\n" + b"x" * 100_000)
+    rig.loop.settle()
+    assert len(client.sock.recv(1 << 20)) > 60_000 and rig.front.room.taken == 1
+    go(client.sock)
+    rig.loop.settle()
+    assert nothing_is_held(rig) and rig.pool.open == 0
+
+
+def test_an_answer_without_a_length_does_not_seem_whole_to_who_reads_on() -> None:
+    """Where nothing may be called off, an answer also goes on for a client that has shut its sending side."""
+    limits = {**SETTINGS["policy-limits"], "cancel": False}
+    rig = Rig(settings={**SETTINGS, "policy-limits": limits})
+    client = rig.client()
+    client.send(ask("x").replace(b"HTTP/1.1", b"HTTP/1.0"))
+    got = only(rig.got())
+    half_close(client.sock)
+    rig.loop.settle()
+    got.raw(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * 100_000)
+    rig.loop.settle()
+    assert not got.gone(), "called off"
+    got.reset()
+    rig.loop.settle()
+    with pytest.raises(ConnectionResetError):
+        while client.sock.recv(1 << 20):
+            pass
