A repeat of a keyed request is written inside its window, not only decided there

A further attempt of a request with an idempotency key was decided within the memory span (`Balancer.advance`, logic.py), but nothing looked at the span again until its last byte was written: a connection that came up late (up to a quarter of the promised time later, `HttpBack.forward`) or an endpoint that read slowly (up to the patience) carried the repeat past the span, when the group no longer drops it. An endpoint begins a request with its last byte.

`Core.run` notes when the first attempt that may have run was sent (before its first byte, so the bound is the early one) and counts the span from there; `before`, which a back asks until the last byte is written, holds from the span's end on, and the module then gives the final answer. `SocketSettings` has the spans; they are infinite where any attempt may follow. `Connection.send` asks `unless` after a wait too: room for the whole rest, in the turn in which it had become unwanted, was still used.

--- a/rainspindle/lab/canary_pair.py
+++ b/rainspindle/lab/canary_pair.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
@@ -59,7 +60,8 @@
                "policy-limits": {"max-forwards": forwards, "peers": peers}, "contract": {
                    "fall-multiple": 2.5, "tip-after": 3000.0, "cold-from": 0.15, "cold": 24000.0,
                    "ask-within": 10000.0, **(limits or {})}}
-        settings = SimpleNamespace(type_names=("read", "submit", "print"), kinds=("fast", "new"))
+        settings = SimpleNamespace(type_names=("read", "submit", "print"), kinds=("fast", "new"),
+                                   memory_spans=(math.inf, math.inf, 0.15))
         config: Any = SimpleNamespace(seed=1, raw_settings=raw, settings=settings)
         self.config = config
         self.part = msgspec.convert({"name": "c", "stages": [{"part": 0.5, "time": 1000, "exchanges": 10}],
--- a/rainspindle/protocol/settings.py
+++ b/rainspindle/protocol/settings.py
@@ -129,6 +129,7 @@
     expiries: tuple[float, ...]  # by traffic type
     binding: tuple[bool, ...]
     connect_times: tuple[float, ...]
+    memory_spans: tuple[float, ...]  # within which an attempt may follow one that may have run
     zones: tuple[str, ...]
     idle_time: float  # an endpoint closes a connection that stood idle for this long
     ask_within: float
@@ -146,6 +147,8 @@
             # Guards against a machine that has vanished: waiting for it must not use up the promised time.
             tuple(min(seconds(limits.get("connect-timeout")) or 1.0,
                       CONNECT_PART * seconds(t["promised-time"])) for t in s["traffic-types"]),
+            tuple(seconds(t.get("memory-span")) if EFFECTS[t["effect"]] is Effect.FINGERPRINTED else math.inf
+                  for t in s["traffic-types"]),
             tuple(s["failure-domains"]), seconds(limits.get("conn-idle")), seconds(contract["ask-within"]),
             seconds(contract["stop-sending-within"]), kinds(s))
     except KeyError as e:
--- a/rainspindle/routing/core.py
+++ b/rainspindle/routing/core.py
@@ -126,13 +126,14 @@
 class Held:
     """An exchange under way: what the module has decided for it and its coroutine has not yet done."""
 
-    __slots__ = ("called_off", "left", "out", "ran", "steps", "task")
+    __slots__ = ("called_off", "left", "out", "ran", "repeat_until", "steps", "task")
 
     def __init__(self, task: Task) -> None:
         self.task = task
         self.steps: deque[Step] = deque()
         self.out: int | None = None  # the number of the forward that is out
         self.called_off = self.left = self.ran = False
+        self.repeat_until = math.inf  # when endpoints forget the first attempt that may have run
 
 
 class Core:
@@ -259,7 +260,9 @@
             return held.left
 
         def before() -> bool:
-            return left() or held.called_off
+            # Guards against a repeat that was decided in time and is written late: its connection came up
+            # late, or its endpoint reads slowly. It begins with its last byte, past the memory span.
+            return left() or held.called_off or self.loop.now() >= held.repeat_until
 
         def after() -> bool:
             left()
@@ -292,7 +295,7 @@
                     return Rejected(step.hold_off, held.ran)
                 if isinstance(step, Terminate):
                     return Terminated()
-                held.out = step.number
+                held.out, sent_at = step.number, self.loop.now()
                 address = self.directory.addresses.get(step.endpoint)
                 if address is None or step.endpoint in self.directory.left_out:
                     came = Forwarded(Outcome.UNSENT)
@@ -301,7 +304,9 @@
                     came = yield from self.back.forward(given, step.endpoint, address, until, before, after,
                                                         started)
                 held.out, held.called_off = None, False
-                held.ran = held.ran or came.outcome not in NEVER_RAN
+                if not held.ran and came.outcome not in NEVER_RAN:
+                    held.ran = True
+                    held.repeat_until = sent_at + self.settings.memory_spans[given.type_index]
                 self.apply(self.facade.report(
                     self.loop.now(), exchange, step.number, came.outcome, held.left or came.broke, came.lag))
                 if held.left or came.broke:
--- a/rainspindle/transport/connection.py
+++ b/rainspindle/transport/connection.py
@@ -109,14 +109,18 @@
         return data
 
     def send(self, data: bytes, until: float, unless: Unless = None) -> Coroutine[None]:
-        """Returns when the last byte is written, and only then."""
+        """Returns when the last byte is written, and only then. Raises Unwanted where `unless` holds at a
+        wait or after it; without a wait it is not asked."""
         self.mine()
         view = memoryview(data)
         while view:
             if self.writable:
                 view = view[self.send_some(view):]
-            else:
-                yield from self.await_it(until, unless)
+                continue
+            yield from self.await_it(until, unless)
+            # Room to write may come together with what makes the rest unwanted.
+            if unless is not None and unless():
+                raise Unwanted
 
     def send_some(self, view: memoryview) -> int:
         """How many bytes the kernel took, 0 if it takes none now."""
--- /dev/null
+++ b/tests/test_repeats.py
@@ -0,0 +1,138 @@
+"""Rule 2, no effect twice: when an attempt may follow one that may have run, and what answers tell."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from rainspindle.transport.connection import Connection, Unless
+from rainspindle.transport.loop import Coroutine
+
+from .fleet import SETTINGS, Client, Got, Rig, ask, only
+
+SPAN = 0.25  # seconds for which a group drops repeats; all times here are sums of powers of two
+JUST = 1 / 1024  # seconds
+
+
+def keyed(scope: str = "all", span: float = SPAN, **other: Any) -> dict[str, Any]:
+    """A class with an idempotency key, and time enough to connect late."""
+    return {"name": "note", "effect": "idempotency_key", "dedup-scope": scope, "memory-span": span * 1000,
+            "promised-time": 4000.0, "expiry": 8000.0, **other}
+
+
+def settings(*types: dict[str, Any], **limits: Any) -> dict[str, Any]:
+    return {**SETTINGS, "traffic-types": list(types),
+            "policy-limits": {**SETTINGS["policy-limits"], "connect-timeout": 2000.0, **limits}}
+
+
+class Gate:
+    """Holds back what comes up: connections that are made while it is shut wait until it opens."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.shut, self.waiting = False, list[Connection]()
+        establish = Connection.establish
+
+        def held(connection: Connection, until: float, unless: Unless = None) -> Coroutine[None]:
+            if self.shut:
+                self.waiting.append(connection)
+            connection.mine()
+            while connection in self.waiting:
+                yield from connection.await_it(until, unless)
+            yield from establish(connection, until, unless)
+        monkeypatch.setattr(Connection, "establish", held)
+
+    def open(self) -> None:
+        self.shut = False
+        while self.waiting:
+            self.waiting.pop().wake()
+
+
+@pytest.fixture
+def gate(monkeypatch: pytest.MonkeyPatch) -> Gate:
+    return Gate(monkeypatch)
+
+
+def first_attempt(rig: Rig, id: str = "x", body: bytes = b"") -> tuple[Client, Got]:
+    client = rig.client()
+    client.send(ask(id, "note", body, wait=8000))
+    for _ in range(200):  # a long body comes in many pieces
+        if got := rig.got():
+            return client, only(got)
+    raise AssertionError("the first attempt did not come")
+
+
+# The window, counted from before the first byte of the first attempt that may have run.
+
+
+@pytest.mark.parametrize("scope, answer", [("all", 503), ("zone", 502)])
+@pytest.mark.parametrize("late", [-JUST, 0.0, JUST])
+def test_a_repeat_whose_connection_comes_up_late_is_sent_inside_the_window_only(
+        gate: Gate, late: float, scope: str, answer: int) -> None:
+    """Guards against a repeat that was decided in time and is written when the group has forgotten."""
+    rig = Rig(settings=settings(keyed(scope)))
+    client, first = first_attempt(rig)
+    rig.wait(SPAN / 2)
+    gate.shut = True
+    first.answer(500)
+    assert rig.got() == [] and len(gate.waiting) == 1, "the repeat is decided, and connects"
+    rig.wait(SPAN / 2 + late)
+    gate.open()
+    again = rig.got()
+    if late < 0:
+        assert again[0].id == "x" and again[0].stand is not first.stand
+        again[0].answer(200, b"done")
+        rig.settle()
+        assert client.status() == 200
+    else:
+        assert not again, "written past the window"
+        assert client.status() == answer
+    assert rig.facade.in_flight() == 0 and not rig.core.held
+
+
+class Throttle:
+    """The kernel takes no more than `room` bytes of what goes to an endpoint, until that is set anew."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, rig: Rig) -> None:
+        self.room, self.stalled = 1 << 30, list[Connection]()
+        ports = {stand.port for stand in rig.stands}
+        send_some = Connection.send_some
+
+        def limited(connection: Connection, view: memoryview) -> int:
+            if connection.sock.getpeername()[1] not in ports:
+                return send_some(connection, view)
+            taken = send_some(connection, view[:self.room]) if self.room else 0
+            self.room -= taken
+            if taken < len(view):
+                connection.writable = False
+                self.stalled.append(connection)
+            return taken
+        monkeypatch.setattr(Connection, "send_some", limited)
+
+    def give(self, room: int) -> None:
+        self.room = room
+        while self.stalled:
+            connection = self.stalled.pop()
+            connection.writable = True
+            connection.wake()
+
+
+@pytest.mark.parametrize("late", [-JUST, 0.0, JUST])
+def test_a_repeat_that_is_written_slowly_becomes_whole_inside_the_window_only(
+        monkeypatch: pytest.MonkeyPatch, late: float) -> None:
+    rig = Rig(settings=settings(keyed()))
+    throttle = Throttle(monkeypatch, rig)
+    client, first = first_attempt(rig, body=b"y" * 30_000)
+    rig.wait(SPAN / 2)
+    throttle.room = 20_000
+    first.answer(500)
+    assert rig.got() == [] and len(throttle.stalled) == 1, "a part of the repeat is written"
+    rig.wait(SPAN / 2 + late)
+    throttle.give(1 << 30)  # room for all that is left, in the turn that first sees the end of the window
+    again = rig.got()
+    assert bool(again) is (late < 0), "whole at the endpoint past the window"
+    if again:
+        again[0].answer(200)
+        rig.settle()
+    assert client.status() == (200 if late < 0 else 503)
+    assert rig.facade.in_flight() == 0 and not rig.core.held
