The group of a repeat is that of the endpoint when the attempt was sent

`Exchange.ran_where` kept the endpoint, and `advance` read its zone and cell from its latest line. A word that an endpoint is gone may lack them (`ListDecoder.line` then reads zone -1 and cell 0), and the first attempt usually fails just then: the repeat of a keyed request went to cell 0, a group that has never heard of it, and where a zone is the group to none at all. `Forward.line` is the line at the sending, and `ran_where` is that line.

The further tests hold what was right before: the window begins with the first attempt that may have run and not with one that never ran or a later one; windows of nothing, shorter and longer than the deadline; a client's same id is out once at a time, also when the first client has left.

--- a/rainspindle/logic.py
+++ b/rainspindle/logic.py
@@ -204,7 +204,7 @@
     out: int = 0
     tried: list[Endpoint] = field(default_factory=list)
     ran_at: float = math.inf  # when the first forward that may have run was sent
-    ran_where: Endpoint | None = None
+    ran_where: Listed | None = None  # its endpoint as listed when it was sent
     spent: bool = False  # a part of its body has gone and is kept nowhere
 
 
@@ -213,6 +213,7 @@
     exchange: Exchange
     number: int
     endpoint: Endpoint
+    line: Listed  # of the endpoint when it was sent: a word that it is gone may lack its zone and cell
     sent: float
     trial: Breaker | None  # the key's entry, or the endpoint's own
     writing: bool = False  # its body is still coming: the endpoint has not begun
@@ -449,7 +450,7 @@
         else:
             self.note_failure(forward, outcome, now)
         if outcome not in NEVER_RAN and forward.sent < x.ran_at:
-            x.ran_at, x.ran_where = forward.sent, endpoint
+            x.ran_at, x.ran_where = forward.sent, forward.line
         if over or outcome is Outcome.SERVED:
             self.forget(x)
         elif id in self.exchanges and not x.out and not self.advance(x, now):
@@ -487,7 +488,7 @@
         if x.ran_where is not None and x.type.effect is not Effect.RETRIABLE:
             if x.type.effect is Effect.BINDING or now - x.ran_at >= x.type.memory_span:
                 return False
-            ran, group = x.ran_where.line, x.type.group
+            ran, group = x.ran_where, x.type.group
             within = lambda e: group is Group.ALL or (  # noqa: E731
                 e.line.zone == ran.zone if group is Group.ZONE else e.line.cell == ran.cell)
         if not (picked := self.pick(x, now, within)):
@@ -501,9 +502,8 @@
                 self.further.sent.append(now)
         if self.cold_age(endpoint, now) is not None:
             endpoint.cold_left -= 1
-        forward = Forward(x, x.forwards, endpoint, now, trial, x.coming, self.held(endpoint))
-        self.forwards[x.id, x.forwards], endpoint.sent_at = forward, now
-        self.touched[endpoint] = None
+        forward = Forward(x, x.forwards, endpoint, endpoint.line, now, trial, x.coming, self.held(endpoint))
+        self.forwards[x.id, x.forwards], endpoint.sent_at, self.touched[endpoint] = forward, now, None
         if not x.coming:
             endpoint.out[x.id, x.forwards] = forward
         x.forwards, x.out = x.forwards + 1, x.out + 1
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -6,10 +6,12 @@
 
 import pytest
 
+from rainspindle.host import Effect, Group, Outcome, State, TrafficType
 from rainspindle.transport.connection import Connection, Unless
 from rainspindle.transport.loop import Coroutine
+from rainspindle.values import replace
 
-from .fleet import SETTINGS, Client, Got, Rig, ask, only
+from .fleet import SETTINGS, Client, Fleet, Got, Rig, ask, line, only
 
 SPAN = 0.25  # seconds for which a group drops repeats; all times here are sums of powers of two
 JUST = 1 / 1024  # seconds
@@ -136,3 +138,93 @@
         rig.settle()
     assert client.status() == (200 if late < 0 else 503)
     assert rig.facade.in_flight() == 0 and not rig.core.held
+
+
+# Where a repeat may go, and which attempt begins the window: the module alone.
+
+
+def fleet_of(group: Group, span: float = SPAN, endpoints: int = 8, **other: Any) -> Fleet:
+    """Endpoints two to a cell, zones by turns."""
+    kind = TrafficType(Effect.FINGERPRINTED, group, 4.0, 8.0, span)
+    return Fleet([kind], [line(n) for n in range(endpoints)], **other)
+
+
+@pytest.mark.parametrize("group", [Group.ZONE, Group.CELL])
+def test_the_group_is_that_of_the_endpoint_when_the_attempt_was_sent(group: Group) -> None:
+    """Guards against word that the endpoint is gone, or has another place, which comes while it works: the
+    group that may drop the repeat is the old one."""
+    repeats = 0
+    for n in range(16):
+        fleet = fleet_of(group)
+        held = fleet.arrive(1, key=f"key{n}", wait=8.0)
+        first = fleet.told[held.sent[0].endpoint]
+        gone = replace(first, state=State.GONE, zone=-1, cell=0)  # as decoded where an entry lacks them
+        fleet.balancer.list_changed(fleet.now, [gone], False, stale=False)
+        fleet.end(1, 0, Outcome.ERROR)
+        for sent in held.sent[1:]:
+            to = fleet.told[sent.endpoint]
+            assert to.zone == first.zone if group is Group.ZONE else to.cell == first.cell
+            repeats += 1
+    assert repeats >= 8, "the group has one more that is ready"
+
+
+@pytest.mark.parametrize("late", [-JUST, 0.0, JUST])
+def test_the_window_begins_with_the_first_attempt_that_may_have_run(late: float) -> None:
+    """Not with one that never ran, and not with a later one; a time-out counts from its sending too."""
+    fleet = fleet_of(Group.ALL)
+    held = fleet.arrive(1, wait=8.0)
+    fleet.wait(SPAN * 2)
+    fleet.end(1, 0, Outcome.FULL)  # never ran: nothing to be dropped, the window is not yet open
+    fleet.wait(SPAN / 2)
+    fleet.end(1, 1, Outcome.RESET)  # may have run
+    fleet.wait(SPAN / 2 + late)
+    fleet.end(1, 2, Outcome.RESET)
+    assert len(held.sent) == (4 if late < 0 else 3)
+    assert held.answer == (None if late < 0 else "rejected")
+
+
+@pytest.mark.parametrize("span, again", [(0.0, False), (JUST, True), (4.0, True), (8.0, True), (60.0, True)])
+def test_windows_shorter_and_longer_than_the_deadline_and_none(span: float, again: bool) -> None:
+    fleet = fleet_of(Group.CELL, span)
+    held = fleet.arrive(1, wait=8.0)
+    fleet.end(1, 0, Outcome.ERROR)  # at once
+    assert (len(held.sent) == 2) is again and held.answer == (None if again else "terminated")
+    late = fleet.arrive(2, key="other", wait=8.0)
+    fleet.wait(7.0)  # the first attempt times out at the promised time of 4 s
+    assert (len(late.sent) == 2) is (span > 4.0)
+
+
+def test_a_window_that_is_not_stated_allows_no_repeat() -> None:
+    kind = keyed()
+    del kind["memory-span"]
+    rig = Rig(settings=settings(kind))
+    client, first = first_attempt(rig)
+    first.answer(500)
+    assert rig.got() == [] and client.status() == 503
+
+
+# The same id again, from a client.
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+def test_an_id_goes_out_once_at_a_time_also_when_its_client_has_left(cancel: bool) -> None:
+    """409 is `failed`, which promises nothing: the first may run. Where attempts may be given up the first
+    ends with its client, and the endpoint sees that before anything else is sent."""
+    rig = Rig(settings=settings(keyed("cell"), cancel=cancel))
+    client, first = first_attempt(rig)
+    assert rig.asked(ask("x", "note")).status() == 409 and rig.got() == []
+    client.close()
+    rig.settle()
+    assert first.gone() is cancel
+    second = rig.asked(ask("x", "note"))
+    if cancel:
+        only(rig.got()).answer(200, b"again")
+    else:
+        assert second.status() == 409 and rig.got() == [], "the abandoned attempt may still run"
+        first.answer(200, b"once")
+        rig.settle()
+        second = rig.asked(ask("x", "note"))
+        only(rig.got()).answer(200, b"again")
+    rig.settle()
+    answer = second.answer()
+    assert answer and answer[:2] == (200, b"again") and not rig.core.held
