A long answer in chunks is passed on by its chunks, whatever length its head tells

`Call.length` (protocol/client.py) read Content-Length also where the body comes in chunks, which go before it (RFC 9112, 6.3; h11 reads the body by them). `HttpBack.pass_on` then told the client that length: of an answer over 64 KiB whose length does not fit, the client took a part for the whole, and the rest as the beginning of its next answer; with a length too long it waited for bytes that never come.

`length` is now none for an answer in chunks, so it is passed on in chunks; and a connection whose answer had both is not used again, as it is not sure where the next one begins.

Seen with the mend undone: the client had 200 with 70,000 of 150,000 bytes, or no end of the answer.

--- a/rainspindle/protocol/client.py
+++ b/rainspindle/protocol/client.py
@@ -44,10 +44,15 @@
         return plain.encode(b"%b %b HTTP/1.1" % (method, target), headers, body)
 
     def length(self) -> int | None:
-        """Of the answer's body, as its head tells it. Raises Unreadable."""
-        told = dict(self.response.headers).get(b"content-length") if self.response else None
+        """Of the answer's body, as its head tells it; a body in chunks has none, whatever the head says."""
+        if self.response is None or self.in_chunks(self.response):
+            return None
+        told = dict(self.response.headers).get(b"content-length")
         return None if told is None else int(told)
 
+    def in_chunks(self, response: h11.Response) -> bool:
+        return b"transfer-encoding" in dict(response.headers)
+
     def flows(self) -> bool:
         """Whether an answer has begun that is to be given out piece by piece: it is long, or nobody knows."""
         return self.response is not None and self.response.status_code == 200 and self.most_stream > 0 \
@@ -95,4 +100,7 @@
         assert self.response is not None
         # Guards against keeping a connection that has ended, or that holds bytes nobody asked for.
         reusable = c.our_state is h11.DONE and c.their_state is h11.DONE and c.trailing_data == (b"", False)
+        # Guards against an endpoint that ended its body elsewhere than where its chunks end (RFC 9112, 6.3).
+        if self.in_chunks(self.response) and b"content-length" in dict(self.response.headers):
+            reusable = False
         return Reply(self.response.status_code, tuple(self.response.headers), bytes(self.body), reusable)
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -228,3 +228,30 @@
     rig.settle()
     answer = second.answer()
     assert answer and answer[:2] == (200, b"again") and not rig.core.held
+
+
+# Answers that do not fit.
+
+
+@pytest.mark.parametrize("said", [70_000, 200_000])
+def test_a_long_answer_with_a_length_and_chunks_is_passed_on_by_its_chunks(said: int) -> None:
+    """Guards against a body that ends elsewhere than its head tells the client: it would take a part for the
+    whole, and the rest for the next answer on its connection."""
+    rig = Rig(1)
+    client = rig.asked(ask("x"))
+    got = only(rig.got())
+    part = b"%x\r\n%b\r\n" % (50_000, b"y" * 50_000)
+    got.raw(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n" % said + part)
+    rig.settle()
+    answer = client.answer()
+    for _ in range(2):
+        got.raw(part)
+        for _ in range(20):
+            rig.settle()
+            answer = answer or client.answer()
+    got.raw(b"0\r\n\r\n")
+    for _ in range(20):
+        rig.settle()
+        answer = answer or client.answer()
+    assert answer and answer[0] == 200 and answer[1] == b"y" * 150_000
+    assert rig.pool.open == 0, "where its next answer begins is not sure"
