Tests: what proves that an attempt never ran, and stray bytes on a resting connection

Nothing in the program changes. Held before and now by a test each: an answer that tells "not processed" and breaks off, or tells it in a 1xx answer, a trailer, another status or with another value, may have run; one that is whole is no run in whatever form it comes (HTTP/1.0, chunks, a byte at a time, 1xx ahead); bytes that come between the last look at a kept connection and the request's first byte end the attempt, and a request that may not run twice is not sent again.

--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import Any
 
 import pytest
@@ -11,7 +12,7 @@
 from rainspindle.transport.loop import Coroutine
 from rainspindle.values import replace
 
-from .fleet import SETTINGS, Client, Fleet, Got, Rig, ask, line, only
+from .fleet import SETTINGS, Client, Fleet, Got, Rig, ask, entry, line, only
 
 SPAN = 0.25  # seconds for which a group drops repeats; all times here are sums of powers of two
 JUST = 1 / 1024  # seconds
@@ -255,3 +256,81 @@
         answer = answer or client.answer()
     assert answer and answer[0] == 200 and answer[1] == b"y" * 150_000
     assert rig.pool.open == 0, "where its next answer begins is not sure"
+
+
+MARK = b"X-Not-Processed: 1\r\n"
+SPOILT = {
+    "turned away, but its body breaks off": b"HTTP/1.1 503 X\r\n" + MARK + b"Content-Length: 9\r\n\r\nhalf",
+    "turned away, but its chunks break off": b"HTTP/1.1 503 X\r\n" + MARK
+    + b"Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+    "turned away, but its head breaks off": b"HTTP/1.1 503 X\r\n" + MARK,
+    "turned away by another status": b"HTTP/1.1 500 X\r\n" + MARK + b"Content-Length: 0\r\n\r\n",
+    "turned away with another mark": b"HTTP/1.1 503 X\r\nX-Not-Processed: 10\r\nContent-Length: 0\r\n\r\n",
+    "a mark ahead of the answer": b"HTTP/1.1 103 X\r\n" + MARK
+    + b"\r\nHTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n",
+    "a mark behind the answer": b"HTTP/1.1 503 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + MARK + b"\r\n",
+    "HTTP/1.0 in chunks that break off": b"HTTP/1.0 200 X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+    "switched": b"HTTP/1.1 101 X\r\nUpgrade: x\r\n\r\nHTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nhi",
+    "1xx alone": b"HTTP/1.1 100 X\r\n\r\n" * 50,
+    "nothing": b"",
+}
+
+
+@pytest.mark.parametrize("how", list(SPOILT))
+def test_what_does_not_prove_that_it_never_ran_is_not_sent_again(rig: Rig, how: str) -> None:
+    client = rig.asked(ask("x", "book"))
+    got = only(rig.got())
+    got.raw(SPOILT[how])
+    rig.settle()
+    got.close()
+    assert rig.got() == [] and client.status() == 502 and rig.pool.open == 0
+
+
+@pytest.mark.parametrize("answer", [
+    b"HTTP/1.0 503 X\r\n" + MARK + b"Content-Length: 0\r\n\r\n",
+    b"HTTP/1.1 504 X\r\nx-NOT-processed:1 \r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    b"HTTP/1.1 100 X\r\n\r\nHTTP/1.1 102 X\r\n\r\nHTTP/1.1 503 X\r\n" + MARK
+    + b"Content-Length: 4\r\n\r\nbusy"])
+def test_what_is_turned_away_goes_again_in_whatever_form_it_is_told(rig: Rig, answer: bytes) -> None:
+    client = rig.asked(ask("x", "book"))
+    first = only(rig.got())
+    for n in range(len(answer)):
+        first.raw(answer[n:n + 1])
+        rig.settle()
+    second = only(rig.got())
+    assert second.stand is not first.stand
+    second.raw(b"HTTP/1.0 200 X\r\n\r\nof x")  # an end tells that it is whole
+    rig.settle()
+    second.close()
+    rig.settle()
+    done = client.answer()
+    assert done and done[:2] == (200, b"of x")
+
+
+@pytest.mark.parametrize("stray", [b"HTTP/1.1 2", b"HTTP/1.1 200 OK\r\n", b"H", b"\r\n", b"5\r\n"])
+@pytest.mark.parametrize("name", ["book", "look"])
+def test_half_a_line_that_comes_when_a_connection_is_taken_is_no_part_of_the_answer(
+        rig: Rig, monkeypatch: pytest.MonkeyPatch, stray: bytes, name: str) -> None:
+    """It comes behind the last look at the connection and before the request's first byte."""
+    warm = rig.asked(ask("warm", "look", headers="Cookie: user=k\r\n"))
+    first = rig.serve()
+    assert warm.status() == 200
+    rig.wait(1.0)
+    take = rig.pool.take
+
+    def taken(*of: Any) -> Connection | None:
+        connection = take(*of)
+        if connection is not None:
+            first.raw(stray)
+        return connection
+    monkeypatch.setattr(rig.pool, "take", taken)
+    for stand in rig.stands:
+        if stand is not first.stand:
+            rig.tell(entry(f"e{rig.stands.index(stand)}", stand.port, "DRAINING"))
+    client = rig.asked(ask("x", name))
+    got = only(rig.got())
+    assert got.stand is first.stand and rig.pool.reused == 1
+    with contextlib.suppress(OSError):  # what can't begin an answer has ended the connection already
+        got.answer(200, b"of x")
+    assert rig.got() == [] and rig.pool.open == 0, "the connection is of no further use"
+    assert client.status() == (502 if name == "book" else 503)  # no other endpoint is ready
