Descriptors: each use has its reserve, and accepting at the limit tries in one series

(1) Listener.accept_some (transport/connection.py) began a further series of tries for each connection that came while none could be accepted, and went on without a pause after an error that lasts; a fault in taking one connection lost the edge, so those behind it waited for the next one. (2) HttpFront.accepted took a connection although no place was free and nobody could give way: requests under way could take the descriptors kept for discovery, the console and files. (3) A connection that found no descriptor (open_connection) failed, although idle ones could have closed; the console's listener could end only its own callers. (4) caps() took at least 16 places whatever limits.sockets said, and never looked at what the system allows (RLIMIT_NOFILE).

One pending series of tries, with a pause after a go in which nothing was accepted; a connection that finds no place is kept and offered again, and the others stay in the system's queue. Clients may hold half of the endpoints' places beside their own (Pool.lent), never the reserve. Sidecar.make_room is the one place that says who is asked to close; open_connection and all listeners ask it. `check` and `serve` refuse a limit, configured or of the system, under the reserve and 16 places; a system limit between the two counts instead of limits.sockets, with a warning.

The test with idle clients and discovery down passes also with open_connection's request for room and the look at RLIMIT_NOFILE undone: it shows that this holds, not that these lines keep it.

--- a/rainspindle/fronts/console/front.py
+++ b/rainspindle/fronts/console/front.py
@@ -22,7 +22,7 @@
         Raises OSError."""
         self.loop, self.call, self.fleet = loop, call, fleet
         self.callers: dict[Connection, bool] = {}  # the oldest first; whether its call is whole
-        self.listener = Listener(loop, address, self.accepted, self.give_way, urgent=True)
+        self.listener = Listener(loop, address, self.accepted, lambda: loop.make_room(), urgent=True)
 
     def accepted(self, connection: Connection) -> None:
         # Guards against callers that connect and finish no call: the oldest of them gives way.
--- a/rainspindle/fronts/http1/front.py
+++ b/rainspindle/fronts/http1/front.py
@@ -38,15 +38,31 @@
         self.leaving = self.closing = False  # SIGTERM has come; connections end with their next answer
         self.ready_from = -math.inf
 
-    def accepted(self, connection: Connection) -> None:
-        if len(self.clients) >= self.most_clients:
-            self.close_idle_client()
+    def accepted(self, connection: Connection) -> bool:
+        """Takes a connection; False where every place is in use and no client gives way.
+
+        On the way out all are taken: the listening socket closes next, and what it holds is lost with it."""
+        if not self.has_place() and not self.leaving:
+            return False
         self.clients[connection] = None
+        self.count_lent()
         self.crowd.came(connection, self.loop.now())
         self.loop.spawn(self.serve(connection), lambda: self.gone(connection))
+        return True
+
+    def has_place(self) -> bool:
+        """Whether one more client may come: in a free place, an idle client's, or one that endpoints lend.
+
+        Guards against clients, all with a request under way, that take the descriptors kept for discovery,
+        the console and files."""
+        return len(self.clients) < self.most_clients or self.close_idle_client() or self.pool.can_lend()
+
+    def count_lent(self) -> None:
+        self.pool.lent = max(0, len(self.clients) - self.most_clients)
 
     def gone(self, connection: Connection) -> None:
         self.clients.pop(connection, None)
+        self.count_lent()
         self.crowd.gone(connection)
         connection.close()
 
--- a/rainspindle/fronts/link/link.py
+++ b/rainspindle/fronts/link/link.py
@@ -143,9 +143,6 @@
             connection.close()
         self.loop.spawn(self.drive(connection, session), gone)
 
-    def make_room(self) -> bool:
-        return False
-
     def drive(self, connection: Connection, session: Session) -> Coroutine[None]:
         """Reads and writes one connection until it ends."""
         task = self.loop.current
--- a/rainspindle/program/config.py
+++ b/rainspindle/program/config.py
@@ -19,6 +19,12 @@
 
 DEAF = "messages are allowed, but no peers are named: this sidecar goes by its own exchanges alone"
 
+# Descriptors that neither clients nor endpoints may take: 3 standard streams, 2 of epoll, 2 for signals,
+# 3 listening sockets, 1 for datagrams, 1 to discovery, 17 for calls to the console, 3 files, and 16 beside.
+RESERVED_SOCKETS = 48
+LEAST_PLACES = 16  # for clients and endpoints together
+LEAST_SOCKETS = RESERVED_SOCKETS + LEAST_PLACES
+
 
 class ConfigFault(Trouble):
     """A configuration that cannot be served, named in one line, or a line a fault."""
@@ -106,11 +112,31 @@
           over_members: bool = False) -> Config:
     """Raises ConfigFault, one line that names the file."""
     try:
-        return decode(raw, environment, over_members)
+        config = decode(raw, environment, over_members)
     except KeyError as fault:
         raise ConfigFault(f"{path}: lacks {fault}") from None
     except (Unreadable, ValueError, TypeError, AttributeError) as fault:
         raise ConfigFault(f"{path}: {fault}") from None
+    check_sockets(path, config.sockets)
+    return config
+
+
+def check_sockets(path: str, sockets: int) -> None:
+    """Raises ConfigFault where the descriptors would not do for the reserve and a few connections."""
+    needs = (f"under {LEAST_SOCKETS}: {RESERVED_SOCKETS} are kept for discovery, the console, files and "
+             f"listening, {LEAST_PLACES} are the least for clients and endpoints")
+    if sockets < LEAST_SOCKETS:
+        raise ConfigFault(f"{path}: limits.sockets is {sockets}, {needs}",
+                          f"set it to {LEAST_SOCKETS} or more")
+    if usable_sockets(sockets) < LEAST_SOCKETS:
+        raise Unserved(f"the system lets this process open {usable_sockets(sockets)} descriptors, {needs}",
+                       "raise its limit of open files (RLIMIT_NOFILE, ulimit -n) to limits.sockets")
+
+
+def usable_sockets(sockets: int) -> int:
+    """Of so many descriptors allowed by the configuration, those that the system allows as well."""
+    system = os.sysconf("SC_OPEN_MAX")  # RLIMIT_NOFILE of this process; -1 for no limit
+    return min(sockets, system) if system >= 0 else sockets
 
 
 def decode(raw: dict[str, Any], environment: Mapping[str, str], over_members: bool = False) -> Config:
--- a/rainspindle/program/gateway.py
+++ b/rainspindle/program/gateway.py
@@ -34,7 +34,7 @@
         """`load` reads the gateway's file again."""
         self.gateway, self.load_gateway = config, load
         super().__init__(config.sidecar, lambda: load().sidecar)
-        self.link_listener = Listener(self.loop, config.link, self.link.accepted, self.link.make_room)
+        self.link_listener = Listener(self.loop, config.link, self.link.accepted, self.make_room)
         log.info("gateway", extra={"fields": {
             "site": config.site, "link": f"{self.link_listener.address[0]}:{self.link_listener.address[1]}",
             "peers": self.link.describe()}})
--- a/rainspindle/program/serve.py
+++ b/rainspindle/program/serve.py
@@ -30,15 +30,15 @@
 from ..transport.datagrams import Datagrams
 from ..transport.loop import Coroutine, Loop
 from ..transport.pool import Pool
-from .config import DEAF, Config, ConfigFault
+from .config import DEAF, RESERVED_SOCKETS, Config, ConfigFault, usable_sockets
 from .operation import Operation
 
 log = logging.getLogger("rainspindle.program")
 
-SPARE_SOCKETS = 48  # standard streams, epoll, signals, discovery, files, and room to accept in
 CLIENTS_PART = 0.5
 OWN_MEMORY, ROOM_PART = 26e6, 0.6  # bytes of the program itself, and the part of the rest
 HALF_READ = 96 * 1024  # bytes
+FEWEST_CLIENTS = 16  # for whose bodies there is memory in any case
 OVERLAP = 5.0  # seconds for which a successor leaves half of the limits to the process before it
 MOST_OWED = 2.0
 MOST_LEAVING = 3.0  # after SIGTERM a sidecar is let run for the longest expiry, up to this, and 0.7 s more
@@ -48,10 +48,10 @@
 
 def caps(config: Config) -> tuple[int, int]:
     """How many connections with clients, and how many to endpoints, are held at most."""
-    places = max(config.sockets - SPARE_SOCKETS, 16)
+    places = usable_sockets(config.sockets) - RESERVED_SOCKETS
     clients = int(places * CLIENTS_PART)
     # Guards against memory filled by bodies that are half read: each client may hold one.
-    return max(min(clients, room(config) // HALF_READ), 16), places - clients
+    return min(clients, max(room(config) // HALF_READ, FEWEST_CLIENTS)), places - clients
 
 
 def room(config: Config) -> int:
@@ -93,9 +93,11 @@
     @property
     def clients(self) -> Sized: ...
 
-    def accepted(self, connection: Connection) -> None: ...
+    def accepted(self, connection: Connection) -> bool | None:
+        """Takes a new connection; False where it has no place for it now."""
 
-    def make_room(self) -> bool: ...
+    def make_room(self) -> bool:
+        """Closes a connection that can be spared; whether there was one."""
 
     def trim_clients(self) -> None: ...
 
@@ -166,6 +168,9 @@
         self.peers: Datagrams | None = None
         if config.deaf:
             log.warning(DEAF)
+        if usable_sockets(config.sockets) < config.sockets:
+            log.warning("fewer descriptors than limits.sockets", extra={"fields": {
+                "limit": usable_sockets(config.sockets), "configured": config.sockets}})
         if config.peers is not None:
             self.peers = Datagrams(self.loop, config.peers.listen, config.peers.others, self.heard_peer,
                                    shared=config.console is not None)
@@ -173,7 +178,7 @@
         elif self.fleet is not None:
             self.fleet.carry_words(self.core, self.heard_peer)
         self.stages = Stages(min(max(config.settings.expiries), MOST_LEAVING))
-        self.listener = Listener(self.loop, config.listen, self.front.accepted, self.front.make_room,
+        self.listener = Listener(self.loop, config.listen, self.front.accepted, self.make_room,
                                  shared=config.console is not None)
         self.console: ConsoleFront | None = None
         # Only where staff can call is there anything to share with a process beside this one.
@@ -182,6 +187,7 @@
                                    lambda: self.core.facade.give(self.loop.now()))
         if config.console is not None:
             self.console = ConsoleFront(self.loop, config.console, self.operation.call, self.fleet_call)
+        self.loop.make_room = self.make_room
         self.overseer = self.loop.spawn(self.oversee())
         self.operation.look()
         self.operation.listed(list(known.addresses))
@@ -198,6 +204,12 @@
         return HttpFront(self.loop, self.core, self.taker(), self.pool, most_clients,
                          room(self.config) if self.streams else 0)
 
+    def make_room(self) -> bool:
+        """Closes the connection that can best be spared, for whoever is left without a descriptor.
+
+        First one that rests to an endpoint, then a client's with no request, then one to the console."""
+        return self.front.make_room() or (self.console is not None and self.console.give_way())
+
     def taker(self) -> Taker:
         """What the front hands its exchanges to."""
         return self.core if self.fleet is None else self.fleet.taker(self.core)
--- a/rainspindle/transport/connection.py
+++ b/rainspindle/transport/connection.py
@@ -183,12 +183,22 @@
             self.sock.close()
 
 
-def open_connection(loop: Loop, address: Address) -> Connection:
-    """A connection under way; the caller waits for it with `establish`."""
+def open_socket(loop: Loop, address: Address) -> socket.socket:
+    """One more descriptor; where the process has none left, another connection is asked to close for it."""
+    try:
+        return socket.socket(family(address), socket.SOCK_STREAM)
+    except OSError as fault:
+        if fault.errno not in SHORT or not loop.make_room():
+            raise OutOfSockets(str(fault)) from None
     try:
-        sock = socket.socket(family(address), socket.SOCK_STREAM)
+        return socket.socket(family(address), socket.SOCK_STREAM)
     except OSError as fault:
         raise OutOfSockets(str(fault)) from None
+
+
+def open_connection(loop: Loop, address: Address) -> Connection:
+    """A connection under way; the caller waits for it with `establish`."""
+    sock = open_socket(loop, address)
     try:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -207,15 +217,21 @@
 
     BACKLOG = 1024
     AT_ONCE = 32  # accepted in one go: those already there must not wait for a flood to end
+    RETRY = 0.02  # seconds until the next try where nothing could be accepted
     STEER = 51  # SO_ATTACH_REUSEPORT_CBPF, which the socket module does not name
     TO_THE_SECOND = struct.pack("=HBBI", 0x06, 0, 0, 1)  # a program of one step: return 1
 
-    def __init__(self, loop: Loop, address: Address, accepted: Callable[[Connection], None],
+    def __init__(self, loop: Loop, address: Address, accepted: Callable[[Connection], bool | None],
                  make_room: Callable[[], bool], urgent: bool = False, shared: bool = False) -> None:
-        """`shared`: a process of the same user may listen there beside this one. Then `listen` opens it,
+        """`accepted` takes a connection, or answers False: then it is offered again until it is taken, and
+        no other is accepted. `make_room` closes another connection when no descriptor is left.
+
+        `shared`: a process of the same user may listen there beside this one. Then `listen` opens it,
         else it is open at once. Raises OSError."""
         self.loop, self.accepted, self.make_room, self.urgent = loop, accepted, make_room, urgent
         self.closed, self.open = False, False
+        self.offered: Connection | None = None  # accepted from the system, not yet taken
+        self.retry_pending = False
         self.sock = socket.socket(family(address), socket.SOCK_STREAM)
         try:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -253,31 +269,73 @@
         return host, port
 
     def on_events(self, events: int) -> None:
-        self.accept_some()
+        if not self.retry_pending:
+            self.accept_some()
 
     def accept_some(self) -> None:
+        """Accepts what has come, in parts."""
+        delay: float | None = self.RETRY
+        try:
+            delay = self.accept_batch()
+        finally:  # also after a fault: the edge that told of the others is gone
+            if delay is not None:
+                self.retry_in(delay)
+
+    def accept_batch(self) -> float | None:
+        """Accepts up to AT_ONCE. Seconds until the next try; None where the system tells of the next one."""
+        taken = 0
         for _ in range(self.AT_ONCE):
             if self.closed or not self.open:
-                return
-            try:
-                sock, _ = self.sock.accept()
-            except BlockingIOError:
-                return
-            except OSError as fault:
-                # Guards against EMFILE: the edge is gone, so room is made or the accepting tried again.
-                if fault.errno in SHORT and not self.make_room():
-                    self.loop.spawn(self.again(0.02), urgent=self.urgent)
-                    return
-                continue
+                return None
+            if self.offered is None:
+                try:
+                    sock, _ = self.sock.accept()
+                except BlockingIOError:
+                    return None
+                except OSError as fault:
+                    if fault.errno in SHORT and not self.make_room():
+                        break
+                    continue
+                self.offered = self.connection(sock)
+            if self.offered is not None:
+                if not self.offer(self.offered):
+                    break
+                taken += 1
+        return 0.0 if taken else self.RETRY
+
+    def offer(self, connection: Connection) -> bool:
+        """Whether it has been taken; else it stays `offered`."""
+        try:
+            if self.accepted(connection) is False:
+                return False
+        except BaseException:
+            connection.close()
+            self.offered = None
+            raise
+        self.offered = None
+        return True
+
+    def connection(self, sock: socket.socket) -> Connection | None:
+        """None where the system has no room for it beyond its descriptor."""
+        try:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.accepted(Connection(self.loop, sock, connected=True, urgent=self.urgent))
-        self.loop.spawn(self.again(0.0), urgent=self.urgent)
+            return Connection(self.loop, sock, connected=True, urgent=self.urgent)
+        except OSError:
+            sock.close()
+            return None
+
+    def retry_in(self, delay: float) -> None:
+        """Guards against a further series of tries for each connection that comes while none is accepted."""
+        if not self.retry_pending:
+            self.retry_pending = True
+            self.loop.spawn(self.retry(delay), urgent=self.urgent)
 
-    def again(self, delay: float) -> Coroutine[None]:
+    def retry(self, delay: float) -> Coroutine[None]:
         at = self.loop.now() + delay
         while self.loop.now() < at:
             yield at
+        self.retry_pending = False
         self.accept_some()
 
     def close(self) -> None:
@@ -286,6 +344,8 @@
             self.accept_some()
         if not self.closed:
             self.closed = True
+            if self.offered is not None:
+                self.offered.close()
             if self.open:
                 self.loop.unwatch(self.sock.fileno(), self.urgent)
             self.sock.close()
--- a/rainspindle/transport/loop.py
+++ b/rainspindle/transport/loop.py
@@ -63,6 +63,8 @@
         self.current: Task | None = None
         self.looked = self.came = self.now()  # the last look; the earliest that what it found can have come
         self.stopped = False
+        # Called when no descriptor is left: closes a connection that can be spared; whether there was one.
+        self.make_room: Callable[[], bool] = lambda: False
 
     def spawn(self, coroutine: Coroutine[None], then: Callable[[], None] | None = None,
               urgent: bool = False) -> Task:
--- a/rainspindle/transport/pool.py
+++ b/rainspindle/transport/pool.py
@@ -21,6 +21,7 @@
         self.keep = self.IDLE_PART * idle_time if idle_time > 0 else 30.0
         self.idle: dict[Peer, list[Connection]] = {}  # the last used at the end
         self.open = 0
+        self.lent = 0  # of its places, those that clients hold
         self.made = self.reused = 0
         self.ends = 0.0  # the share of kept connections that lately ended before they had rested
 
@@ -39,7 +40,7 @@
         while idle:
             connection = next((c for c in reversed(idle) if now - c.idle_since >= self.REST), idle[0])
             rested = now - connection.idle_since >= self.REST
-            if not rested and (self.open < self.most or (careful and self.wary())):
+            if not rested and (self.open + self.lent < self.most or (careful and self.wary())):
                 return None
             if connection.sound() and now - connection.idle_since < self.keep:
                 idle.remove(connection)
@@ -50,15 +51,10 @@
 
     def connect(self, peer: Peer, until: float, careful: bool = False, unless: Unless = None
                 ) -> Coroutine[Connection]:
-        while self.open >= self.most:
+        while self.open + self.lent >= self.most:
             if not self.make_room():
                 raise OutOfSockets("every connection is in use")
-        try:
-            connection = open_connection(self.loop, peer[1])
-        except OutOfSockets:  # guards against EMFILE while idle connections hold descriptors
-            if not self.make_room():
-                raise
-            connection = open_connection(self.loop, peer[1])
+        connection = open_connection(self.loop, peer[1])
         self.open += 1
         try:
             yield from connection.establish(until, unless)
@@ -108,6 +104,10 @@
         self.drop(oldest[1], self.idle[oldest[1]][0])
         return True
 
+    def can_lend(self) -> bool:
+        """Whether one more place, of half at most, may go to a client; an idle connection gives its own."""
+        return self.lent < self.most // 2 and (self.open + self.lent < self.most or self.make_room())
+
     def sweep(self) -> None:
         for peer, idle in list(self.idle.items()):
             for connection in list(idle):
