Requests sent at once are served a turn each, each with the time of its own bytes

HttpFront.serve (fronts/http1/front.py) went from one request of a buffer to the next without yielding where the answer needed no wait (GET /ready, an exchange rejected at once): up to 64 KiB of requests, and whatever came meanwhile, before any other task or timer. And the expiry of a request that waited behind another in the same bytes was counted from Connection.came, which the arrival of further bytes moves on: it was told and waited for too long.

Loop.yield_turn lets all other ready tasks run, and the loop look at descriptors and timers; serve takes it before each request that came with the one before. The time at which bytes were read goes with the requests in them.

--- a/rainspindle/fronts/http1/front.py
+++ b/rainspindle/fronts/http1/front.py
@@ -105,7 +105,7 @@
 
     def serve(self, client: Connection) -> Coroutine[None]:
         side = ApplicationSide(self.core.settings.type_names, MOST_STREAM if self.streams else MOST_BODY)
-        since = self.loop.now()
+        since = came = self.loop.now()
         while True:
             message = side.next()
             if message is None:
@@ -123,6 +123,7 @@
                     return
                 if client in self.crowd.waiting:
                     since = self.loop.now()
+                came = client.came
                 side.receive(data)
                 self.crowd.went_on(client, self.loop.now())
                 continue
@@ -138,7 +139,7 @@
                     if message.request_id in self.open_ids:
                         yield from self.refuse(client, side, Bad(409, "this X-Request-ID is under way"))
                         return
-                    if not (yield from self.exchange(client, side, message)):
+                    if not (yield from self.exchange(client, side, message, came)):
                         return
                 else:
                     # One that leaves is not ready: its successor is, under the same address.
@@ -152,6 +153,9 @@
                 return
             if not side.next_cycle():
                 return
+            if side.pending:
+                # Guards against one client's many requests, sent at once, that hold up all others.
+                yield from self.loop.yield_turn()
             since = self.loop.now()
             if side.begun:  # the next one came with it
                 self.crowd.went_on(client, since)
@@ -180,10 +184,14 @@
         except (Broken, Late, Unwanted):
             pass
 
-    def exchange(self, client: Connection, side: ApplicationSide, ask: Ask) -> Coroutine[bool]:
-        """Hands an exchange over and gives its client the final answer; whether the connection goes on."""
+    def exchange(self, client: Connection, side: ApplicationSide, ask: Ask, read_at: float
+                 ) -> Coroutine[bool]:
+        """Hands an exchange over and gives its client the final answer; whether the connection goes on.
+
+        `read_at` is when the bytes came of which this request is a part: while an earlier request of the same
+        bytes was served, others may have come, and their time is not this one's."""
         def expiry() -> float:  # of a body that is still coming: as if it were whole by now
-            came = self.loop.now() if ask.more and not streams.whole else max(client.came, streams.whole_at)
+            came = self.loop.now() if ask.more and not streams.whole else max(read_at, streams.whole_at)
             return self.core.expiry(ask.type_index, came, ask.wait)
         streams = Streams(self.loop, client, side, lambda: self.closes(client, side), self.room)
         given = Given(ask.type_index, ask.key, ask.hint, ask.repeat,
--- a/rainspindle/protocol/application.py
+++ b/rainspindle/protocol/application.py
@@ -140,6 +140,11 @@
         """Whether a part of the next request is there."""
         return self.connection is not None
 
+    @property
+    def pending(self) -> bool:
+        """Whether bytes have been received that belong to no message given out yet."""
+        return self.came is not None or self.connection is not None
+
     @property
     def wants_continue(self) -> bool:
         return self.connection is not None and self.connection.they_are_waiting_for_100_continue
--- a/rainspindle/transport/loop.py
+++ b/rainspindle/transport/loop.py
@@ -84,6 +84,12 @@
             while self.now() < again:
                 yield again
 
+    def yield_turn(self) -> Coroutine[None]:
+        """Lets every other ready task run, and the loop look at descriptors and timers, before going on."""
+        assert self.current is not None
+        self.current.wake()
+        yield math.inf
+
     def watch(self, fd: int, owner: Watched, urgent: bool = False) -> None:
         if urgent and self.urgent is None:
             self.urgent, self.hurry_at = select.epoll(), -math.inf
