--- a/rainspindle/protocol/discovery.py
+++ b/rainspindle/protocol/discovery.py
@@ -40,7 +40,7 @@
                               tuple(self.line(e) for e in entries),
                               {e["instanceId"]: parse_address(e["hostPort"])
                                for e in entries if e.get("hostPort")})
-        except (KeyError, TypeError, ValueError, AttributeError) as fault:
+        except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as fault:
             raise Unreadable(f"not a list: {type(fault).__name__} {fault}") from None
 
     def line(self, e: dict[str, Any]) -> Listed:
