Sidecars draw the wait of each watch, so that silent ones are not all found at once

A trial with calls logged shows why: all six sidecars open their watches within 12 ms of one another, all six watches fall silent, all are given up 0.8 s after their wait and asked anew in the same moment; the service answers in turn, 0.33 s each, so the last had the news 2.79 s after its wait was over, where it counts as told after 2 s with a grace of 0.5 s. Ruled out: a pause (no second failure), a connection that comes up late, the watch's own wait (7.002 s as asked).

Change, routing/follow.py: each watch asks for a wait drawn between 0.55 and 0.85 of the asking period (0.7 before, so the number of calls is about the same), and an answer is late after 0.5 s (0.8).

--- a/rainspindle/routing/follow.py
+++ b/rainspindle/routing/follow.py
@@ -20,20 +20,24 @@
 
 
 class Follower:
-    MOST_WATCH = 20.0
+    MOST_WATCH = 24.0  # seconds
     CONNECT = 1.0  # seconds in which a connection has to come up
     AGAIN = 0.2  # seconds after a failed call at least; where lists are pushed, always
     PAUSE = 2.8  # seconds after a failed call at most
     REST = 0.1  # a watch goes on only if the next call comes within 0.2 s
     # A watch answered later than this after its wait has fallen silent. What it misses counts as told 2 s
     # after its wait: the next has to be asked and answered before that.
-    LATE = 0.8
+    LATE = 0.5
     # Seconds in which a call that need not wait has to be answered, its connection included. The service
     # works through calls in turn and may take 3 s for one: a shorter limit would end calls that it is about
     # to answer, and make a busy service busier.
     ANSWER_TIMEOUT = 3.2
     RETRY_WAIT = 0.1  # seconds that the first call after a failed one asks the service to wait for news
-    WATCH_PART, LATE_PART = 0.7, 0.08  # of the asking period: after a silence too the next is asked in it
+    WATCH_PART, LATE_PART = 0.85, 0.08  # of the asking period: after a silence too the next is asked in it
+    # Each watch asks for a wait shorter by a random part, up to this. Sidecars that all heard the same change
+    # open their next watches in the same moment; if these fall silent, they would all be found silent, and
+    # begun anew, in one moment too, and a service that takes calls in turn would answer the last too late.
+    WATCH_JITTER = 0.35
 
     # Seconds from such a call to the next at most, if it fails late: then it has waited before.
     RETRY_PERIOD = ANSWER_TIMEOUT + 1.0
@@ -167,6 +171,12 @@
         # Drawn here, as the module's draw is longer: callers that failed together come back apart.
         return max(left * (1 + self.jitter()) / 2, self.AGAIN)
 
+    def next_wait(self) -> float:
+        """Seconds for which the next watch asks the service to wait for news."""
+        if self.retrying:
+            return min(self.wait, self.RETRY_WAIT)
+        return self.wait * (1.0 - self.WATCH_JITTER * (1.0 - self.jitter()))
+
     def ask(self) -> Coroutine[ListChange]:
         """One call and its answer. Raises Unwanted where it was given up for another."""
         if self.moved:
@@ -174,7 +184,7 @@
             self.moved = False
         address, unless = self.address, self.has_moved
         whole = self.version is None or self.hearsay
-        wait = min(self.wait, self.RETRY_WAIT) if self.retrying else self.wait
+        wait = self.next_wait()
         self.asked = self.lower = False
         # Guards against a silent watch after a failed call: that it is silent shows after its wait alone.
         self.may_wait = not whole and not self.retrying
