The bound's comment names the one connection; the stand-in sets the follower's jitter

The sum in rainspindle/routing/follow.py has one CONNECT because a lower version leaves the connection open: said so.

--- a/rainspindle/routing/follow.py
+++ b/rainspindle/routing/follow.py
@@ -42,9 +42,9 @@
     # reached. UNREACHED bounds the seconds from that moment until the call is written that is answered with
     # the change. First a call from before has to fail and a pause follows: RETRY_PERIOD, or a connection that
     # does not come up and PAUSE. If the service counts its versions anew, its first answer is refused and the
-    # whole list is asked for AGAIN seconds later. A connection may take all its time. The rest, ANSWER_TIME,
-    # is left to the answers. None of it depends on the asking period: after a failed call, no watch is opened
-    # before a call that the service answers at once.
+    # whole list is asked for AGAIN seconds later, on the same connection, which may take CONNECT to come up.
+    # The rest, ANSWER_TIME, is left to the answers. None of it depends on the asking period: after a failed
+    # call, no watch is opened before a call that the service answers at once.
     TOLD_WITHIN = 6.0
     UNREACHED = max(RETRY_PERIOD, CONNECT + PAUSE) + AGAIN + CONNECT
     ANSWER_TIME = TOLD_WITHIN - UNREACHED
--- a/tests/discovery.py
+++ b/tests/discovery.py
@@ -395,6 +395,5 @@
         keeper = ListKeeper(self.loop, ask_within, chance)
         keeper.want = follower.want
         follower.core = cast(Core, keeper)
-        if hasattr(follower, "jitter"):
-            follower.jitter = chance
+        follower.jitter = chance
         return follower, keeper
