A fault in what follows a coroutine is told and no longer ends the process

Loop.resume (transport/loop.py) calls Loop.finish from its own exception handler, and finish called the task's `then` unguarded: an exception in it (a connection's close, a front's bookkeeping) left Loop.step and Loop.run, and with them every request under way. No path that raises there is known today; one owner's fault must not end the others, as for events and coroutines.

Change. finish tells such a fault to on_fault and goes on.

Seen with the mend undone: the planted OSError leaves the loop's step in test_a_fault_in_what_follows_a_coroutine_does_not_end_the_loop.

--- a/rainspindle/transport/loop.py
+++ b/rainspindle/transport/loop.py
@@ -181,4 +181,7 @@
         task.done = True
         self.tasks.discard(task)
         if task.then is not None:
-            task.then()
+            try:
+                task.then()
+            except Exception as fault:  # must not end the loop, and with it the process
+                self.on_fault(fault)
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -42,6 +42,26 @@
     loop.epoll.close()
 
 
+def test_a_fault_in_what_follows_a_coroutine_does_not_end_the_loop() -> None:
+    loop, went_on = SteppedLoop(), list[str]()
+
+    def ends() -> Coroutine[None]:
+        yield -1.0
+
+    def fails() -> None:
+        raise OSError("planted")
+
+    def other() -> Coroutine[None]:
+        yield -1.0
+        went_on.append("other")
+    loop.spawn(ends(), fails)
+    loop.spawn(other())
+    for _ in range(3):
+        loop.step()
+    assert went_on == ["other"] and [str(fault) for fault in loop.faults] == ["planted"]
+    loop.epoll.close()
+
+
 def test_many_requests_at_once_do_not_hold_up_another_client(rig: Rig) -> None:
     """Guards against a connection that is served to the end of its bytes before anybody else has a turn."""
     flooding, other = rig.client(), rig.client()
