A close takes no answer with it: half-closed first, and closed once its client has

Cause: a connection was closed in the turn in which its last answer was written (HttpFront.serve after `exchange` or /ready, `next_cycle`, and an answer passed on before the body was whole), though bytes may lie unread or be on their way: the system then resets the connection and drops what the client has not taken yet. `finish_clients` closed resting connections right after a look, so a request between look and close was met by a reset. `last` counted as silent before its answer was written, so `end` could cut it in the middle.

Change: `Connection.half_close` ends the sending half and reads nothing more; `close_gracefully` then waits up to 0.5 s (CLOSE_WAIT) for the client's own end. Resting connections end the same way. Where the client is still sending a body, `read_on` drops its rest, as after a refusal; a refusal gives way only once written. The process still leaves at the time that its stage says, whoever is left.

Seen with the mend undone (tests/test_shutdown.py, receive buffer of 4 KiB): the answer of 60 KiB came in part and ended in a reset; the long answer before its body's end likewise (122,880 bytes told, not all came); the crossing request got ConnectionResetError in place of an end; the half-written refusal came short.

--- a/rainspindle/fronts/http1/front.py
+++ b/rainspindle/fronts/http1/front.py
@@ -22,6 +22,7 @@
 FEW, MANY = 0.4, 0.55  # parts of the cap on clients, over which connections end that wait for a request
 LONG_WAIT, SHORT_WAIT = 2.0, 0.25  # for so long, over the one and over the other
 LINGER, MOST_LINGER = 1.0, 256 * 1024  # seconds and bytes read on after a refusal
+CLOSE_WAIT = 0.5  # seconds for which a half-closed connection waits for its client to close too
 
 
 class HttpFront:
@@ -77,11 +78,14 @@
             self.end(connection)
 
     def finish_clients(self, idle: float = 0.0) -> bool:
-        """Ends the connections with no request for so many seconds; whether no client is left.
+        """Half-closes the connections with no request for so many seconds; whether no client is left.
 
-        Guards against cutting off a request that has begun: it has its own time to become whole."""
+        Guards against cutting off a request that has begun: it has its own time to become whole; and against
+        a reset over a request that crosses: its client sees an end with no answer, and sends it again."""
         for connection in self.crowd.resting(self.loop.now(), idle):
-            self.end(connection)
+            if connection.sound():
+                self.crowd.gone(connection)
+                connection.half_close()
         return not self.clients
 
     def make_room(self) -> bool:
@@ -100,6 +104,7 @@
                         yield from client.send(side.go_on(), until)
                     data = yield from client.await_bytes(until, lambda: client.closed)
                 except (Broken, Unwanted):
+                    yield from self.close_gracefully(client)
                     return
                 except Late:
                     if side.begun:
@@ -123,6 +128,7 @@
                         yield from self.refuse(client, side, Bad(409, "this X-Request-ID is under way"))
                         return
                     if not (yield from self.exchange(client, side, message)):
+                        yield from self.close_gracefully(client)
                         return
                 else:
                     # One that leaves is not ready: its successor is, under the same address.
@@ -131,10 +137,12 @@
                     yield from client.send(side.answer(200 if ready else 503, b"", close),
                                            self.loop.now() + SILENCE)
                     if close:
+                        yield from self.close_gracefully(client)
                         return
             except (Broken, Late):
                 return
             if not side.next_cycle():
+                yield from self.close_gracefully(client)
                 return
             since = self.loop.now()
             if side.begun:  # the next one came with it
@@ -148,21 +156,43 @@
         Guards against a close on requests that came together: the last of them is answered before it."""
         return self.closing and not side.follows() and not client.pending()
 
+    def close_gracefully(self, client: Connection) -> Coroutine[None]:
+        """Half-closes, and gives the client a moment to read to the end and close before it is closed here.
+
+        Guards against a reset, by bytes that are unread or on their way, that takes the last answer along.
+        Nothing is read meanwhile. May hurt by a descriptor held for a client that does not close: it gives
+        way to others as one that owes its first request does."""
+        if client.ended or client.closed:
+            return
+        client.half_close()
+        self.crowd.came(client, self.loop.now())
+        yield from client.await_end(self.loop.now() + CLOSE_WAIT)
+
     def refuse(self, client: Connection, side: ApplicationSide, bad: Bad) -> Coroutine[None]:
         """Answers, then reads on for a moment: else the answer would be lost in a reset."""
         yield from self.last(client, side.answer(bad.status, bad.reason.encode() + b"\n", close=True))
 
     def last(self, client: Connection, out: bytes) -> Coroutine[None]:
         """Sends an answer while the client may still be sending."""
-        until, left = self.loop.now() + LINGER, MOST_LINGER
-        self.crowd.came(client, self.loop.now())  # may be ended for others
+        until = self.loop.now() + LINGER
         try:
             yield from client.send(out, until)
-            client.end_sending()
+        except (Broken, Late):
+            client.close()
+            return
+        yield from self.read_on(client, until)
+
+    def read_on(self, client: Connection, until: float) -> Coroutine[None]:
+        """Ends the sending side behind an answer, drops what its client is still sending, and closes."""
+        left = MOST_LINGER
+        self.crowd.came(client, self.loop.now())  # may be ended for others, now that its answer is written
+        client.end_sending()
+        try:
             while left > 0 and (data := (yield from client.await_bytes(until, lambda: client.closed))):
                 left -= len(data)
         except (Broken, Late, Unwanted):
             pass
+        client.close()
 
     def exchange(self, client: Connection, side: ApplicationSide, ask: Ask) -> Coroutine[bool]:
         """Hands an exchange over and gives its client the final answer; whether the connection goes on."""
@@ -184,7 +214,10 @@
         if isinstance(final, Left):
             return False
         if isinstance(final, Finished) and isinstance(final.payload, Passed):
-            return streams.framed and not streams.closed and (not ask.more or streams.whole)
+            if ask.more and not streams.whole:
+                yield from self.read_on(client, self.loop.now() + LINGER)
+                return False
+            return streams.framed and not streams.closed
         if isinstance(final, Broke):
             if streams.cut is not None and not streams.begun:
                 yield from self.refuse(client, side, Bad(streams.cut.status, str(streams.cut)))
--- a/rainspindle/transport/connection.py
+++ b/rainspindle/transport/connection.py
@@ -48,6 +48,7 @@
         self.closed = False
         self.readable = self.writable = connected
         self.ended = False  # the other side has closed or broken it, or its sending half
+        self.half_closed = False  # this side has ended its sending, and reads no more
         self.came = loop.came  # the earliest that the last bytes read can have come
         self.seen = loop.looked  # when they were there at the latest
         self.idle_since = 0.0
@@ -86,7 +87,9 @@
             raise Broken(errno.errorcode.get(error, str(error)))
 
     def receive(self) -> bytes | None:
-        """What has come: None while there is nothing, b"" at the end."""
+        """What has come: None while there is nothing, b"" at the end. Raises Unwanted once half closed."""
+        if self.half_closed:
+            raise Unwanted
         if not self.readable:
             return None
         try:
@@ -175,6 +178,22 @@
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_WR)
 
+    def half_close(self) -> None:
+        """Ends the sending side, and reads nothing more: what still comes stays unread.
+
+        Guards against a reset, which a close over unread bytes is: the other side gets all that was written,
+        then the end. A request that crosses it is left unread, so that its client may send it again."""
+        if not self.closed:
+            self.half_closed = True
+            self.end_sending()
+            self.wake()
+
+    def await_end(self, until: float) -> Coroutine[None]:
+        """Waits, reading nothing, until the other side ends the connection too, or it is closed here."""
+        self.mine()
+        while not self.ended and not self.closed and self.loop.now() < until:
+            yield until
+
     def close(self) -> None:
         if not self.closed:
             self.closed = True
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,160 @@
+"""Shutdown, with bytes, closes and signals that cross: each answer arrives whole, nothing is read too late."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+
+import pytest
+
+from rainspindle.fronts.http1.front import HttpFront
+from rainspindle.protocol.application import ApplicationSide
+from rainspindle.transport.connection import Connection
+
+from .fleet import Client, Rig, ask, only
+
+BODY = bytes(range(256)) * 240  # 60 KiB: far more than a client with a small buffer has room for
+
+
+class SlowClient(Client):
+    """A client that reads nothing until `rest`, with a receive buffer that holds a part of an answer."""
+
+    def __init__(self, rig: Rig) -> None:
+        self.sock = socket.socket()
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self.sock.connect(("127.0.0.1", rig.listener.address[1]))
+        self.sock.setblocking(False)
+        self.rig = rig
+        rig.clients.append(self)
+
+    def send(self, data: bytes) -> None:
+        self.sock.sendall(data)
+
+    def rest(self) -> tuple[bytes, bool]:
+        """All that still comes, and whether it ended in a reset."""
+        data = b""
+        for _ in range(10_000):
+            try:
+                piece = self.sock.recv(1 << 20)
+            except BlockingIOError:
+                self.rig.settle()
+                continue
+            except ConnectionError:
+                return data, True
+            if not piece:
+                return data, False
+            data += piece
+        raise AssertionError("the connection was not ended")
+
+
+def cross(monkeypatch: pytest.MonkeyPatch, act: Callable[[], None]) -> None:
+    """Has `act` run right after the front has decided that a connection ends with its answer."""
+    closes, done = HttpFront.closes, list[bool]()
+
+    def decided(self: HttpFront, client: Connection, side: ApplicationSide) -> bool:
+        close = closes(self, client, side)
+        if close and not done:
+            done.append(True)
+            act()
+        return close
+    monkeypatch.setattr(HttpFront, "closes", decided)
+
+
+READY = b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+def test_an_answer_written_before_a_close_is_not_lost_to_bytes_that_cross_it(
+        rig: Rig, monkeypatch: pytest.MonkeyPatch) -> None:
+    client = SlowClient(rig)
+    client.send(ask("x", "book"))
+    got = only(rig.got())
+    rig.front.closing = True
+    cross(monkeypatch, lambda: client.send(ask("crossed")))
+    got.answer(200, BODY)
+    rig.settle()
+    data, reset = client.rest()
+    assert data.endswith(BODY) and b"\r\nConnection: close\r\n" in data and not reset
+    assert rig.got() == [], "a request that came behind the last answer was sent on"
+    client.close()
+    rig.settle()
+    assert not rig.front.clients
+
+
+def test_a_connection_that_its_client_leaves_open_after_the_last_answer_is_closed_in_bounded_time(
+        rig: Rig, monkeypatch: pytest.MonkeyPatch) -> None:
+    client = SlowClient(rig)
+    rig.front.closing = True
+    cross(monkeypatch, lambda: client.send(READY))
+    client.send(READY)
+    rig.settle()
+    data, reset = client.rest()
+    assert data.startswith(b"HTTP/1.1 ") and data.count(b"HTTP/1.1 ") == 1 and not reset
+    rig.wait(1.0)
+    assert not rig.front.clients
+
+
+def test_a_long_answer_passed_on_before_the_body_was_whole_is_not_lost(rig: Rig) -> None:
+    client = SlowClient(rig)
+    head, body = ask("x", "book").replace(b"Content-Length: 0", b"Content-Length: 300000"), b"b" * 200_000
+    client.send(head + body[:100_000])
+    rig.settle()
+    sock = next(sock for stand in rig.stands for sock in stand.readers)
+    sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (2 * len(BODY)) + BODY)
+    rig.wait(0.05)  # a part of the answer goes on before the rest has come
+    sock.sendall(BODY)
+    client.send(body[100_000:])  # it goes on with its body: it has not seen the answer yet
+    rig.settle()
+    assert not rig.core.held
+    data, reset = client.rest()
+    assert data.endswith(BODY + BODY) and not reset
+
+
+def test_a_request_that_crosses_the_end_of_a_resting_connection_sees_an_end_and_no_reset(
+        rig: Rig, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its client sends it once more; it is read and sent on by nobody here."""
+    client = rig.asked(ask("warm"))
+    rig.serve()
+    assert client.status() == 200
+    sound = Connection.sound
+
+    def looked(self: Connection) -> bool:
+        found = sound(self)
+        client.sock.sendall(ask("crossed"))
+        return found
+    monkeypatch.setattr(Connection, "sound", looked)
+    rig.front.closing = True
+    rig.front.finish_clients()
+    monkeypatch.undo()
+    assert rig.got() == [], "a request read after the shutdown was sent on"
+    assert client.sock.recv(1) == b"", "the end must come, and no answer"
+    client.close()
+    rig.settle()
+    assert not rig.front.clients and rig.core.taken == 1
+
+
+def test_a_connection_with_a_request_unread_is_not_ended(rig: Rig) -> None:
+    client = rig.asked(ask("warm"))
+    rig.serve()
+    assert client.status() == 200
+    client.send(ask("came first"))
+    rig.front.closing = True
+    assert not rig.front.finish_clients()
+    rig.serve()
+    assert client.status() == 200
+
+
+def test_a_refusal_half_written_is_not_cut_by_the_end_of_resting_connections(rig: Rig) -> None:
+    """An answer to a body that has not come whole: its client is slow to read it."""
+    client = SlowClient(rig)
+    client.send(ask("x", "book").replace(b"Content-Length: 0", b"Content-Length: 300000") + b"b" * 150_000)
+    rig.settle()
+    sock = next(sock for stand in rig.stands for sock in stand.readers)
+    connection = next(iter(rig.front.clients))
+    connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(BODY) + BODY)
+    rig.settle()
+    rig.front.closing = True
+    rig.wait(0.6)
+    rig.front.finish_clients()
+    data, reset = client.rest()
+    assert data.endswith(BODY) and not reset
