A defect in taking a new configuration no longer swallows a SIGTERM that came with it

Cause: `Signals.on_events` reads all signals that have come at once and calls `came` for each. An exception out of a SIGHUP (anything but ConfigFault, which `reload` handles) left the loop over them: a SIGTERM in the same read was lost, and bytes still in the socket had no new edge.

Change: each signal has its own guard; the fault is logged and counted as any other of the loop.

Seen with the mend undone: test_sigterm_is_heard_whatever_a_sighup_beside_it_brings failed for (SIGHUP, SIGTERM) and (SIGHUP, SIGTERM, SIGTERM, SIGHUP) with a load that raises RuntimeError: the stage stayed `serving`.

--- a/rainspindle/program/serve.py
+++ b/rainspindle/program/serve.py
@@ -63,7 +63,7 @@
     """SIGTERM, SIGINT and SIGHUP, told through a socket so that they end the loop's wait."""
 
     def __init__(self, loop: Loop) -> None:
-        self.closed = False
+        self.closed, self.on_fault = False, loop.on_fault
         self.told, self.teller = socket.socketpair()
         self.told.setblocking(False)
         self.teller.setblocking(False)
@@ -79,7 +79,10 @@
         with contextlib.suppress(BlockingIOError):
             while numbers := self.told.recv(64):
                 for number in numbers:
-                    self.came(number)
+                    try:
+                        self.came(number)
+                    except Exception as fault:  # of a SIGHUP: a SIGTERM that came with it is still heard
+                        self.on_fault(fault)
 
 
 class Front(Protocol):
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -1,17 +1,21 @@
-"""Shutdown, with bytes, closes and signals that cross: each answer arrives whole, nothing is read too late."""
+"""Shutdown, with bytes, closes and signals that cross: answers arrive whole, nothing is read too late."""
 
 from __future__ import annotations
 
+import os
+import signal
 import socket
 from collections.abc import Callable
 
 import pytest
 
 from rainspindle.fronts.http1.front import HttpFront
+from rainspindle.program.config import Config, ConfigFault, check
+from rainspindle.program.serve import Sidecar
 from rainspindle.protocol.application import ApplicationSide
 from rainspindle.transport.connection import Connection
 
-from .fleet import Client, Rig, ask, only
+from .fleet import SETTINGS, Client, Open, Rig, SteppedLoop, ask, only
 
 BODY = bytes(range(256)) * 240  # 60 KiB: far more than a client with a small buffer has room for
 
@@ -158,3 +162,92 @@
     rig.front.finish_clients()
     data, reset = client.rest()
     assert data.endswith(BODY) and not reset
+
+
+# Signals, within one process: a sidecar whose loop the test steps.
+
+
+class Stepped(Open):
+    """A whole sidecar in this process, and signals sent to it."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, load: Callable[[Config], Config]) -> None:
+        super().__init__()
+        monkeypatch.setattr("rainspindle.program.serve.Loop", lambda fault: SteppedLoop())
+        self.former = {number: signal.getsignal(number)
+                       for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGPIPE)}
+        config = check("here", {
+            "name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "settings": SETTINGS,
+            "known": {"generation": 1, "reset": True, "instances": []}}, {})
+        self.sidecar = Sidecar(config, lambda: load(config))
+        assert isinstance(self.sidecar.loop, SteppedLoop)
+        self.loop = self.sidecar.loop
+
+    def signal(self, *numbers: int) -> None:
+        """All of them before the loop's next look."""
+        for number in numbers:
+            os.kill(os.getpid(), number)
+        self.loop.step()
+        self.loop.step()
+
+    def end(self) -> None:
+        signal.set_wakeup_fd(-1)
+        for number, handler in self.former.items():
+            signal.signal(number, handler)
+        sidecar = self.sidecar
+        sidecar.close_listeners()
+        for connection in list(sidecar.front.clients):  # type: ignore[call-overload]
+            connection.close()
+        for task in list(self.loop.tasks):
+            task.coroutine.close()
+        sidecar.signals.told.close()
+        sidecar.signals.teller.close()
+        self.loop.epoll.close()
+
+
+def unchanged(config: Config) -> Config:
+    return config
+
+
+def refused(config: Config) -> Config:
+    raise ConfigFault("a fault in the file", "mend it")
+
+
+def defect(config: Config) -> Config:
+    raise RuntimeError("a defect")
+
+
+@pytest.mark.parametrize("load", [unchanged, refused, defect])
+@pytest.mark.parametrize("numbers", [(signal.SIGHUP, signal.SIGTERM), (signal.SIGTERM, signal.SIGHUP),
+                                     (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM, signal.SIGHUP)])
+def test_sigterm_is_heard_whatever_a_sighup_beside_it_brings(
+        monkeypatch: pytest.MonkeyPatch, load: Callable[[Config], Config], numbers: tuple[int, ...]) -> None:
+    stepped = Stepped(monkeypatch, load)
+    sidecar, began = stepped.sidecar, stepped.loop.time
+    stepped.signal(*numbers)
+    assert sidecar.stages.ending and sidecar.front.leaving  # type: ignore[attr-defined]
+    stepped.loop.time += 0.5
+    stepped.signal(signal.SIGTERM, signal.SIGHUP)
+    assert sidecar.stages.since == began, "a second SIGTERM counts from the first"
+    stepped.loop.faults.clear()
+
+
+def test_sigterm_before_ready_ends_with_the_door_open_to_its_time_and_never_ready(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """The signal is there before the loop has run once."""
+    stepped = Stepped(monkeypatch, unchanged)
+    sidecar = stepped.sidecar
+    sidecar.front.ready_from = stepped.loop.time + 1.0
+    stepped.signal(signal.SIGTERM)
+    client = Client(sidecar.listener.address[1])
+    client.send(READY)
+    stepped.loop.settle()
+    assert client.status() == 503
+    stepped.loop.wait(1.1)
+    client.send(READY)
+    stepped.loop.settle()
+    assert client.status() == 503, "one that leaves is not ready"
+    client.close()
+    stepped.loop.time = sidecar.stages.since + sidecar.stages.let + 0.3
+    for _ in range(10):
+        stepped.loop.step()
+    assert sidecar.listener.closed and stepped.loop.stopped
