What 2 to 30 sidecars together send a cold endpoint, played with the real module

The table of the design was computed by bare draws of many small shares. tests/cold_fleet.py drives a Balancer for each sidecar in virtual time, from a seed, against endpoints with one core of which some start cold: uneven load, several starts at once, bursts, restarts, sidecars told at different moments, a hot key, a returning id, a missing number of sidecars, types with different work, keys that servers know.

Result: no fault found, rainspindle/logic.py is unchanged. The bound N + 2 x root of N + 2 is kept in all cases of the test. With MARGIN = 1.0 in logic.py the three cases of test_the_margin_keeps_the_bound_where_it_is_tight_and_a_larger_one_does_not fail (1.11 of the bound with 30 sidecars); a restarted sidecar that counts on the whole rate of an endpoint passes the bound too, which test_a_restarted_sidecar_begins_with_nothing_learnt plants and asserts.

Not kept at every seed: where known keys spare 0.9 of the work, starting endpoints have 0.6 of the speed and N is 2, one play of nine passed the bound (1.03 of it); with 0.75 spared none of twelve did (0.92 at most).

--- /dev/null
+++ b/tests/test_cold_fleet.py
@@ -0,0 +1,86 @@
+"""What all sidecars together send a cold endpoint stays within N + 2 x root of N + 2, at fixed seeds."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from rainspindle.logic import ColdBudget
+
+from .cold_fleet import Case, Contract, Sidecar, play
+
+SMALL = Case(20, allowed=2.0, contract=Contract(1.5, 1.0), leaving=4, burst=1.5)
+MIDDLE = replace(SMALL, allowed=5.0, contract=Contract(3.0, 1.5))
+LARGE = replace(SMALL, allowed=20.0, contract=Contract(2.5, 3.0))
+CASES = {
+    "uneven, a burst of half": SMALL,
+    "even": replace(SMALL, uneven=False),
+    "middle N": MIDDLE,
+    "threefold burst at slow endpoints": replace(SMALL, burst=3.0, speed=0.6),
+    "threefold burst, known keys, slow endpoints": replace(SMALL, burst=3.0, speed=0.6, known_gain=0.75),
+    "silence, then a threefold burst": replace(SMALL, burst=3.0, silent_for=3.0),
+    "all sidecars restarted in the ramp": replace(SMALL, restarts=1.0, burst=3.0),
+    "told over 6 s": replace(SMALL, told_within=6.0, burst=3.0),
+    "a hot key": replace(SMALL, hot=0.3, burst=3.0),
+    "the number of sidecars is not told": replace(MIDDLE, peers=1, burst=3.0),
+    "a type with eight times the work": replace(SMALL, heavy=8.0, burst=3.0),
+    "slow servers, little traffic": replace(SMALL, contract=Contract(2.5, 3.0), burst=3.0),
+}
+
+
+@pytest.mark.parametrize("sidecars", [2, 5, 20, 30])
+@pytest.mark.parametrize("name", CASES)
+def test_all_sidecars_together_keep_the_bound_of_a_cold_endpoint(name: str, sidecars: int) -> None:
+    peak = play(replace(CASES[name], sidecars=sidecars), 1)
+    assert peak.used > 0.02, "the endpoints were not used: nothing is shown"
+    assert peak.over_bound <= 1.0 and not peak.passed, peak
+
+
+@pytest.mark.parametrize("sidecars", [5, 30])
+def test_a_large_budget_is_kept_too(sidecars: int) -> None:
+    peak = play(replace(LARGE, sidecars=sidecars, burst=3.0, speed=0.6, known_gain=0.75), 1)
+    assert peak.used > 0.1 and peak.over_bound <= 1.0, peak
+
+
+@pytest.mark.parametrize("sidecars", [2, 5, 20, 30])
+def test_an_endpoint_that_returns_cold_under_its_id_falls_by_none_that_were_told(sidecars: int) -> None:
+    """Sidecars that have not been told take it for a warm one: what they send may pass the bound."""
+    peak = play(replace(MIDDLE, sidecars=sidecars, returning=True, told_within=6.0, burst=3.0), 1)
+    assert peak.used > 0.02 and not peak.broken, peak
+
+
+# All that raises the count at once: known keys make warm ones answer more, and the starting ones are slow.
+TIGHT = replace(SMALL, burst=5.0, speed=0.6, known_gain=0.9, lengths=0.2)
+
+
+@pytest.mark.parametrize("sidecars, seed", [(2, 2), (20, 3), (30, 1)])
+@pytest.mark.parametrize("planted", [None, 1.0])
+def test_the_margin_keeps_the_bound_where_it_is_tight_and_a_larger_one_does_not(
+        planted: float | None, sidecars: int, seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    if planted:
+        monkeypatch.setattr(ColdBudget, "MARGIN", planted)
+    peak = play(replace(TIGHT, sidecars=sidecars), seed)
+    assert (peak.broken > 0) == bool(planted), peak
+
+
+@pytest.mark.parametrize("planted", [False, True])
+@pytest.mark.parametrize("name, seed", [
+    ("threefold burst, known keys, slow endpoints", 4), ("silence, then a threefold burst", 4)])
+def test_a_restarted_sidecar_begins_with_nothing_learnt(
+        name: str, seed: int, planted: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The planted fault: a new process takes all that an endpoint can answer for its own part of that."""
+    start = Sidecar.start
+
+    def start_with_the_whole_rate(self: Sidecar, now: float) -> None:
+        start(self, now)
+        if now > 0:
+            self.balancer.warm_rate = self.play.rate
+    if planted:
+        monkeypatch.setattr(Sidecar, "start", start_with_the_whole_rate)
+    peak = play(replace(CASES[name], sidecars=30, restarts=1.0), seed)
+    assert (peak.broken > 0) == planted, peak
+
+
+def test_one_seed_gives_one_play() -> None:
+    assert play(SMALL, 1) == play(SMALL, 1) != play(SMALL, 2)
