Settings: any number of classes, and one clear error for what can't be served

Cause: protocol/settings.py took what it needed unchecked. `max-forwards`, `cold-from` or a class's name that is no number or no text, or `expiry` 0, was accepted, also by `check`, and failed only under requests; a list with no class gave "max() arg is an empty sequence", an unknown effect "the settings lack 'odd'", and a deployment without `failure-domains` was refused. Change: both hosts read the traffic types by one function that names the class and the key at fault; numbers, switches and lists are checked by their keys; zones may be absent. Values that were served before are read as before. Also: both files of deploy/sites/ serve each class and repeat it as its effect lets.

--- a/rainspindle/program/config.py
+++ b/rainspindle/program/config.py
@@ -117,11 +117,13 @@
     def told(name: str) -> str:
         return str(raw.get(name) or environment.get(f"RELAY_{name.upper()}") or missing(name))
 
-    whole, peers = raw["settings"], decode_peers(raw)
+    whole = raw["settings"]
+    if not isinstance(whole, dict):
+        raise ValueError(f"settings is no object: {whole!r}")
+    settings, peers = socket_settings(whole), decode_peers(raw)
     deaf = peers is None and not over_members and flag(whole["policy-limits"], "peers")
     if deaf:
         whole = {**whole, "policy-limits": {**whole["policy-limits"], "peers": False}}
-    settings = socket_settings(whole)
     decoder = ListDecoder(settings.zones, time.monotonic() - time.time(), settings.kinds)
     known = decoder.decode(raw["known"]) if raw.get("known") else ListChange(0, True, (), {})
     seed = raw.get("seed", 0)
--- a/rainspindle/protocol/settings.py
+++ b/rainspindle/protocol/settings.py
@@ -25,14 +25,48 @@
 
 
 def traffic_type(t: dict[str, Any]) -> TrafficType:
-    if t["effect"] not in EFFECTS:
+    if t["effect"] not in tuple(EFFECTS):  # a tuple also looks for what has no hash
         raise ValueError(f"unknown effect {t['effect']!r}")
     group = t.get("dedup-scope") or "all"
-    if group not in GROUPS:
+    if group not in tuple(GROUPS):
         raise ValueError(f"unknown group {group!r}")
     return TrafficType(
-        EFFECTS[t["effect"]], GROUPS[group], seconds(t["promised-time"]), seconds(t["expiry"]),
-        seconds(t.get("memory-span")), number(t, "value", 1.0))
+        EFFECTS[t["effect"]], GROUPS[group], period(t, "promised-time"), period(t, "expiry"),
+        seconds(number(t, "memory-span", 0.0)), number(t, "value", 1.0))
+
+
+def period(s: dict[str, Any], key: str) -> float:
+    """Seconds, of which the settings tell milliseconds. Raises KeyError, or ValueError naming the key."""
+    if s[key] is None or not number(s, key, 0.0):
+        raise ValueError(f"{key} is no number over 0: {s[key]!r}")
+    return seconds(s[key])
+
+
+def traffic_types(s: dict[str, Any]) -> list[TrafficType]:
+    """At least one. Raises ValueError, which says which one is at fault."""
+    listed = s["traffic-types"]
+    if not isinstance(listed, list) or not listed or not all(isinstance(t, dict) for t in listed):
+        raise ValueError("traffic-types is no list of traffic types, one at least")
+    types = list[TrafficType]()
+    for n, t in enumerate(listed):
+        try:
+            types.append(traffic_type(t))
+        except KeyError as fault:
+            raise ValueError(f"traffic-types[{n}]: the settings lack {fault}") from None
+        except ValueError as fault:
+            raise ValueError(f"traffic-types[{n}]: {fault}") from None
+    return types
+
+
+def type_names(s: dict[str, Any]) -> tuple[str, ...]:
+    """The names by which clients ask for the traffic types."""
+    names = [t["name"] for t in s["traffic-types"]]
+    for n, name in enumerate(names):
+        if not isinstance(name, str) or not name:
+            raise ValueError(f"traffic-types[{n}]: name is no text: {name!r}")
+        if name in names[:n]:
+            raise ValueError(f"traffic-types[{n}]: {name!r} is there twice")
+    return tuple(names)
 
 
 def number(s: dict[str, Any], key: str, absent: float) -> float:
@@ -45,6 +79,26 @@
     return float(value)
 
 
+def needed(s: dict[str, Any], key: str) -> float:
+    """A number that has to be there. Raises KeyError, or ValueError naming the key."""
+    if s[key] is None:
+        raise ValueError(f"{key} is no number from 0 on: None")
+    return number(s, key, 0.0)
+
+
+def part(s: dict[str, Any], key: str) -> dict[str, Any]:
+    if not isinstance(s[key], dict):
+        raise ValueError(f"{key} is no object: {s[key]!r}")
+    return dict(s[key])
+
+
+def most_forwards(limits: dict[str, Any]) -> int:
+    most = limits["max-forwards"]
+    if isinstance(most, bool) or not isinstance(most, int | float) or most < 1 or most != int(most):
+        raise ValueError(f"max-forwards is no whole number from 1 on: {most!r}")
+    return int(most)
+
+
 def forward_budget(contract: dict[str, Any]) -> ForwardBudget | None:
     """The budget of further forwards, where the settings state one."""
     keys = ("budget-free", "repeat-ratio", "counted-over")
@@ -85,6 +139,14 @@
     return tuple(named)
 
 
+def zones(s: dict[str, Any]) -> tuple[str, ...]:
+    """Their names; a deployment may have none."""
+    named = s.get("failure-domains") or []
+    if not isinstance(named, list) or not all(isinstance(name, str) for name in named):
+        raise ValueError(f"failure-domains is no list of names: {named!r}")
+    return tuple(named)
+
+
 def soft_removal(contract: dict[str, Any]) -> bool:
     return flag(contract, "soft-removal")
 
@@ -102,19 +164,19 @@
 
 
 def balancer(host: Host, seed: int, now: float, s: dict[str, Any]) -> Balancer:
-    limits, contract = s["policy-limits"], s["contract"]
+    limits, contract = part(s, "policy-limits"), part(s, "contract")
     # Where gone alone does not bind, the module still sends nothing there: that is within the rule.
     soft_removal(contract)
-    budget = ColdBudget(contract["fall-multiple"], seconds(contract["tip-after"]), contract["cold-from"],
-                        seconds(contract["cold"]))
+    budget = ColdBudget(needed(contract, "fall-multiple"), seconds(needed(contract, "tip-after")),
+                        needed(contract, "cold-from"), seconds(needed(contract, "cold")))
     prices, weights = s.get("prices") or {}, choice(s, "weight-kind", WEIGHTS, "off")
     return Balancer(
         host, seed, now, peers=s.get("peers-total") or 1, zone=s["zone"],
-        types=[traffic_type(t) for t in s["traffic-types"]],
-        max_forwards=limits["max-forwards"], parallel=bool(limits.get("parallel-tries")),
-        may_call_off=bool(limits.get("cancel")),
-        max_hold_off=seconds(limits.get("max-retry-after")) if limits.get("retry-after") else 0.0,
-        asks_list=asks_list(s), ask_within=seconds(contract["ask-within"]),
+        types=traffic_types(s),
+        max_forwards=most_forwards(limits), parallel=flag(limits, "parallel-tries"),
+        may_call_off=flag(limits, "cancel"),
+        max_hold_off=seconds(number(limits, "max-retry-after", 0.0)) if flag(limits, "retry-after") else 0.0,
+        asks_list=asks_list(s), ask_within=seconds(needed(contract, "ask-within")),
         use_shares=weights in ("nominal", "rough"), cross_price=number(prices, "cross-zone", 0.0),
         budget=budget, further=forward_budget(contract), tells=flag(limits, "peers"),
         peer_price=number(prices, "peer", 0.0), allowances=allowances(s),
@@ -138,15 +200,13 @@
 
 def socket_settings(s: dict[str, Any]) -> SocketSettings:
     try:
-        limits, contract = s["policy-limits"], s["contract"]
+        limits, contract, types = part(s, "policy-limits"), part(s, "contract"), traffic_types(s)
+        connect_timeout = seconds(number(limits, "connect-timeout", 0.0)) or 1.0
         return SocketSettings(
-            tuple(t["name"] for t in s["traffic-types"]),
-            tuple(seconds(t["expiry"]) for t in s["traffic-types"]),
-            tuple(EFFECTS[t["effect"]] is Effect.BINDING for t in s["traffic-types"]),
+            type_names(s), tuple(t.expiry for t in types), tuple(t.effect is Effect.BINDING for t in types),
             # Guards against a machine that has vanished: waiting for it must not use up the promised time.
-            tuple(min(seconds(limits.get("connect-timeout")) or 1.0,
-                      CONNECT_PART * seconds(t["promised-time"])) for t in s["traffic-types"]),
-            tuple(s["failure-domains"]), seconds(limits.get("conn-idle")), seconds(contract["ask-within"]),
-            seconds(contract["stop-sending-within"]), kinds(s))
+            tuple(min(connect_timeout, CONNECT_PART * t.promised_time) for t in types),
+            zones(s), seconds(number(limits, "conn-idle", 0.0)), seconds(needed(contract, "ask-within")),
+            seconds(needed(contract, "stop-sending-within")), kinds(s))
     except KeyError as e:
         raise ValueError(f"the settings lack {e}") from None
--- /dev/null
+++ b/tests/test_sites_settings.py
@@ -0,0 +1,193 @@
+"""Any deployment: classes, tenants, zones and limits come from the settings, and stay those of the start."""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from rainspindle.program.config import ConfigFault, check
+from rainspindle.protocol.settings import make_balancer, socket_settings
+
+from .fleet import SETTINGS, Fleet, Rig, ask, entry, kind
+from .test_program import ROOT, config
+
+SITES = sorted((ROOT / "deploy" / "sites").glob("*.toml"))
+EFFECTS = {"safe": "read_like", "keyed": "idempotency_key", "unsafe": "non_idempotent"}
+GROUPS = ("all", "zone", "cell")
+
+
+def site(path: Path) -> dict[str, Any]:
+    return tomllib.loads(path.read_text())
+
+
+def settings_of(site: dict[str, Any]) -> dict[str, Any]:
+    """What a sidecar of that site is told, as docs and README name it."""
+    rules, allow, tier = site["rules"], site["allow"], site["tier"][0]
+    contract = {"answer-slack": 20.0, "ask-within": 10000.0, "fall-multiple": rules["fall_multiple"],
+                "tip-after": rules["fall_ms"], "stop-sending-within": rules["drain_grace_ms"],
+                "cold-from": min(k["cold_from"][0] for k in tier["kind"]),
+                "cold": max(k["cold_s"][1] for k in tier["kind"]) * 1000}
+    if "budget_ms" in rules:
+        contract |= {"budget-free": rules["budget_free"], "repeat-ratio": rules["budget_share"],
+                     "counted-over": rules["budget_ms"], "soft-removal": rules.get("only_draining_binds")}
+    return {
+        "contract": contract, "zone": 0, "failure-domains": site["net"]["zones"], "peers-total": 4,
+        "discovery": "pushed" if site["discovery"]["mode"] == "push" else "on_request",
+        "policy-limits": {
+            "cancel": allow["cancel"], "conn-idle": tier["conn"]["idle_s"] * 1000, "peers": allow["peers"],
+            "connect-timeout": tier["conn"]["connect_timeout_ms"], "max-forwards": allow["max_attempts"],
+            "max-retry-after": site["clients"]["max_retry_after_ms"], "retry-after": allow["retry_after"],
+            "parallel-tries": allow["second_copies"]},
+        "prices": {"cross-zone": site["prices"]["cross_zone"], "peer": site["prices"]["peer"]},
+        "weight-kind": tier["weights"], "kinds": [k["name"] for k in tier["kind"]],
+        "tenants": [{"name": t["name"], "share": t["share"], "allowance-per-s": 100 * t["share"]}
+                    for t in site.get("tenant", [])],
+        "excess-value": site["load"].get("over_share_worth", 1.0),
+        "traffic-types": [
+            {"name": c["name"], "effect": EFFECTS[c["effect"]], "dedup-scope": c.get("group", "all"),
+             "memory-span": c.get("window_ms", 5000), "promised-time": c["aim_ms"],
+             "expiry": c["deadline_ms"], "value": c["worth"], "overdue-value": c["late_worth"]}
+            for c in site["class"]]}
+
+
+def types(*names: str, effect: str = "read_like", **changes: Any) -> dict[str, Any]:
+    return {**SETTINGS, "traffic-types": [
+        {"name": name, "effect": effect, "promised-time": 600.0, "expiry": 2500.0, **changes}
+        for name in names]}
+
+
+# The site files of this project.
+
+
+def test_the_sites_cover_what_a_deployment_may_have() -> None:
+    sites = [site(path) for path in SITES]
+    classes = [c for s in sites for c in s["class"]]
+    assert len(sites) >= 2 and len({c["name"] for c in classes}) == len(classes)
+    assert {c["effect"] for c in classes} == set(EFFECTS)
+    assert {c["group"] for c in classes if c["effect"] == "keyed"} == set(GROUPS)
+    assert len({len(s["class"]) for s in sites}) == len(sites)
+    for has in (
+            [len(s["net"]["zones"]) > 1 for s in sites], ["tenant" in s for s in sites],
+            ["budget_ms" in s["rules"] for s in sites], [s["allow"]["retry_after"] for s in sites],
+            [s["allow"]["second_copies"] for s in sites], [s["discovery"]["mode"] == "push" for s in sites],
+            [s["load"]["keys"] != 0 for s in sites]):
+        assert set(has) == {True, False}
+
+
+def test_nothing_in_the_program_names_what_belongs_to_one_site() -> None:
+    files = [*(ROOT / "rainspindle").rglob("*.py"), *(ROOT / "deploy").glob("*.toml")]
+    text = "\n".join(file.read_text() for file in files)
+    for s in map(site, SITES):
+        parts = [*s["class"], *s.get("tenant", []), *s["tier"][0]["kind"]]
+        for name in [s["name"], *s["net"]["zones"], *(part["name"] for part in parts)]:
+            assert not re.search(rf"['\"]{re.escape(name)}['\"]", text), name
+
+
+@pytest.mark.parametrize("path", SITES, ids=lambda path: path.stem)
+def test_a_sidecar_serves_each_class_of_a_site(path: Path) -> None:
+    settings = settings_of(site(path))
+    loaded = check("config.json", config(settings=settings), {})
+    assert loaded.settings.type_names == tuple(c["name"] for c in site(path)["class"])
+    rig = Rig(settings=settings)
+    for n, name in enumerate(loaded.settings.type_names):
+        client = rig.asked(ask(f"x{n}", name, headers="X-Attrs: billing=0\r\n" if n % 2 else ""))
+        assert rig.serve(200, b"out").id == f"x{n}"
+        assert client.status() == 200
+
+
+@pytest.mark.parametrize("path", SITES, ids=lambda path: path.stem)
+def test_a_class_goes_again_as_its_effect_lets(path: Path) -> None:
+    """Each attempt that may have run is followed by what the class permits, within its group."""
+    settings = settings_of(site(path))
+    zones = settings["failure-domains"]
+    for kind_ in settings["traffic-types"]:
+        rig = Rig(settings=settings)
+        entries = [{**entry(f"e{n}", stand.port, zone=zones[n % len(zones)]), "cell": n}
+                   for n, stand in enumerate(rig.stands)]
+        rig.tell(*entries, whole=True)
+        client = rig.asked(ask("x", kind_["name"]))
+        rig.serve(500)
+        again = rig.got()
+        alone = kind_["effect"] == "non_idempotent" or (
+            kind_["effect"] == "idempotency_key" and kind_["dedup-scope"] != "all" and len(zones) > 1)
+        assert len(again) == (0 if alone else 1), kind_["name"]
+        assert not alone or client.status() == 502
+
+
+# Settings of any form.
+
+
+@pytest.mark.parametrize("count", [1, 2, 7])
+@pytest.mark.parametrize("effect", EFFECTS.values())
+def test_any_number_of_classes_is_served(count: int, effect: str) -> None:
+    names = tuple(f"class {n}" for n in range(count))
+    rig = Rig(settings=types(*names, effect=effect))
+    for n, name in enumerate(names):
+        client = rig.asked(ask(f"x{n}", name))
+        assert rig.serve(200).id == f"x{n}" and client.status() == 200
+    assert rig.asked(ask("y", "class 7")).status() == 400
+
+
+def test_what_the_settings_may_leave_out() -> None:
+    least = {"zone": 0, "policy-limits": {"max-forwards": 1}, "contract": {
+        key: SETTINGS["contract"][key] for key in SETTINGS["contract"] if key != "answer-slack"},
+        "traffic-types": [{"name": "look", "effect": "read_like", "promised-time": 600, "expiry": 2500}]}
+    nulls = dict.fromkeys(("failure-domains", "peers-total", "discovery", "kinds", "tenants", "prices",
+                           "weight-kind", "excess-value"))
+    for settings in (least, {**least, **nulls}):
+        assert check("config.json", config(settings=settings), {}).settings.zones == ()
+        rig = Rig(settings=settings)
+        client = rig.asked(ask("x"))
+        assert rig.serve(200).id == "x" and client.status() == 200
+
+
+LOOK, LIMITS, CONTRACT = SETTINGS["traffic-types"][0], SETTINGS["policy-limits"], SETTINGS["contract"]
+
+
+@pytest.mark.parametrize(("changes", "words"), [
+    ({"traffic-types": []}, "traffic-types is no list of traffic types, one at least"),
+    ({"traffic-types": {"look": LOOK}}, "traffic-types is no list of traffic types, one at least"),
+    ({"traffic-types": ["look"]}, "traffic-types is no list of traffic types, one at least"),
+    ({"traffic-types": [LOOK, {**LOOK, "name": 7}]}, "traffic-types[1]: name is no text: 7"),
+    ({"traffic-types": [LOOK, {**LOOK, "name": ""}]}, "traffic-types[1]: name is no text: ''"),
+    ({"traffic-types": [LOOK, LOOK]}, "traffic-types[1]: 'look' is there twice"),
+    ({"traffic-types": [LOOK, {**LOOK, "effect": "odd"}]}, "traffic-types[1]: unknown effect 'odd'"),
+    ({"traffic-types": [{**LOOK, "effect": ["read_like"]}]}, "traffic-types[0]: unknown effect ['read_like"),
+    ({"traffic-types": [{**LOOK, "effect": None}]}, "traffic-types[0]: unknown effect None"),
+    ({"traffic-types": [{**LOOK, "dedup-scope": "rack"}]}, "traffic-types[0]: unknown group 'rack'"),
+    ({"traffic-types": [{k: v for k, v in LOOK.items() if k != "effect"}]}, "lack 'effect'"),
+    ({"traffic-types": [{**LOOK, "expiry": "2500"}]}, "traffic-types[0]: expiry is no number"),
+    ({"traffic-types": [{**LOOK, "expiry": 0}]}, "traffic-types[0]: expiry is no number over 0"),
+    ({"traffic-types": [{**LOOK, "promised-time": None}]}, "promised-time is no number over 0"),
+    ({"traffic-types": [{**LOOK, "value": "high"}]}, "traffic-types[0]: value is no number"),
+    ({"failure-domains": "north"}, "failure-domains is no list of names"),
+    ({"tenants": {"a": 1}}, "tenants is no list of tenants"),
+    ({"policy-limits": []}, "policy-limits is no object"),
+    ({"contract": None}, "contract is no object"),
+    ({"policy-limits": {**LIMITS, "max-forwards": None}}, "max-forwards is no whole number"),
+    ({"policy-limits": {**LIMITS, "max-forwards": "4"}}, "max-forwards is no whole number"),
+    ({"policy-limits": {**LIMITS, "cancel": "no"}}, "cancel is neither true nor false"),
+    ({"contract": {**CONTRACT, "cold-from": None}}, "cold-from is no number"),
+    ({"contract": {**CONTRACT, "tip-after": "3 s"}}, "tip-after is no number"),
+    ({"contract": {k: v for k, v in CONTRACT.items() if k != "cold"}}, "lack 'cold'"),
+])
+def test_settings_that_cannot_be_served_are_one_clear_error(changes: dict[str, Any], words: str) -> None:
+    with pytest.raises(ConfigFault) as refused:
+        check("config.json", config(settings={**SETTINGS, **changes}), {})
+    assert words in str(refused.value) and "\n" not in str(refused.value)
+
+
+@pytest.mark.parametrize("whole", [[], "settings", 3])
+def test_settings_that_are_no_object_are_one_clear_error(whole: object) -> None:
+    with pytest.raises(ConfigFault, match="settings is no object"):
+        check("config.json", config(settings=whole), {})
+
+
+def test_the_same_settings_are_refused_by_both_hosts() -> None:
+    for make in (socket_settings, lambda s: make_balancer(Fleet([kind()], []), 1, 0.0, s)):
+        with pytest.raises(ValueError, match="traffic-types"):
+            make({**SETTINGS, "traffic-types": []})
