Zones that the settings don't name are no longer taken for one and the same

Cause: protocol/discovery.py, ListDecoder.line gave every zone outside the settings the number -1. A keyed class whose repeats are dropped by zone then went again from one such zone to another, where the first is unknown: a repeated effect. A list has such zones when a new one is opened, and after a SIGHUP whose settings wait for a restart. Change: a zone that is not named has a number below -1 of its own, by its name and so alike at all sidecars; -1 is left to endpoints for which no zone is told.

--- a/rainspindle/protocol/discovery.py
+++ b/rainspindle/protocol/discovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from collections.abc import Sequence
 from typing import Any
 
@@ -43,9 +44,15 @@
         except (KeyError, TypeError, ValueError, AttributeError) as fault:
             raise Unreadable(f"not a list: {type(fault).__name__} {fault}") from None
 
+    def zone(self, name: str) -> int:
+        """Its number in the settings. One that they do not name has a number below 0, alike at all sidecars.
+
+        Guards against two such zones that count as one: a repeat would go to where it is not dropped."""
+        return self.zones.get(name, -1 - zlib.crc32(name.encode()))
+
     def line(self, e: dict[str, Any]) -> Listed:
         weight, started = e.get("weight"), e.get("startedAtMs")
-        return Listed(str(e["instanceId"]), int(e.get("cell") or 0), self.zones.get(e.get("zone") or "", -1),
+        return Listed(str(e["instanceId"]), int(e.get("cell") or 0), self.zone(e.get("zone") or ""),
                       1.0 if weight is None else float(weight), STATES[e["lifecycle"]],
                       started / 1000 + self.clock_offset if started else None,
                       self.kinds.get(e.get("machineType") or "", len(self.kinds)))
--- a/tests/test_sites_settings.py
+++ b/tests/test_sites_settings.py
@@ -10,6 +10,7 @@
 import pytest
 
 from rainspindle.program.config import ConfigFault, check
+from rainspindle.protocol.discovery import ListDecoder
 from rainspindle.protocol.settings import make_balancer, socket_settings
 
 from .fleet import SETTINGS, Fleet, Rig, ask, entry, kind
@@ -191,3 +192,28 @@
     for make in (socket_settings, lambda s: make_balancer(Fleet([kind()], []), 1, 0.0, s)):
         with pytest.raises(ValueError, match="traffic-types"):
             make({**SETTINGS, "traffic-types": []})
+
+
+# Zones that the settings do not name.
+
+
+def test_zones_that_the_settings_do_not_name_are_not_taken_for_one() -> None:
+    """Guards against a repeat that goes to a zone which doesn't know of the first."""
+    one, other = (ListDecoder(["north"], 0.0) for _ in range(2))
+    east, west = entry("e0", 1, zone="east"), entry("e1", 1, zone="west")
+    assert one.line(east).zone != one.line(west).zone
+    assert min(one.line(east).zone, one.line(west).zone) < -1 == one.line(entry("e2", 1, zone="")).zone
+    assert other.line(west).zone == one.line(west).zone, "alike at all sidecars"
+    assert one.line(entry("e3", 1, zone="north")).zone == 0
+
+
+@pytest.mark.parametrize(("zones", "again"), [(("east", "west"), 0), (("east", "east"), 1)])
+def test_a_keyed_request_stays_in_its_zone_also_where_the_settings_do_not_name_it(
+        zones: tuple[str, str], again: int) -> None:
+    rig = Rig(2)
+    rig.tell(*(entry(f"e{n}", stand.port, zone=zone)
+               for n, (stand, zone) in enumerate(zip(rig.stands, zones, strict=True))), whole=True)
+    client = rig.asked(ask("x", "note"))
+    rig.serve(500)
+    assert len(rig.got()) == again
+    assert again or client.status() == 502
