SIGHUP: what needs a restart stays as at the start, and is named each time

Cause: program/serve.py, Sidecar.reload put the whole new configuration in place of the running one, though classes, zones and tenants stay those of the start. A second SIGHUP then compared the new file with itself and said needs_restart=nothing; a fleet file was checked against settings that are not in force. Change: only discovery and limits are taken over; limits are set in one place, halved beside another process, and the front is told its memory.

--- a/rainspindle/fronts/http1/front.py
+++ b/rainspindle/fronts/http1/front.py
@@ -84,6 +84,9 @@
             self.end(connection)
         return not self.clients
 
+    def set_stream_memory(self, size: int) -> None:
+        self.room.resize(size)
+
     def make_room(self) -> bool:
         return self.pool.make_room() or self.close_idle_client()
 
--- a/rainspindle/fronts/http1/room.py
+++ b/rainspindle/fronts/http1/room.py
@@ -15,9 +15,14 @@
     def __init__(self, loop: Loop, total: int) -> None:
         """`total` bytes for all streams together."""
         self.loop = loop
-        self.places = max(total // STREAM, FEWEST)
         self.taken = 0
         self.waiting: deque[Task] = deque()
+        self.resize(total)
+
+    def resize(self, total: int) -> None:
+        """Streams under way keep their places, also where there are fewer from now on."""
+        self.places = max(total // STREAM, FEWEST)
+        self.wake()
 
     def enter(self, until: float) -> Coroutine[None]:
         """Waits for a place, in the order of coming. Raises Late."""
--- a/rainspindle/fronts/mysql/front.py
+++ b/rainspindle/fronts/mysql/front.py
@@ -119,6 +119,9 @@
     def make_room(self) -> bool:
         return False
 
+    def set_stream_memory(self, size: int) -> None:
+        """Nothing is passed on piece by piece here."""
+
     def trim_clients(self) -> None:
         """Sessions may lie idle for as long as they like: they hold no server unless they are pinned."""
 
--- a/rainspindle/program/serve.py
+++ b/rainspindle/program/serve.py
@@ -30,6 +30,7 @@
 from ..transport.datagrams import Datagrams
 from ..transport.loop import Coroutine, Loop
 from ..transport.pool import Pool
+from ..values import replace
 from .config import DEAF, Config, ConfigFault
 from .operation import Operation
 
@@ -99,6 +100,9 @@
 
     def trim_clients(self) -> None: ...
 
+    def set_stream_memory(self, size: int) -> None:
+        """Bytes of memory for bodies and answers that are passed on piece by piece, from now on."""
+
     def finish_clients(self, idle: float = 0.0) -> bool:
         """Ends the connections with no request for so many seconds; whether no client is left."""
 
@@ -286,16 +290,26 @@
         except ConfigFault as fault:
             log.error("configuration refused, the old one stays", extra={"fields": fault.fields()})
             return
-        old, self.config = self.config, new
-        self.front.most_clients, self.pool.most = caps(new)
-        self.follower.move(new.discovery)
+        running = self.config
         later = [name for name in ("name", "listen", "raw_settings", "console", "peers")
-                 if getattr(old, name) != getattr(new, name)]
+                 if getattr(running, name) != getattr(new, name)]
+        # Guards against two configurations mixed: what needs a restart stays as this process was started by.
+        self.config = replace(running, discovery=new.discovery, cores=new.cores, sockets=new.sockets,
+                              memory_mb=new.memory_mb)
+        self.apply_limits()
+        self.follower.move(new.discovery)
         log.info("configuration read again", extra={"fields": {
             "discovery": address_text(new.discovery), "sockets": new.sockets,
             "needs_restart": ",".join(later).replace("raw_", "") or "nothing"}})
         if self.fleet is not None:
-            self.fleet.reload(new)
+            self.fleet.reload(self.config)
+
+    def apply_limits(self) -> None:
+        """Goes by the limits of the configuration, and by half of them beside another process."""
+        clients, connections = caps(self.config)
+        parts = 1 if self.alone_at == math.inf else 2
+        self.front.most_clients, self.pool.most = clients // parts, connections // parts
+        self.front.set_stream_memory(room(self.config))
 
     def oversee(self) -> Coroutine[None]:
         """Opens the door once this process can serve, follows its stage, looks for orders given elsewhere."""
@@ -309,7 +323,7 @@
             self.follow_stage(now)
             if now >= self.alone_at:
                 self.alone_at = math.inf
-                self.front.most_clients, self.pool.most = caps(self.config)
+                self.apply_limits()
             if self.stages.stage is not Stage.SERVING:
                 yield now + ENDING_LOOK
             else:
@@ -338,9 +352,8 @@
         led = self.operation.predecessor and self.listener.lead_here()
         self.operation.come()
         if self.operation.predecessor:  # both together are within the limits
-            clients, connections = caps(self.config)
-            self.front.most_clients, self.pool.most = clients // 2, connections // 2
             self.alone_at = self.loop.now() + OVERLAP
+            self.apply_limits()
         log.info("serving", extra={"fields": {"listen": address_text(self.listener.address),
                                               "beside": self.operation.predecessor, "all_new": led}})
 
--- a/tests/test_sites_settings.py
+++ b/tests/test_sites_settings.py
@@ -2,19 +2,25 @@
 
 from __future__ import annotations
 
+import json
 import re
+import signal
 import tomllib
+from collections.abc import Iterator
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 
-from rainspindle.program.config import ConfigFault, check
+from rainspindle.fronts.http1.room import STREAM
+from rainspindle.program import serve
+from rainspindle.program.config import Config, ConfigFault, check
 from rainspindle.protocol.discovery import ListDecoder
 from rainspindle.protocol.settings import make_balancer, socket_settings
 
 from .fleet import SETTINGS, Fleet, Rig, ask, entry, kind
-from .test_program import ROOT, config
+from .test_program import ROOT, Service, config
 
 SITES = sorted((ROOT / "deploy" / "sites").glob("*.toml"))
 EFFECTS = {"safe": "read_like", "keyed": "idempotency_key", "unsafe": "non_idempotent"}
@@ -217,3 +223,99 @@
     rig.serve(500)
     assert len(rig.got()) == again
     assert again or client.status() == 502
+
+
+# A new configuration while requests come.
+
+
+def reload(service: Service, **changes: Any) -> str:
+    """The log line of a SIGHUP with these changes to the file of the start."""
+    before = service.logged().count("configuration read again")
+    service.file.write_text(json.dumps({**service.config, **changes}))
+    service.process.send_signal(signal.SIGHUP)
+    service.until(lambda: service.logged().count("configuration read again") > before)
+    lines = [line for line in service.logged().splitlines() if "configuration read again" in line]
+    return lines[-1]
+
+
+def test_other_classes_and_tenants_need_a_restart_and_requests_go_on_by_the_old(tmp_path: Path) -> None:
+    service = Service(tmp_path)
+    other = {**types("fetch", "store", effect="non_idempotent"), "tenants": [{"name": "t", "share": 1.0}],
+             "failure-domains": ["east"]}
+    for _ in range(2):  # the second time too: the process still runs by the first file
+        assert reload(service, settings=other).endswith("needs_restart=settings")
+    assert service.answer(service.asked(ask("new", "fetch")))[0] == 400
+    for name in ("look", "book", "note"):
+        client = service.asked(ask(f"old-{name}", name))
+        service.got().answer(200)
+        assert service.answer(client)[0] == 200
+    assert reload(service).endswith("needs_restart=nothing")
+
+
+class NoSignals:
+    """In place of the process's own."""
+
+    def __init__(self, loop: Any) -> None:
+        self.came: Any = None
+
+
+@pytest.fixture
+def no_signals(monkeypatch: pytest.MonkeyPatch) -> Iterator[None]:
+    monkeypatch.setattr(serve, "Signals", NoSignals)
+    yield
+
+
+class Reloaded:
+    """A sidecar within this process, and what the file of its next configuration holds."""
+
+    def __init__(self, **changes: Any) -> None:
+        self.raw = config(**changes)
+        self.sidecar = serve.Sidecar(self.read(), self.read)
+
+    def read(self) -> Config:
+        return check("config.json", self.raw, {})
+
+    def reload(self, **changes: Any) -> None:
+        self.raw = {**self.raw, **changes}
+        self.sidecar.reload()
+
+
+@pytest.fixture
+def reloaded(no_signals: None) -> Iterator[Reloaded]:
+    made = Reloaded()
+    yield made
+    made.sidecar.listener.close()
+
+
+def limits(sidecar: serve.Sidecar) -> tuple[int, int]:
+    return sidecar.front.most_clients, sidecar.pool.most
+
+
+def test_new_limits_are_taken_over(reloaded: Reloaded) -> None:
+    sidecar = reloaded.sidecar
+    for sockets, memory in ((400, 512), (900, 64)):
+        reloaded.reload(limits={"sockets": sockets, "memory_mb": memory})
+        assert limits(sidecar) == serve.caps(reloaded.read())
+        assert sidecar.front.room.places == serve.room(reloaded.read()) // STREAM  # type: ignore[attr-defined]
+
+
+def test_new_limits_are_shared_with_a_process_beside_this_one(reloaded: Reloaded) -> None:
+    """Guards against two processes that have the whole limits each, where SIGHUP comes during a restart."""
+    sidecar = reloaded.sidecar
+    sidecar.alone_at = sidecar.loop.now() + serve.OVERLAP  # it has just taken over from another
+    reloaded.reload(limits={"sockets": 400})
+    clients, connections = serve.caps(reloaded.read())
+    assert limits(sidecar) == (clients // 2, connections // 2)
+
+
+def test_what_needs_a_restart_stays_as_it_was(reloaded: Reloaded) -> None:
+    """Guards against parts that read the settings of the new file while the others go by the old ones."""
+    sidecar, before = reloaded.sidecar, reloaded.read()
+    told = list[Config]()
+    sidecar.fleet = SimpleNamespace(reload=told.append)
+    reloaded.reload(name="n2", settings=types("fetch"), discovery="127.0.0.1:10", limits={"cores": 0.5})
+    running = sidecar.config
+    assert told == [running], "a fleet file is read against the settings in force"
+    assert (running.name, running.settings, running.raw_settings) == (
+        before.name, before.settings, before.raw_settings)
+    assert (running.discovery[1], running.cores) == (10, 0.5)
