MySQL front: rules keep to the classes in force when new settings wait for a restart

Cause: program/mysql.py, reload took rules whose classes are numbers in the new settings, while the core goes by the old ones: with the order of two classes changed, INSERT went as the retriable class, so it could run twice.

--- a/rainspindle/program/mysql.py
+++ b/rainspindle/program/mysql.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 
 from ..decisions.statements.parse import parse
 from ..decisions.statements.statements import Statements
@@ -52,12 +53,22 @@
             log.error("configuration refused, the old one stays", extra={"fields": fault.fields()})
             return
         super().reload()
+        # Guards against rules that name traffic types by the numbers of other settings than those in force.
+        rules_wait = self.settings_differ(new)
+        if rules_wait:
+            new = replace(new, rules=self.mysql.rules, default=self.mysql.default)
         self.mysql = new
         self.mysql_front.users, self.mysql_front.most_clients = new.users, new.most_clients
         self.mysql_front.statements = self.statements()
         self.servers.most_each = new.most_each
         log.info("front's file read again", extra={"fields": {
-            "users": len(new.users), "rules": len(new.rules)}})
+            "users": len(new.users), "rules": len(new.rules),
+            "needs_restart": "rules" if rules_wait else "nothing"}})
+
+    def settings_differ(self, new: MysqlConfig) -> bool:
+        """Whether the traffic types of a new file are others than those that this process runs by."""
+        running, read = self.config.settings, new.sidecar.settings
+        return (running.type_names, running.binding) != (read.type_names, read.binding)
 
     def figures(self) -> Iterator[tuple[str, object]]:
         yield from super().figures()
--- a/tests/test_sites_settings.py
+++ b/tests/test_sites_settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import logging
 import re
 import signal
 import tomllib
@@ -16,6 +17,8 @@
 from rainspindle.fronts.http1.room import STREAM
 from rainspindle.program import serve
 from rainspindle.program.config import Config, ConfigFault, check
+from rainspindle.program.mysql import MysqlSidecar
+from rainspindle.program.mysql_config import load_mysql
 from rainspindle.protocol.discovery import ListDecoder
 from rainspindle.protocol.settings import make_balancer, socket_settings
 
@@ -319,3 +322,52 @@
     assert (running.name, running.settings, running.raw_settings) == (
         before.name, before.settings, before.raw_settings)
     assert (running.discovery[1], running.cores) == (10, 0.5)
+
+
+MYSQL = """
+[mysql]
+listen = "127.0.0.1:0"
+platform = "platform.json"
+default = "book"
+[[users]]
+name = "anna"
+password = "anna.password"
+[[rules]]
+traffic_type = "look"
+kinds = ["select"]
+"""
+
+
+def test_statements_keep_their_classes_where_new_settings_need_a_restart(
+        tmp_path: Path, no_signals: None, caplog: pytest.LogCaptureFixture) -> None:
+    """Guards against the number of a class in the new settings that is another class in those in force."""
+    (tmp_path / "anna.password").write_text("secret")
+    (tmp_path / "anna.password").chmod(0o600)
+    (tmp_path / "mysql.toml").write_text(MYSQL)
+    platform = tmp_path / "platform.json"
+    platform.write_text(json.dumps(config()))
+
+    def read() -> Any:
+        return load_mysql(str(tmp_path / "mysql.toml"), {})
+    sidecar = MysqlSidecar(read(), read)
+    select, insert = "select a from t", "insert into t values (1)"
+
+    def classes() -> list[str]:
+        statements, names = sidecar.mysql_front.statements, sidecar.core.settings.type_names
+        return [names[statements.meaning(sql, "anna", "s").traffic_type] for sql in (select, insert)]
+    try:
+        assert classes() == ["look", "book"]
+        caplog.set_level(logging.INFO, "rainspindle.mysql")
+        look, book, _ = SETTINGS["traffic-types"]
+        swapped = {**SETTINGS, "traffic-types": [book, look]}
+        platform.write_text(json.dumps(config(settings=swapped)))
+        sidecar.reload()
+        assert classes() == ["look", "book"]
+        assert caplog.records[-1].fields["needs_restart"] == "rules"  # type: ignore[attr-defined]
+        platform.write_text(json.dumps(config()))
+        (tmp_path / "mysql.toml").write_text(MYSQL.replace('"look"', '"note"'))
+        sidecar.reload()
+        assert classes() == ["note", "book"]
+        assert caplog.records[-1].fields["needs_restart"] == "nothing"  # type: ignore[attr-defined]
+    finally:
+        sidecar.listener.close()
