--- a/tests/test_watches_in_step.py
+++ b/tests/test_watches_in_step.py
@@ -1,4 +1,4 @@
-"""Watches of several sidecars that fall silent together are begun anew while the service can still tell each."""
+"""Watches of several sidecars that fall silent together are begun anew in time to hear of a change."""
 
 from __future__ import annotations
 
@@ -35,7 +35,7 @@
             super().take(s, call, index)
 
     def fall_silent(self) -> dict[int, float]:
-        """Nothing comes through on open connections. When each watch that was open is over, by socket number."""
+        """Nothing comes through any more. When each watch that was open is over, by its socket's number."""
         over = {}
         for s in list(self.sockets.values()):
             call = self.last_call.get(s)
@@ -67,12 +67,13 @@
         loop.end()
     told_at = [max(silent_at + TOLD_AFTER_SILENCE, over.get(number or 0, math.inf) + TOLD_AFTER_WAIT)
                for number in open_sockets]
-    return [keeper.told_at - told for (_, keeper), told in zip(pairs, told_at, strict=True) if told < math.inf]
+    return [keeper.told_at - told
+            for (_, keeper), told in zip(pairs, told_at, strict=True) if told < math.inf]
 
 
 @pytest.mark.parametrize(("callers_count", "calls_a_second"), [(6, 3), (9, 3), (9, 4)])
 def test_each_has_the_change_in_time(callers_count: int, calls_a_second: int) -> None:
-    """Guards against watches that all end in one moment: the last call in the service's queue came too late."""
+    """Guards against watches that all end in one moment: the last call in the queue came too late."""
     late = [seconds for seed in range(40) for seconds in lateness(seed, callers_count, calls_a_second)]
     assert len(late) > 30 * callers_count
     assert max(late) <= DRAIN_GRACE
