A request under way at SIGTERM is answered before the process ends

Ruled out: requests that cross the end of a resting connection (all of these were sent again), answers cut by a close (none of the lost ones had begun), answers that never end (none passed on).

Cause: routing/core.py, Core.expiry bounds by last_answer only what is taken after SIGTERM; what is under way kept its own deadline. Change: Core.answer_by sets the deadline of all requests, in the core and in the module, and wakes them when it comes; the module gives its final answer then, a rejection where that is harmless.

tests/test_shutdown.py: with the deadline of requests under way left as it was, two of three cases fail ("no answer yet").

--- a/rainspindle/program/serve.py
+++ b/rainspindle/program/serve.py
@@ -263,7 +263,7 @@
         """The stage has changed."""
         log.info(self.stages.stage.value, extra={"fields": {"held": len(self.core.held),
                                                             "clients": len(self.front.clients)}})
-        self.core.last_answer = self.stages.last_answer
+        self.core.answer_by(self.stages.last_answer)
         self.follow_stage(now)
         self.overseer.wake()
 
--- a/rainspindle/routing/canary.py
+++ b/rainspindle/routing/canary.py
@@ -136,6 +136,11 @@
                 core.tell = self.teller(name)
         facade.hear_other = self.hear_other
 
+    def answer_by(self, deadline: float) -> None:
+        super().answer_by(deadline)
+        for core in self.further.values():
+            core.answer_by(deadline)
+
     # The list.
 
     def list_changed(self, lines: tuple[Listed, ...], addresses: dict[str, Address], whole: bool,
--- a/rainspindle/routing/core.py
+++ b/rainspindle/routing/core.py
@@ -126,10 +126,10 @@
 class Held:
     """An exchange under way: what the module has decided for it and its coroutine has not yet done."""
 
-    __slots__ = ("called_off", "left", "out", "ran", "repeat_until", "steps", "task")
+    __slots__ = ("called_off", "given", "left", "out", "ran", "repeat_until", "steps", "task")
 
-    def __init__(self, task: Task) -> None:
-        self.task = task
+    def __init__(self, task: Task, given: Given) -> None:
+        self.task, self.given = task, given
         self.steps: deque[Step] = deque()
         self.out: int | None = None  # the number of the forward that is out
         self.called_off = self.left = self.ran = False
@@ -237,6 +237,24 @@
     def list_failed(self) -> None:
         self.apply(self.facade.list_failed(self.loop.now()))
 
+    def answer_by(self, deadline: float) -> None:
+        """From now on each request has its answer by then, also one that is under way.
+
+        Guards against a process that ends while it still waits for an endpoint: such a request would have no
+        answer at all, as it was taken with more time than the process has."""
+        self.last_answer = deadline
+        for exchange, held in self.held.items():
+            held.given.expires_at = min(held.given.expires_at, deadline)
+            self.facade.answer_by(exchange, deadline)
+        if deadline < math.inf:
+            self.loop.spawn(self.wake_held(deadline))
+
+    def wake_held(self, at: float) -> Coroutine[None]:
+        while self.loop.now() < at:
+            yield at
+        for held in self.held.values():
+            held.task.wake()
+
     # One exchange.
 
     def expiry(self, type_index: int, came: float, wait: float | None) -> float:
@@ -251,7 +269,7 @@
         assert task is not None
         self.taken += 1
         exchange = self.taken
-        held = self.held[exchange] = Held(task)
+        held = self.held[exchange] = Held(task, given)
 
         def left() -> bool:
             if not held.left and gone():
@@ -262,11 +280,11 @@
         def before() -> bool:
             # Guards against a repeat that was decided in time and is written late: its connection came up
             # late, or its endpoint reads slowly. It begins with its last byte, past the memory span.
-            return left() or held.called_off or self.loop.now() >= held.repeat_until
+            return left() or held.called_off or self.loop.now() >= min(held.repeat_until, self.last_answer)
 
         def after() -> bool:
             left()
-            return held.called_off
+            return held.called_off or self.loop.now() >= self.last_answer
 
         def started() -> None:
             if held.out is not None:
--- a/rainspindle/routing/facade.py
+++ b/rainspindle/routing/facade.py
@@ -108,6 +108,12 @@
         self.now = now
         return self.balancer.forward_written(now, exchange, number, expires_at), self.taken()
 
+    def answer_by(self, exchange: int, deadline: float) -> None:
+        """Its client is answered by then, however long it would wait."""
+        if isinstance(self.balancer, Balancer) and exchange in self.balancer.exchanges:
+            held = self.balancer.exchanges[exchange]
+            held.expires_at = min(held.expires_at, deadline)
+
     def started(self, now: float, exchange: int, number: int) -> Did:
         """The client has a part of a forward's answer: what follows is no wait at the endpoint."""
         self.now = now
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -251,3 +251,35 @@
     for _ in range(10):
         stepped.loop.step()
     assert sidecar.listener.closed and stepped.loop.stopped
+
+
+# A process that ends before its requests would.
+
+
+@pytest.mark.parametrize(("traffic_class", "status"), [("look", 503), ("book", 502)])
+def test_a_request_under_way_is_answered_before_the_process_ends(traffic_class: str, status: int) -> None:
+    """It was taken before SIGTERM with more time than the process has left, and its endpoint hangs."""
+    classes = [{**kind, "promised-time": 8000.0, "expiry": 8000.0} for kind in SETTINGS["traffic-types"]]
+    rig = Rig(settings={**SETTINGS, "traffic-types": classes})
+    client = rig.asked(ask("x", traffic_class, wait=8000))
+    attempt = only(rig.got())
+    rig.wait(1.0)
+    rig.core.answer_by(rig.loop.now() + 2.0)
+    rig.wait(1.95)
+    assert client.answer() is None and rig.facade.in_flight() == 1 and not attempt.gone()
+    rig.wait(0.1)
+    assert client.status() == status
+    assert rig.facade.in_flight() == 0 and not rig.core.held and attempt.gone()
+    assert rig.got() == [], "a further attempt was made though no time is left"
+
+
+def test_a_request_taken_on_the_way_out_is_answered_before_the_process_ends() -> None:
+    classes = [{**kind, "promised-time": 8000.0, "expiry": 8000.0} for kind in SETTINGS["traffic-types"]]
+    rig = Rig(settings={**SETTINGS, "traffic-types": classes})
+    rig.core.answer_by(rig.loop.now() + 0.5)
+    client = rig.asked(ask("x", wait=8000))
+    only(rig.got())
+    rig.wait(0.45)
+    assert client.answer() is None
+    rig.wait(0.1)
+    assert client.status() == 503 and rig.facade.in_flight() == 0
