The relay's askers keep their period; labs and tests draw waits as the program does

Cause: drawn waits shorten the period of the few members that ask for a relayed list (2.66 calls a second where 2.5 are allowed, tests/test_listing.py), and the labs modelled a watch that always waits the whole time. Change: Follower.draws_wait is off where the relay says when to ask; lab/listing_net.py and lab/virtual.py draw by Follower.drawn_wait.

--- a/rainspindle/lab/listing_net.py
+++ b/rainspindle/lab/listing_net.py
@@ -198,8 +198,8 @@
             net.later(ANSWER, self.living(partial(self.answered, whole, known)))
             return
         asks = self.relay is not None and self.relay.asker
-        wait = self.relay.period if asks and self.relay is not None else min(
-            Follower.WATCH_PART * net.ask_within, Follower.MOST_WATCH)
+        wait = self.relay.period if asks and self.relay is not None else Follower.drawn_wait(
+            min(Follower.WATCH_PART * net.ask_within, Follower.MOST_WATCH), net.random.random())
         news = registry.next_at(known)
         ends = min(now + wait, news if news is not None else math.inf, registry.next_outage(now) or math.inf)
         net.later(ends - now + ANSWER, self.living(partial(self.answered, False, known)))
--- a/rainspindle/program/fleet/listing.py
+++ b/rainspindle/program/fleet/listing.py
@@ -174,6 +174,7 @@
         self.look_at_address(now)
         assert self.follower is not None
         self.follower.wait = self.relay.period if self.relay.asker else self.usual
+        self.follower.draws_wait = not self.relay.asker  # the relay spreads its members' calls itself
         return self.relay.spared(now)
 
     def told(self, change: ListChange) -> None:
--- a/rainspindle/routing/follow.py
+++ b/rainspindle/routing/follow.py
@@ -71,6 +71,7 @@
         self.retrying = False  # whether the last call failed or was given up
         self.longest_pause = self.PAUSE  # seconds to the next call at most, after the one that failed last
         self.jitter: Callable[[], float] = random_fraction
+        self.draws_wait = True  # False where others decide when this sidecar asks
         self.task = loop.spawn(loop.lasting(self.idle))
         self.core: Core | None = None
         self.heard: Callable[[ListChange], None] = lambda change: None  # what else is told of each change
@@ -175,7 +176,12 @@
         """Seconds for which the next watch asks the service to wait for news."""
         if self.retrying:
             return min(self.wait, self.RETRY_WAIT)
-        return self.wait * (1.0 - self.WATCH_JITTER * (1.0 - self.jitter()))
+        return self.drawn_wait(self.wait, self.jitter()) if self.draws_wait else self.wait
+
+    @classmethod
+    def drawn_wait(cls, longest: float, fraction: float) -> float:
+        """The seconds that a watch waits; `fraction` is a random number from 0 to 1."""
+        return longest * (1.0 - cls.WATCH_JITTER * (1.0 - fraction))
 
     def ask(self) -> Coroutine[ListChange]:
         """One call and its answer. Raises Unwanted where it was given up for another."""
