--- a/rainspindle/fronts/http1/front.py
+++ b/rainspindle/fronts/http1/front.py
@@ -22,6 +22,7 @@
 FEW, MANY = 0.4, 0.55  # parts of the cap on clients, over which connections end that wait for a request
 LONG_WAIT, SHORT_WAIT = 2.0, 0.25  # for so long, over the one and over the other
 LINGER, MOST_LINGER = 1.0, 256 * 1024  # seconds and bytes read on after a refusal
+CLOSE_WAIT = 0.5  # seconds for which a half-closed connection waits for its client to close too
 
 
 class HttpFront:
@@ -38,15 +39,31 @@
         self.leaving = self.closing = False  # SIGTERM has come; connections end with their next answer
         self.ready_from = -math.inf
 
-    def accepted(self, connection: Connection) -> None:
-        if len(self.clients) >= self.most_clients:
-            self.close_idle_client()
+    def accepted(self, connection: Connection) -> bool:
+        """Takes a connection; False where every place is in use and no client gives way.
+
+        On the way out all are taken: the listening socket closes next, and what it holds is lost with it."""
+        if not self.has_place() and not self.leaving:
+            return False
         self.clients[connection] = None
+        self.count_lent()
         self.crowd.came(connection, self.loop.now())
         self.loop.spawn(self.serve(connection), lambda: self.gone(connection))
+        return True
+
+    def has_place(self) -> bool:
+        """Whether one more client may come: in a free place, an idle client's, or one that endpoints lend.
+
+        Guards against clients, all with a request under way, that take the descriptors kept for discovery,
+        the console and files."""
+        return len(self.clients) < self.most_clients or self.close_idle_client() or self.pool.can_lend()
+
+    def count_lent(self) -> None:
+        self.pool.lent = max(0, len(self.clients) - self.most_clients)
 
     def gone(self, connection: Connection) -> None:
         self.clients.pop(connection, None)
+        self.count_lent()
         self.crowd.gone(connection)
         connection.close()
 
@@ -77,19 +94,25 @@
             self.end(connection)
 
     def finish_clients(self, idle: float = 0.0) -> bool:
-        """Ends the connections with no request for so many seconds; whether no client is left.
+        """Half-closes the connections with no request for so many seconds; whether no client is left.
 
-        Guards against cutting off a request that has begun: it has its own time to become whole."""
+        Guards against cutting off a request that has begun: it has its own time to become whole; and against
+        a reset over a request that crosses: its client sees an end with no answer, and sends it again."""
         for connection in self.crowd.resting(self.loop.now(), idle):
-            self.end(connection)
+            if connection.sound():
+                self.crowd.gone(connection)
+                connection.half_close()
         return not self.clients
 
+    def set_stream_memory(self, size: int) -> None:
+        self.room.resize(size)
+
     def make_room(self) -> bool:
         return self.pool.make_room() or self.close_idle_client()
 
     def serve(self, client: Connection) -> Coroutine[None]:
         side = ApplicationSide(self.core.settings.type_names, MOST_STREAM if self.streams else MOST_BODY)
-        since = self.loop.now()
+        since = came = self.loop.now()
         while True:
             message = side.next()
             if message is None:
@@ -100,6 +123,7 @@
                         yield from client.send(side.go_on(), until)
                     data = yield from client.await_bytes(until, lambda: client.closed)
                 except (Broken, Unwanted):
+                    yield from self.close_gracefully(client)
                     return
                 except Late:
                     if side.begun:
@@ -107,6 +131,7 @@
                     return
                 if client in self.crowd.waiting:
                     since = self.loop.now()
+                came = client.came
                 side.receive(data)
                 self.crowd.went_on(client, self.loop.now())
                 continue
@@ -122,7 +147,8 @@
                     if message.request_id in self.open_ids:
                         yield from self.refuse(client, side, Bad(409, "this X-Request-ID is under way"))
                         return
-                    if not (yield from self.exchange(client, side, message)):
+                    if not (yield from self.exchange(client, side, message, came)):
+                        yield from self.close_gracefully(client)
                         return
                 else:
                     # One that leaves is not ready: its successor is, under the same address.
@@ -131,11 +157,16 @@
                     yield from client.send(side.answer(200 if ready else 503, b"", close),
                                            self.loop.now() + SILENCE)
                     if close:
+                        yield from self.close_gracefully(client)
                         return
             except (Broken, Late):
                 return
             if not side.next_cycle():
+                yield from self.close_gracefully(client)
                 return
+            if side.pending:
+                # Guards against one client's many requests, sent at once, that hold up all others.
+                yield from self.loop.yield_turn()
             since = self.loop.now()
             if side.begun:  # the next one came with it
                 self.crowd.went_on(client, since)
@@ -148,26 +179,52 @@
         Guards against a close on requests that came together: the last of them is answered before it."""
         return self.closing and not side.follows() and not client.pending()
 
+    def close_gracefully(self, client: Connection) -> Coroutine[None]:
+        """Half-closes, and gives the client a moment to read to the end and close before it is closed here.
+
+        Guards against a reset, by bytes that are unread or on their way, that takes the last answer along.
+        Nothing is read meanwhile. May hurt by a descriptor held for a client that does not close: it gives
+        way to others as one that owes its first request does."""
+        if client.ended or client.closed:
+            return
+        client.half_close()
+        self.crowd.came(client, self.loop.now())
+        yield from client.await_end(self.loop.now() + CLOSE_WAIT)
+
     def refuse(self, client: Connection, side: ApplicationSide, bad: Bad) -> Coroutine[None]:
         """Answers, then reads on for a moment: else the answer would be lost in a reset."""
         yield from self.last(client, side.answer(bad.status, bad.reason.encode() + b"\n", close=True))
 
     def last(self, client: Connection, out: bytes) -> Coroutine[None]:
         """Sends an answer while the client may still be sending."""
-        until, left = self.loop.now() + LINGER, MOST_LINGER
-        self.crowd.came(client, self.loop.now())  # may be ended for others
+        until = self.loop.now() + LINGER
         try:
             yield from client.send(out, until)
-            client.end_sending()
+        except (Broken, Late):
+            client.close()
+            return
+        yield from self.read_on(client, until)
+
+    def read_on(self, client: Connection, until: float) -> Coroutine[None]:
+        """Ends the sending side behind an answer, drops what its client is still sending, and closes."""
+        left = MOST_LINGER
+        self.crowd.came(client, self.loop.now())  # may be ended for others, now that its answer is written
+        client.end_sending()
+        try:
             while left > 0 and (data := (yield from client.await_bytes(until, lambda: client.closed))):
                 left -= len(data)
         except (Broken, Late, Unwanted):
             pass
+        client.close()
+
+    def exchange(self, client: Connection, side: ApplicationSide, ask: Ask, read_at: float
+                 ) -> Coroutine[bool]:
+        """Hands an exchange over and gives its client the final answer; whether the connection goes on.
 
-    def exchange(self, client: Connection, side: ApplicationSide, ask: Ask) -> Coroutine[bool]:
-        """Hands an exchange over and gives its client the final answer; whether the connection goes on."""
+        `read_at` is when the bytes came of which this request is a part: while an earlier request of the same
+        bytes was served, others may have come, and their time is not this one's."""
         def expiry() -> float:  # of a body that is still coming: as if it were whole by now
-            came = self.loop.now() if ask.more and not streams.whole else max(client.came, streams.whole_at)
+            came = self.loop.now() if ask.more and not streams.whole else max(read_at, streams.whole_at)
             return self.core.expiry(ask.type_index, came, ask.wait)
         streams = Streams(self.loop, client, side, lambda: self.closes(client, side), self.room)
         given = Given(ask.type_index, ask.key, ask.hint, ask.repeat,
@@ -182,9 +239,13 @@
             streams.leave()
             self.open_ids.discard(ask.request_id)
         if isinstance(final, Left):
+            streams.break_off()  # an answer without a length must not seem whole
             return False
         if isinstance(final, Finished) and isinstance(final.payload, Passed):
-            return streams.framed and not streams.closed and (not ask.more or streams.whole)
+            if ask.more and not streams.whole:
+                yield from self.read_on(client, self.loop.now() + LINGER)
+                return False
+            return streams.framed and not streams.closed
         if isinstance(final, Broke):
             if streams.cut is not None and not streams.begun:
                 yield from self.refuse(client, side, Bad(streams.cut.status, str(streams.cut)))
--- a/rainspindle/program/serve.py
+++ b/rainspindle/program/serve.py
@@ -30,15 +30,16 @@
 from ..transport.datagrams import Datagrams
 from ..transport.loop import Coroutine, Loop
 from ..transport.pool import Pool
-from .config import DEAF, Config, ConfigFault
+from ..values import replace
+from .config import DEAF, RESERVED_SOCKETS, Config, ConfigFault, usable_sockets
 from .operation import Operation
 
 log = logging.getLogger("rainspindle.program")
 
-SPARE_SOCKETS = 48  # standard streams, epoll, signals, discovery, files, and room to accept in
 CLIENTS_PART = 0.5
 OWN_MEMORY, ROOM_PART = 26e6, 0.6  # bytes of the program itself, and the part of the rest
 HALF_READ = 96 * 1024  # bytes
+FEWEST_CLIENTS = 16  # for whose bodies there is memory in any case
 OVERLAP = 5.0  # seconds for which a successor leaves half of the limits to the process before it
 MOST_OWED = 2.0
 MOST_LEAVING = 3.0  # after SIGTERM a sidecar is let run for the longest expiry, up to this, and 0.7 s more
@@ -48,10 +49,10 @@
 
 def caps(config: Config) -> tuple[int, int]:
     """How many connections with clients, and how many to endpoints, are held at most."""
-    places = max(config.sockets - SPARE_SOCKETS, 16)
+    places = usable_sockets(config.sockets) - RESERVED_SOCKETS
     clients = int(places * CLIENTS_PART)
     # Guards against memory filled by bodies that are half read: each client may hold one.
-    return max(min(clients, room(config) // HALF_READ), 16), places - clients
+    return min(clients, max(room(config) // HALF_READ, FEWEST_CLIENTS)), places - clients
 
 
 def room(config: Config) -> int:
@@ -63,7 +64,7 @@
     """SIGTERM, SIGINT and SIGHUP, told through a socket so that they end the loop's wait."""
 
     def __init__(self, loop: Loop) -> None:
-        self.closed = False
+        self.closed, self.on_fault = False, loop.on_fault
         self.told, self.teller = socket.socketpair()
         self.told.setblocking(False)
         self.teller.setblocking(False)
@@ -79,7 +80,10 @@
         with contextlib.suppress(BlockingIOError):
             while numbers := self.told.recv(64):
                 for number in numbers:
-                    self.came(number)
+                    try:
+                        self.came(number)
+                    except Exception as fault:  # of a SIGHUP: a SIGTERM that came with it is still heard
+                        self.on_fault(fault)
 
 
 class Front(Protocol):
@@ -93,12 +97,17 @@
     @property
     def clients(self) -> Sized: ...
 
-    def accepted(self, connection: Connection) -> None: ...
+    def accepted(self, connection: Connection) -> bool | None:
+        """Takes a new connection; False where it has no place for it now."""
 
-    def make_room(self) -> bool: ...
+    def make_room(self) -> bool:
+        """Closes a connection that can be spared; whether there was one."""
 
     def trim_clients(self) -> None: ...
 
+    def set_stream_memory(self, size: int) -> None:
+        """Bytes of memory for bodies and answers that are passed on piece by piece, from now on."""
+
     def finish_clients(self, idle: float = 0.0) -> bool:
         """Ends the connections with no request for so many seconds; whether no client is left."""
 
@@ -166,6 +175,9 @@
         self.peers: Datagrams | None = None
         if config.deaf:
             log.warning(DEAF)
+        if usable_sockets(config.sockets) < config.sockets:
+            log.warning("fewer descriptors than limits.sockets", extra={"fields": {
+                "limit": usable_sockets(config.sockets), "configured": config.sockets}})
         if config.peers is not None:
             self.peers = Datagrams(self.loop, config.peers.listen, config.peers.others, self.heard_peer,
                                    shared=config.console is not None)
@@ -173,7 +185,7 @@
         elif self.fleet is not None:
             self.fleet.carry_words(self.core, self.heard_peer)
         self.stages = Stages(min(max(config.settings.expiries), MOST_LEAVING))
-        self.listener = Listener(self.loop, config.listen, self.front.accepted, self.front.make_room,
+        self.listener = Listener(self.loop, config.listen, self.front.accepted, self.make_room,
                                  shared=config.console is not None)
         self.console: ConsoleFront | None = None
         # Only where staff can call is there anything to share with a process beside this one.
@@ -182,6 +194,7 @@
                                    lambda: self.core.facade.give(self.loop.now()))
         if config.console is not None:
             self.console = ConsoleFront(self.loop, config.console, self.operation.call, self.fleet_call)
+        self.loop.make_room = self.make_room
         self.overseer = self.loop.spawn(self.oversee())
         self.operation.look()
         self.operation.listed(list(known.addresses))
@@ -198,6 +211,12 @@
         return HttpFront(self.loop, self.core, self.taker(), self.pool, most_clients,
                          room(self.config) if self.streams else 0)
 
+    def make_room(self) -> bool:
+        """Closes the connection that can best be spared, for whoever is left without a descriptor.
+
+        First one that rests to an endpoint, then a client's with no request, then one to the console."""
+        return self.front.make_room() or (self.console is not None and self.console.give_way())
+
     def taker(self) -> Taker:
         """What the front hands its exchanges to."""
         return self.core if self.fleet is None else self.fleet.taker(self.core)
@@ -244,7 +263,7 @@
         """The stage has changed."""
         log.info(self.stages.stage.value, extra={"fields": {"held": len(self.core.held),
                                                             "clients": len(self.front.clients)}})
-        self.core.last_answer = self.stages.last_answer
+        self.core.answer_by(self.stages.last_answer)
         self.follow_stage(now)
         self.overseer.wake()
 
@@ -286,16 +305,26 @@
         except ConfigFault as fault:
             log.error("configuration refused, the old one stays", extra={"fields": fault.fields()})
             return
-        old, self.config = self.config, new
-        self.front.most_clients, self.pool.most = caps(new)
-        self.follower.move(new.discovery)
+        running = self.config
         later = [name for name in ("name", "listen", "raw_settings", "console", "peers")
-                 if getattr(old, name) != getattr(new, name)]
+                 if getattr(running, name) != getattr(new, name)]
+        # Guards against two configurations mixed: what needs a restart stays as this process was started by.
+        self.config = replace(running, discovery=new.discovery, cores=new.cores, sockets=new.sockets,
+                              memory_mb=new.memory_mb)
+        self.apply_limits()
+        self.follower.move(new.discovery)
         log.info("configuration read again", extra={"fields": {
             "discovery": address_text(new.discovery), "sockets": new.sockets,
             "needs_restart": ",".join(later).replace("raw_", "") or "nothing"}})
         if self.fleet is not None:
-            self.fleet.reload(new)
+            self.fleet.reload(self.config)
+
+    def apply_limits(self) -> None:
+        """Goes by the limits of the configuration, and by half of them beside another process."""
+        clients, connections = caps(self.config)
+        parts = 1 if self.alone_at == math.inf else 2
+        self.front.most_clients, self.pool.most = clients // parts, connections // parts
+        self.front.set_stream_memory(room(self.config))
 
     def oversee(self) -> Coroutine[None]:
         """Opens the door once this process can serve, follows its stage, looks for orders given elsewhere."""
@@ -309,7 +338,7 @@
             self.follow_stage(now)
             if now >= self.alone_at:
                 self.alone_at = math.inf
-                self.front.most_clients, self.pool.most = caps(self.config)
+                self.apply_limits()
             if self.stages.stage is not Stage.SERVING:
                 yield now + ENDING_LOOK
             else:
@@ -338,9 +367,8 @@
         led = self.operation.predecessor and self.listener.lead_here()
         self.operation.come()
         if self.operation.predecessor:  # both together are within the limits
-            clients, connections = caps(self.config)
-            self.front.most_clients, self.pool.most = clients // 2, connections // 2
             self.alone_at = self.loop.now() + OVERLAP
+            self.apply_limits()
         log.info("serving", extra={"fields": {"listen": address_text(self.listener.address),
                                               "beside": self.operation.predecessor, "all_new": led}})
 
--- a/rainspindle/routing/core.py
+++ b/rainspindle/routing/core.py
@@ -126,13 +126,14 @@
 class Held:
     """An exchange under way: what the module has decided for it and its coroutine has not yet done."""
 
-    __slots__ = ("called_off", "left", "out", "ran", "steps", "task")
+    __slots__ = ("called_off", "given", "left", "out", "ran", "repeat_until", "steps", "task")
 
-    def __init__(self, task: Task) -> None:
-        self.task = task
+    def __init__(self, task: Task, given: Given) -> None:
+        self.task, self.given = task, given
         self.steps: deque[Step] = deque()
         self.out: int | None = None  # the number of the forward that is out
         self.called_off = self.left = self.ran = False
+        self.repeat_until = math.inf  # when endpoints forget the first attempt that may have run
 
 
 class Core:
@@ -236,6 +237,24 @@
     def list_failed(self) -> None:
         self.apply(self.facade.list_failed(self.loop.now()))
 
+    def answer_by(self, deadline: float) -> None:
+        """From now on each request has its answer by then, also one that is under way.
+
+        Guards against a process that ends while it still waits for an endpoint: such a request would have no
+        answer at all, as it was taken with more time than the process has."""
+        self.last_answer = deadline
+        for exchange, held in self.held.items():
+            held.given.expires_at = min(held.given.expires_at, deadline)
+            self.facade.answer_by(exchange, deadline)
+        if deadline < math.inf:
+            self.loop.spawn(self.wake_held(deadline))
+
+    def wake_held(self, at: float) -> Coroutine[None]:
+        while self.loop.now() < at:
+            yield at
+        for held in self.held.values():
+            held.task.wake()
+
     # One exchange.
 
     def expiry(self, type_index: int, came: float, wait: float | None) -> float:
@@ -250,7 +269,7 @@
         assert task is not None
         self.taken += 1
         exchange = self.taken
-        held = self.held[exchange] = Held(task)
+        held = self.held[exchange] = Held(task, given)
 
         def left() -> bool:
             if not held.left and gone():
@@ -259,11 +278,13 @@
             return held.left
 
         def before() -> bool:
-            return left() or held.called_off
+            # Guards against a repeat that was decided in time and is written late: its connection came up
+            # late, or its endpoint reads slowly. It begins with its last byte, past the memory span.
+            return left() or held.called_off or self.loop.now() >= min(held.repeat_until, self.last_answer)
 
         def after() -> bool:
             left()
-            return held.called_off
+            return held.called_off or self.loop.now() >= self.last_answer
 
         def started() -> None:
             if held.out is not None:
@@ -282,6 +303,9 @@
 
         given.spent, given.written = spent, written
         try:
+            # A request that waited behind another on its connection takes no budget or place in the module.
+            if gone():
+                return Left()
             self.apply(self.facade.pick(
                 self.loop.now(), exchange, given.type_index, given.key, given.expires_at, given.repeat,
                 given.expiry is not None, given.tenant))
@@ -292,7 +316,7 @@
                     return Rejected(step.hold_off, held.ran)
                 if isinstance(step, Terminate):
                     return Terminated()
-                held.out = step.number
+                held.out, sent_at = step.number, self.loop.now()
                 address = self.directory.addresses.get(step.endpoint)
                 if address is None or step.endpoint in self.directory.left_out:
                     came = Forwarded(Outcome.UNSENT)
@@ -300,8 +324,12 @@
                     until = min(self.loop.now() + step.patience, given.expires_at)
                     came = yield from self.back.forward(given, step.endpoint, address, until, before, after,
                                                         started)
+                if came.outcome is not Outcome.SERVED and not came.broke:
+                    left()  # or the module would pick a further endpoint for nobody
                 held.out, held.called_off = None, False
-                held.ran = held.ran or came.outcome not in NEVER_RAN
+                if not held.ran and came.outcome not in NEVER_RAN:
+                    held.ran = True
+                    held.repeat_until = sent_at + self.settings.memory_spans[given.type_index]
                 self.apply(self.facade.report(
                     self.loop.now(), exchange, step.number, came.outcome, held.left or came.broke, came.lag))
                 if held.left or came.broke:
--- a/rainspindle/transport/loop.py
+++ b/rainspindle/transport/loop.py
@@ -63,6 +63,8 @@
         self.current: Task | None = None
         self.looked = self.came = self.now()  # the last look; the earliest that what it found can have come
         self.stopped = False
+        # Called when no descriptor is left: closes a connection that can be spared; whether there was one.
+        self.make_room: Callable[[], bool] = lambda: False
 
     def spawn(self, coroutine: Coroutine[None], then: Callable[[], None] | None = None,
               urgent: bool = False) -> Task:
@@ -82,6 +84,12 @@
             while self.now() < again:
                 yield again
 
+    def yield_turn(self) -> Coroutine[None]:
+        """Lets every other ready task run, and the loop look at descriptors and timers, before going on."""
+        assert self.current is not None
+        self.current.wake()
+        yield math.inf
+
     def watch(self, fd: int, owner: Watched, urgent: bool = False) -> None:
         if urgent and self.urgent is None:
             self.urgent, self.hurry_at = select.epoll(), -math.inf
@@ -173,4 +181,7 @@
         task.done = True
         self.tasks.discard(task)
         if task.then is not None:
-            task.then()
+            try:
+                task.then()
+            except Exception as fault:  # must not end the loop, and with it the process
+                self.on_fault(fault)
