Review: answers that never end hold up a whole sidecar

A case with five endpoints, three of which answer one request each with a body that never ends. Nothing is fixed.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,8 +1,10 @@
-"""A prepared statement is issued after its server has died; the next server has it for another database."""
+"""Answers that never end hold up the whole sidecar: all other requests stay without an answer."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import random
 import subprocess
 import sys
 import time
@@ -12,24 +14,21 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from common import bench
-from common.database import PASSWORD
-from common.mysqlclient import USER, MysqlClient
 
-SERVERS = 4  # one of them dies: a quarter
-SESSIONS = 16
-INSERT = "INSERT INTO answers (candidate, answer) VALUES (?, ?)"
-SELECT = "SELECT answer FROM answers WHERE candidate = ?"
-RUN = "exec {}/bin/python -O -m rainspindle mysql --config {}"  # the deploy file's, with the other command
+ENDPOINTS, SPOILT, AFTER = 5, 3, 4
+CLIENTS = 10
+EXPIRY = 1.5  # seconds
+# Half a second later a request is lost; for the test's own time, half a second more.
+LOST_AFTER = EXPIRY + 0.5 + 0.5
+PATIENCE = 12.0  # seconds after which a client stops to wait
+SECONDS = 25.0
 
 
-class Database:
-    """A database server, a process of its own."""
+class Process:
+    """A process that is killed at the end."""
 
-    def __init__(self, name: str, folder: Path) -> None:
-        self.name, self.address, self.path = name, bench.free_address(), folder / f"{name}.log"
-        program = Path(bench.__file__).with_name("database.py")
-        port = self.address.rpartition(":")[2]
-        self.process = subprocess.Popen([sys.executable, str(program), name, port, str(self.path)])
+    def __init__(self, process: subprocess.Popen[bytes]) -> None:
+        self.process = process
 
     def end(self) -> None:
         """Kills it."""
@@ -37,130 +36,105 @@
         self.process.wait()
 
 
-def environment() -> str:
-    """Returns the environment that has what requirements-mysql.txt names."""
-    for name in (".venv", ".venv-dev"):
-        python = bench.ROOT / name / "bin" / "python"
-        if python.exists() and not subprocess.call([python, "-c", "import msgspec, sqlglot"]):
-            return name
-    raise bench.CannotRunError("requirements-mysql.txt is not installed; review/build.sh does that")
+class Streams(bench.Client):
+    """A client that also reads chunked answers."""
 
-
-async def logged_in(address: str) -> MysqlClient:
-    """Returns a new session whose statements are answered."""
-    until = time.monotonic() + 20.0
-    while time.monotonic() < until:
-        client = MysqlClient()
+    async def ask_any(self, data: bytes) -> tuple[int, bool]:
+        """Sends a request; returns the status, 0 for none, and whether the answer was a chunked one."""
         try:
-            await client.connect(address)
-            error, _ = await client.query("SELECT @@hostname")
-            if error is None:
-                return client
-        except OSError:
-            pass
+            if self.writer is None:
+                await self.connect()
+            assert self.reader is not None and self.writer is not None
+            self.writer.write(data)
+            head = await asyncio.wait_for(self.reader.readuntil(b"\r\n\r\n"), PATIENCE)
+        except (OSError, asyncio.IncompleteReadError, TimeoutError):
+            self.close()
+            return 0, False
+        text = head.decode("latin-1").lower()
+        if "chunked" in text:
+            with contextlib.suppress(OSError):
+                while await self.reader.read(1 << 18):
+                    pass
+            self.close()
+            return int(text.split()[1]), True
+        await self.reader.readexactly(int(text.split("content-length:")[1].split()[0]))
+        if "connection: close" in text:
+            self.close()
+        return int(text.split()[1]), False
+
+
+async def started_endpoints(folder: Path, to_end: list[Any]) -> list[str]:
+    """Starts the endpoints and returns their addresses."""
+    program, path = Path(__file__).with_name("endpoints.py"), folder / "endpoints.log"
+    spoilt = SPOILT if bench.TROUBLE else 0
+    arguments = [sys.executable, str(program), str(ENDPOINTS), str(spoilt), str(AFTER)]
+    with path.open("wb") as log:
+        to_end.append(Process(subprocess.Popen(arguments, stdout=log)))
+    for _ in range(100):
         await asyncio.sleep(0.1)
-    raise bench.CannotRunError("no session came up")
+        addresses = path.read_text(encoding="utf-8").split("\n")[:-1]
+        if len(addresses) >= ENDPOINTS:
+            return addresses[:ENDPOINTS]
+    raise bench.CannotRunError("the endpoints did not start")
 
 
 async def case(record: bench.Record, folder: Path, to_end: list[Any]) -> bool:
-    """Runs the case; returns whether each statement ran in the database of its session."""
-    databases = [Database(f"db-{number}", folder) for number in range(SERVERS)]
-    to_end.extend(databases)
-    discovery = bench.Discovery([bench.line(database.name, database.address) for database in databases])
+    """Runs the case; returns whether each request got its final answer."""
+    addresses = await started_endpoints(folder, to_end)
+    discovery = bench.Discovery([bench.line(f"s-{n}", address) for n, address in enumerate(addresses)])
     await discovery.start()
-    lanes = [
-        bench.traffic_type("read-answer", "read_like", 600.0, 2500.0),
-        bench.traffic_type("submit-exam", "non_idempotent", 600.0, 2500.0),
-    ]
     listen = bench.free_address()
     config = {
-        "name": "register",
-        "listen": bench.free_address(),
+        "name": "n1",
+        "listen": listen,
         "discovery": discovery.address,
         "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
-        "settings": bench.settings(lanes),
+        "settings": bench.settings([bench.traffic_type("save-answer", "read_like", 600.0, EXPIRY * 1000)]),
     }
-    password = folder / "centre.password"
-    password.write_bytes(PASSWORD)
-    password.chmod(0o600)
-    (folder / "mysql.toml").write_text(
-        f"""[mysql]
-listen = "{listen}"
-platform = "register.json"
-default = "submit-exam"
-
-[[users]]
-name = "{USER}"
-password = "centre.password"
-
-[[rules]]
-kinds = ["select", "show"]
-traffic_type = "read-answer"
-key = "session"
-""",
-        encoding="utf-8",
-    )
-    run = RUN.format(environment(), folder / "mysql.toml")
-    to_end.append(bench.Sidecar(folder, "register", config, folder / "tmp", run))
-    sessions = []
-    for _ in range(SESSIONS):
-        client = await logged_in(listen)
-        _, (server,) = await client.query("SELECT @@hostname")
-        sessions.append((client, server))
-    home = sessions[0][1]
-    record.say(f"servers of the sessions: {[server for _, server in sessions]}")
-    # The sessions at one server belong to one centre, all others to the other centre: calm, they never meet.
-    centres = [("centre_a" if server == home else "centre_b", client) for client, server in sessions]
-    if len({centre for centre, _ in centres}) < 2:
-        raise bench.CannotRunError("all sessions are at one server")
-    statements = {}
-    expected: dict[str, str] = {}  # the database of each candidate
-    foreign = refused = 0
-    for centre, client in centres:
-        await client.use(centre)
-        statements[client] = await client.prepare(INSERT), await client.prepare(SELECT)
-
-    async def submit(number: int, centre: str, client: MysqlClient) -> None:
-        nonlocal foreign, refused
-        insert, select = statements[client]
-        # Each centre numbers its candidates by itself.
-        candidate, answer = f"candidate-{number}", f"{centre}-{number}-{time.monotonic():.4f}"
-        expected[answer] = centre
-        error, _ = await client.execute(insert, candidate, answer)
-        record(f"{centre}: INSERT {candidate} {answer}: {error or 'OK'}")
-        refused += error is not None
-        error, values = await client.execute(select, candidate)
-        record(f"{centre}: SELECT {candidate}: {error or values}")
-        wrong = [value for value in values if not value.startswith(centre)]
-        foreign += bool(wrong)
-        if wrong:
-            record.say(f"{centre} asked for its {candidate} and got {wrong}")
-
-    for number in range(1, 4):
-        for centre, client in centres:
-            await submit(number, centre, client)
-    if bench.TROUBLE:
-        record.say(f"{home} is killed")
-        next(database for database in databases if database.name == home).end()
-    for number in range(1, 4):
-        for centre, client in centres:
-            if centre == "centre_a":
-                await submit(number, centre, client)
-    for client, _ in sessions:
-        client.close()
-    await asyncio.sleep(0.2)
-    misplaced = 0
-    for database in databases:
-        for text in database.path.read_text(encoding="utf-8").splitlines():
-            if " committed " in text:
-                place = text.split(" database ")[1].split()[0]
-                answer = text.rpartition("=")[2]
-                if expected[answer] != place:
-                    misplaced += 1
-                    record.say(f"in the wrong database: {text}")
-    record.say(f"foreign reads {foreign}, rows in the wrong database {misplaced}, refused {refused}")
-    return not foreign and not misplaced
+    to_end.append(bench.Sidecar(folder, "n1", config, folder / "tmp"))
+    await bench.ready(listen)
+    until = time.monotonic() + SECONDS
+    statuses: dict[int, int] = {}
+    lost, unended, lag = [], [], 0.0
+
+    async def measure_own_lag() -> None:
+        nonlocal lag
+        while True:
+            began = time.monotonic()
+            await asyncio.sleep(0.01)
+            lag = max(lag, time.monotonic() - began - 0.01)
+
+    async def client(index: int) -> None:
+        connection, number = Streams(listen), 0
+        while time.monotonic() < until:
+            number += 1
+            request_id = f"{index:04x}{number:04x}{random.getrandbits(32):08x}"
+            key = f"{random.randrange(1000):016x}"
+            data = bench.request_bytes("GET", request_id, "save-answer", key, int(EXPIRY * 1000), b"")
+            sent = time.monotonic()
+            status, endless = await connection.ask_any(data)
+            took = time.monotonic() - sent
+            statuses[status] = statuses.get(status, 0) + 1
+            record(f"{request_id} sent {sent - record.began:.3f}, answered {status} after {took:.3f} s")
+            if endless:
+                unended.append(request_id)
+                record.say(f"{request_id} got an answer that was cut off after {took:.1f} s")
+            elif took > LOST_AFTER:
+                lost.append(request_id)
+                record.say(f"{request_id} is lost: {status or 'no answer'} after {took:.1f} s")
+            await asyncio.sleep(0.1)
+        connection.close()
+
+    watch = asyncio.create_task(measure_own_lag())
+    clients = [asyncio.create_task(client(index)) for index in range(CLIENTS)]
+    await asyncio.wait(clients, timeout=SECONDS + PATIENCE + 5.0)
+    for task in (watch, *clients):
+        task.cancel()
+    record.say(f"statuses {dict(sorted(statuses.items()))}, lost {len(lost)}, own lag {lag:.3f} s")
+    if lag > LOST_AFTER - EXPIRY - 0.5:
+        raise bench.CannotRunError("the machine held up the test itself")
+    return not lost
 
 
 bench.main(case, Path(__file__).resolve().parent)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,125 +1,166 @@
-"""A new version takes over while requests are open, and a bad client sends the id of one of them."""
+"""A prepared statement is issued after its server has died; the next server has it for another database."""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import random
-import signal
+import subprocess
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from common import bench
-
-ENDPOINTS = 4
-WORK = 0.35  # seconds of an endpoint's work, within the promised time
-CLIENTS = 4
-
-
-class Endpoint:
-    """Runs each request whose last byte has come, and counts the runs by id."""
-
-    def __init__(self, name: str, record: bench.Record, runs: dict[str, list[str]]) -> None:
-        self.name, self.record, self.runs = name, record, runs
-        self.address = ""
-
-    async def start(self) -> None:
-        """Listens."""
-        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.address = bench.bound(server)
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Serves one connection."""
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            while message := await bench.read_message(reader):
-                request_id = message[1]["x-request-id"]
-                self.runs.setdefault(request_id, []).append(self.name)
-                self.record(f"{self.name} runs {request_id}")
-                await asyncio.sleep(WORK)
-                writer.write(bench.answer_bytes(200, f"{request_id} {self.name}".encode()))
-        writer.close()
+from common.database import PASSWORD
+from common.mysqlclient import USER, MysqlClient
+
+SERVERS = 4  # one of them dies: a quarter
+SESSIONS = 16
+INSERT = "INSERT INTO answers (candidate, answer) VALUES (?, ?)"
+SELECT = "SELECT answer FROM answers WHERE candidate = ?"
+RUN = "exec {}/bin/python -O -m rainspindle mysql --config {}"  # the deploy file's, with the other command
+
+
+class Database:
+    """A database server, a process of its own."""
+
+    def __init__(self, name: str, folder: Path) -> None:
+        self.name, self.address, self.path = name, bench.free_address(), folder / f"{name}.log"
+        program = Path(bench.__file__).with_name("database.py")
+        port = self.address.rpartition(":")[2]
+        self.process = subprocess.Popen([sys.executable, str(program), name, port, str(self.path)])
+
+    def end(self) -> None:
+        """Kills it."""
+        self.process.kill()
+        self.process.wait()
+
+
+def environment() -> str:
+    """Returns the environment that has what requirements-mysql.txt names."""
+    for name in (".venv", ".venv-dev"):
+        python = bench.ROOT / name / "bin" / "python"
+        if python.exists() and not subprocess.call([python, "-c", "import msgspec, sqlglot"]):
+            return name
+    raise bench.CannotRunError("requirements-mysql.txt is not installed; review/build.sh does that")
+
+
+async def logged_in(address: str) -> MysqlClient:
+    """Returns a new session whose statements are answered."""
+    until = time.monotonic() + 20.0
+    while time.monotonic() < until:
+        client = MysqlClient()
+        try:
+            await client.connect(address)
+            error, _ = await client.query("SELECT @@hostname")
+            if error is None:
+                return client
+        except OSError:
+            pass
+        await asyncio.sleep(0.1)
+    raise bench.CannotRunError("no session came up")
 
 
 async def case(record: bench.Record, folder: Path, to_end: list[Any]) -> bool:
-    """Runs the case; returns whether each request of the binding class ran once at most."""
-    runs: dict[str, list[str]] = {}
-    endpoints = [Endpoint(f"s-{number}", record, runs) for number in range(ENDPOINTS)]
-    for endpoint in endpoints:
-        await endpoint.start()
-    discovery = bench.Discovery([bench.line(endpoint.name, endpoint.address) for endpoint in endpoints])
+    """Runs the case; returns whether each statement ran in the database of its session."""
+    databases = [Database(f"db-{number}", folder) for number in range(SERVERS)]
+    to_end.extend(databases)
+    discovery = bench.Discovery([bench.line(database.name, database.address) for database in databases])
     await discovery.start()
-    listen = bench.free_address()
     lanes = [
-        bench.traffic_type("save-answer", "read_like", 1200.0, 2500.0),
-        bench.traffic_type("submit-exam", "non_idempotent", 1200.0, 2500.0),
+        bench.traffic_type("read-answer", "read_like", 600.0, 2500.0),
+        bench.traffic_type("submit-exam", "non_idempotent", 600.0, 2500.0),
     ]
+    listen = bench.free_address()
     config = {
-        "name": "n1",
-        "listen": listen,
+        "name": "register",
+        "listen": bench.free_address(),
         "discovery": discovery.address,
-        "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 512},
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
         "settings": bench.settings(lanes),
     }
-    consoles = [bench.free_address(), bench.free_address()]
-
-    def start(number: int) -> bench.Sidecar:
-        own = {**config, "console": consoles[number], "seed": f"8c1f30d27a5be96{number}"}
-        sidecar = bench.Sidecar(folder, f"process-{number}", own, folder / "tmp")
-        to_end.append(sidecar)
-        return sidecar
-
-    old = start(0)
-    await bench.ready(listen)
-    serving, number = True, 0
-    open_ids: dict[str, bytes] = {}
-    refused = served_copies = 0
-
-    async def client(index: int) -> None:
-        nonlocal number
-        connection = bench.Client(listen)
-        await asyncio.sleep(0.15 * index)
-        while serving:
-            number += 1
-            request_id, key = f"{number:08x}{random.getrandbits(32):08x}", f"{random.randrange(500):016x}"
-            data = bench.request_bytes("POST", request_id, "submit-exam", key, 2500, b"final")
-            open_ids[request_id] = data
-            status, _, _ = await connection.ask(data, 4.0)
-            del open_ids[request_id]
-            record(f"client {index}: {request_id} was answered {status}")
-            if status != 200:
-                await asyncio.sleep(0.2)
-        connection.close()
-
-    tasks = [asyncio.create_task(client(index)) for index in range(CLIENTS)]
-    await asyncio.sleep(3.0)
+    password = folder / "centre.password"
+    password.write_bytes(PASSWORD)
+    password.chmod(0o600)
+    (folder / "mysql.toml").write_text(
+        f"""[mysql]
+listen = "{listen}"
+platform = "register.json"
+default = "submit-exam"
+
+[[users]]
+name = "{USER}"
+password = "centre.password"
+
+[[rules]]
+kinds = ["select", "show"]
+traffic_type = "read-answer"
+key = "session"
+""",
+        encoding="utf-8",
+    )
+    run = RUN.format(environment(), folder / "mysql.toml")
+    to_end.append(bench.Sidecar(folder, "register", config, folder / "tmp", run))
+    sessions = []
+    for _ in range(SESSIONS):
+        client = await logged_in(listen)
+        _, (server,) = await client.query("SELECT @@hostname")
+        sessions.append((client, server))
+    home = sessions[0][1]
+    record.say(f"servers of the sessions: {[server for _, server in sessions]}")
+    # The sessions at one server belong to one centre, all others to the other centre: calm, they never meet.
+    centres = [("centre_a" if server == home else "centre_b", client) for client, server in sessions]
+    if len({centre for centre, _ in centres}) < 2:
+        raise bench.CannotRunError("all sessions are at one server")
+    statements = {}
+    expected: dict[str, str] = {}  # the database of each candidate
+    foreign = refused = 0
+    for centre, client in centres:
+        await client.use(centre)
+        statements[client] = await client.prepare(INSERT), await client.prepare(SELECT)
+
+    async def submit(number: int, centre: str, client: MysqlClient) -> None:
+        nonlocal foreign, refused
+        insert, select = statements[client]
+        # Each centre numbers its candidates by itself.
+        candidate, answer = f"candidate-{number}", f"{centre}-{number}-{time.monotonic():.4f}"
+        expected[answer] = centre
+        error, _ = await client.execute(insert, candidate, answer)
+        record(f"{centre}: INSERT {candidate} {answer}: {error or 'OK'}")
+        refused += error is not None
+        error, values = await client.execute(select, candidate)
+        record(f"{centre}: SELECT {candidate}: {error or values}")
+        wrong = [value for value in values if not value.startswith(centre)]
+        foreign += bool(wrong)
+        if wrong:
+            record.say(f"{centre} asked for its {candidate} and got {wrong}")
+
+    for number in range(1, 4):
+        for centre, client in centres:
+            await submit(number, centre, client)
     if bench.TROUBLE:
-        start(1)
-        await bench.ready(consoles[1], "/-/ready", 6.0)
-        record.say("the new process says yes; the old one gets SIGTERM")
-        old.signal(signal.SIGTERM)
-
-    async def copy(request_id: str, data: bytes) -> None:
-        nonlocal refused, served_copies
-        bad = bench.Client(listen)
-        status, _, _ = await bad.ask(data, 3.5)
-        bad.close()
-        record.say(f"bad client: the open id {request_id} again, answered {status}")
-        refused, served_copies = refused + (status != 200), served_copies + (status == 200)
-
-    await asyncio.gather(*(copy(*item) for item in list(open_ids.items())))
-    await asyncio.sleep(1.0)
-    serving = False
-    await asyncio.gather(*tasks)
-    twice = {request_id: names for request_id, names in runs.items() if len(names) > 1}
-    for request_id, names in twice.items():
-        record.say(f"{request_id} of the binding class ran {len(names)} times: {names}")
-    record.say(f"requests {number}, copies served {served_copies}, copies refused {refused}")
-    if served_copies + refused == 0 or not runs:
-        raise bench.CannotRunError("no copy of an open request was sent")
-    return not twice and not served_copies
+        record.say(f"{home} is killed")
+        next(database for database in databases if database.name == home).end()
+    for number in range(1, 4):
+        for centre, client in centres:
+            if centre == "centre_a":
+                await submit(number, centre, client)
+    for client, _ in sessions:
+        client.close()
+    await asyncio.sleep(0.2)
+    misplaced = 0
+    for database in databases:
+        for text in database.path.read_text(encoding="utf-8").splitlines():
+            if " committed " in text:
+                place = text.split(" database ")[1].split()[0]
+                answer = text.rpartition("=")[2]
+                if expected[answer] != place:
+                    misplaced += 1
+                    record.say(f"in the wrong database: {text}")
+    record.say(f"foreign reads {foreign}, rows in the wrong database {misplaced}, refused {refused}")
+    return not foreign and not misplaced
 
 
 bench.main(case, Path(__file__).resolve().parent)
