Review: long bodies and answers take a sidecar over its limit on memory

A case with 170 clients that send 60 to 300 kB each and endpoints that answer with up to 1 MB. The sidecar held 98 MB of 64 where it was left alone; with short bodies and answers 34 MB. Nothing is fixed.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -15,7 +15,7 @@
 
 from common import bench
 
-ENDPOINTS, SPOILT, AFTER = 5, 3, 4
+ENDPOINTS, SPOILT, AFTER = 6, 4, 4
 CLIENTS = 10
 EXPIRY = 1.5  # seconds
 # Half a second later a request is lost; for the test's own time, half a second more.
@@ -24,18 +24,6 @@
 SECONDS = 25.0
 
 
-class Process:
-    """A process that is killed at the end."""
-
-    def __init__(self, process: subprocess.Popen[bytes]) -> None:
-        self.process = process
-
-    def end(self) -> None:
-        """Kills it."""
-        self.process.kill()
-        self.process.wait()
-
-
 class Streams(bench.Client):
     """A client that also reads chunked answers."""
 
@@ -69,7 +57,7 @@
     spoilt = SPOILT if bench.TROUBLE else 0
     arguments = [sys.executable, str(program), str(ENDPOINTS), str(spoilt), str(AFTER)]
     with path.open("wb") as log:
-        to_end.append(Process(subprocess.Popen(arguments, stdout=log)))
+        to_end.append(bench.Process(subprocess.Popen(arguments, stdout=log)))
     for _ in range(100):
         await asyncio.sleep(0.1)
         addresses = path.read_text(encoding="utf-8").split("\n")[:-1]
--- a/review/2/endpoints.py
+++ b/review/2/endpoints.py
@@ -19,7 +19,7 @@
 from common import bench
 
 WORK = 0.03  # seconds
-CHUNK = 64  # bytes
+CHUNK = 128  # bytes
 
 
 class Endpoint:
@@ -45,7 +45,7 @@
         """Answers without end, as fast as it is read."""
         print(f"{self.name} begins an answer to {request_id} that never ends", flush=True)
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        part = (b"%x\r\n%b\r\n" % (CHUNK, b"x" * CHUNK)) * 900
+        part = (b"%x\r\n%b\r\n" % (CHUNK, b"x" * CHUNK)) * 480
         count = 0
         try:
             while True:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,10 @@
-"""A prepared statement is issued after its server has died; the next server has it for another database."""
+"""Long bodies and answers, more at once than memory holds: the sidecar takes more than its limit."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import random
 import subprocess
 import sys
 import time
@@ -12,155 +14,118 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from common import bench
-from common.database import PASSWORD
-from common.mysqlclient import USER, MysqlClient
-
-SERVERS = 4  # one of them dies: a quarter
-SESSIONS = 16
-INSERT = "INSERT INTO answers (candidate, answer) VALUES (?, ?)"
-SELECT = "SELECT answer FROM answers WHERE candidate = ?"
-RUN = "exec {}/bin/python -O -m rainspindle mysql --config {}"  # the deploy file's, with the other command
-
-
-class Database:
-    """A database server, a process of its own."""
-
-    def __init__(self, name: str, folder: Path) -> None:
-        self.name, self.address, self.path = name, bench.free_address(), folder / f"{name}.log"
-        program = Path(bench.__file__).with_name("database.py")
-        port = self.address.rpartition(":")[2]
-        self.process = subprocess.Popen([sys.executable, str(program), name, port, str(self.path)])
-
-    def end(self) -> None:
-        """Kills it."""
-        self.process.kill()
-        self.process.wait()
-
-
-def environment() -> str:
-    """Returns the environment that has what requirements-mysql.txt names."""
-    for name in (".venv", ".venv-dev"):
-        python = bench.ROOT / name / "bin" / "python"
-        if python.exists() and not subprocess.call([python, "-c", "import msgspec, sqlglot"]):
-            return name
-    raise bench.CannotRunError("requirements-mysql.txt is not installed; review/build.sh does that")
-
-
-async def logged_in(address: str) -> MysqlClient:
-    """Returns a new session whose statements are answered."""
-    until = time.monotonic() + 20.0
-    while time.monotonic() < until:
-        client = MysqlClient()
-        try:
-            await client.connect(address)
-            error, _ = await client.query("SELECT @@hostname")
-            if error is None:
-                return client
-        except OSError:
-            pass
+
+ENDPOINTS = 6
+MEMORY_MB, SOCKETS = 64, 512
+CLIENTS = 170  # a third of the descriptors
+BODIES = (60_000, 64_000, 150_000, 300_000)  # bytes
+WRITE_RATE = 80_000  # bytes a second of a client's body; 64 kB a second are allowed
+READ_RATE = 200_000  # bytes a second at which a client reads its answer
+EXPIRY = 2.5  # seconds
+SECONDS = 40.0
+KILLED_AT = 1.1 * MEMORY_MB  # a tenth more than the limit, for the ways in which memory can be counted
+
+
+def resident_mb(pid: int) -> float:
+    """Returns the memory that a process holds, as the platform sees it."""
+    for text in Path(f"/proc/{pid}/status").read_text(encoding="utf-8").splitlines():
+        if text.startswith("VmRSS"):
+            return int(text.split()[1]) * 1024 / 1e6
+    raise bench.CannotRunError("the system does not tell the memory of a process")
+
+
+async def started_endpoints(folder: Path, to_end: list[Any]) -> list[str]:
+    """Starts the endpoints and returns their addresses."""
+    program, path = Path(__file__).with_name("endpoints.py"), folder / "endpoints.log"
+    arguments = [sys.executable, str(program), str(ENDPOINTS), str(int(bench.TROUBLE))]
+    with path.open("wb") as log:
+        to_end.append(bench.Process(subprocess.Popen(arguments, stdout=log)))
+    for _ in range(100):
         await asyncio.sleep(0.1)
-    raise bench.CannotRunError("no session came up")
+        addresses = path.read_text(encoding="utf-8").split("\n")[:-1]
+        if len(addresses) >= ENDPOINTS:
+            return addresses
+    raise bench.CannotRunError("the endpoints did not start")
+
+
+async def exchange(listen: str, request_id: str, size: int) -> int:
+    """Sends a request with a body of `size` bytes, slowly, and reads the answer; returns the status."""
+    host, _, port = listen.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port), limit=65536)
+    try:
+        key = f"{random.randrange(1000):016x}"
+        request = bench.request_bytes("POST", request_id, "submit-exam", key, int(EXPIRY * 1000), b"y" * size)
+        head, _, body = request.partition(b"\r\n\r\n")
+        writer.write(head + b"\r\n\r\n")
+        part = WRITE_RATE // 10
+        for begin in range(0, size, part):
+            writer.write(body[begin : begin + part])
+            await writer.drain()
+            if begin + part < size:
+                await asyncio.sleep(0.1)
+        answer = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
+        left = int(answer.split("content-length:")[1].split()[0])
+        while left > 0 and (data := await reader.read(READ_RATE // 20)):
+            left -= len(data)
+            await asyncio.sleep(0.05)
+        return int(answer.split()[1]) if left == 0 else 0
+    finally:
+        writer.close()
 
 
 async def case(record: bench.Record, folder: Path, to_end: list[Any]) -> bool:
-    """Runs the case; returns whether each statement ran in the database of its session."""
-    databases = [Database(f"db-{number}", folder) for number in range(SERVERS)]
-    to_end.extend(databases)
-    discovery = bench.Discovery([bench.line(database.name, database.address) for database in databases])
+    """Runs the case; returns whether the sidecar kept its limit on memory and lived."""
+    addresses = await started_endpoints(folder, to_end)
+    discovery = bench.Discovery([bench.line(f"s-{n}", address) for n, address in enumerate(addresses)])
     await discovery.start()
+    listen = bench.free_address()
     lanes = [
-        bench.traffic_type("read-answer", "read_like", 600.0, 2500.0),
-        bench.traffic_type("submit-exam", "non_idempotent", 600.0, 2500.0),
+        bench.traffic_type("save-answer", "read_like", 600.0, EXPIRY * 1000),
+        bench.traffic_type("submit-exam", "non_idempotent", 600.0, EXPIRY * 1000),
     ]
-    listen = bench.free_address()
     config = {
-        "name": "register",
-        "listen": bench.free_address(),
+        "name": "n1",
+        "listen": listen,
         "discovery": discovery.address,
         "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+        "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
         "settings": bench.settings(lanes),
     }
-    password = folder / "centre.password"
-    password.write_bytes(PASSWORD)
-    password.chmod(0o600)
-    (folder / "mysql.toml").write_text(
-        f"""[mysql]
-listen = "{listen}"
-platform = "register.json"
-default = "submit-exam"
-
-[[users]]
-name = "{USER}"
-password = "centre.password"
-
-[[rules]]
-kinds = ["select", "show"]
-traffic_type = "read-answer"
-key = "session"
-""",
-        encoding="utf-8",
-    )
-    run = RUN.format(environment(), folder / "mysql.toml")
-    to_end.append(bench.Sidecar(folder, "register", config, folder / "tmp", run))
-    sessions = []
-    for _ in range(SESSIONS):
-        client = await logged_in(listen)
-        _, (server,) = await client.query("SELECT @@hostname")
-        sessions.append((client, server))
-    home = sessions[0][1]
-    record.say(f"servers of the sessions: {[server for _, server in sessions]}")
-    # The sessions at one server belong to one centre, all others to the other centre: calm, they never meet.
-    centres = [("centre_a" if server == home else "centre_b", client) for client, server in sessions]
-    if len({centre for centre, _ in centres}) < 2:
-        raise bench.CannotRunError("all sessions are at one server")
-    statements = {}
-    expected: dict[str, str] = {}  # the database of each candidate
-    foreign = refused = 0
-    for centre, client in centres:
-        await client.use(centre)
-        statements[client] = await client.prepare(INSERT), await client.prepare(SELECT)
-
-    async def submit(number: int, centre: str, client: MysqlClient) -> None:
-        nonlocal foreign, refused
-        insert, select = statements[client]
-        # Each centre numbers its candidates by itself.
-        candidate, answer = f"candidate-{number}", f"{centre}-{number}-{time.monotonic():.4f}"
-        expected[answer] = centre
-        error, _ = await client.execute(insert, candidate, answer)
-        record(f"{centre}: INSERT {candidate} {answer}: {error or 'OK'}")
-        refused += error is not None
-        error, values = await client.execute(select, candidate)
-        record(f"{centre}: SELECT {candidate}: {error or values}")
-        wrong = [value for value in values if not value.startswith(centre)]
-        foreign += bool(wrong)
-        if wrong:
-            record.say(f"{centre} asked for its {candidate} and got {wrong}")
-
-    for number in range(1, 4):
-        for centre, client in centres:
-            await submit(number, centre, client)
-    if bench.TROUBLE:
-        record.say(f"{home} is killed")
-        next(database for database in databases if database.name == home).end()
-    for number in range(1, 4):
-        for centre, client in centres:
-            if centre == "centre_a":
-                await submit(number, centre, client)
-    for client, _ in sessions:
-        client.close()
-    await asyncio.sleep(0.2)
-    misplaced = 0
-    for database in databases:
-        for text in database.path.read_text(encoding="utf-8").splitlines():
-            if " committed " in text:
-                place = text.split(" database ")[1].split()[0]
-                answer = text.rpartition("=")[2]
-                if expected[answer] != place:
-                    misplaced += 1
-                    record.say(f"in the wrong database: {text}")
-    record.say(f"foreign reads {foreign}, rows in the wrong database {misplaced}, refused {refused}")
-    return not foreign and not misplaced
+    sidecar = bench.Sidecar(folder, "n1", config, folder / "tmp")
+    to_end.append(sidecar)
+    await bench.ready(listen)
+    record.say(f"after the start {resident_mb(sidecar.process.pid):.1f} MB of {MEMORY_MB}")
+    until = time.monotonic() + SECONDS
+    statuses: dict[int, int] = {}
+    killed, peak = False, 0.0
+
+    async def client(index: int) -> None:
+        number = 0
+        while time.monotonic() < until and not killed:
+            number += 1
+            request_id = f"{index:04x}{number:04x}{random.getrandbits(32):08x}"
+            size = random.choice(BODIES) if bench.TROUBLE else 200
+            status = 0
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError, IndexError, TimeoutError):
+                status = await asyncio.wait_for(exchange(listen, request_id, size), 30.0)
+            statuses[status] = statuses.get(status, 0) + 1
+            record(f"{request_id} with {size} bytes was answered {status}")
+            await asyncio.sleep(0.1)
+
+    tasks = [asyncio.create_task(client(index)) for index in range(CLIENTS)]
+    while time.monotonic() < until and not killed:
+        await asyncio.sleep(0.1)
+        now = resident_mb(sidecar.process.pid)
+        peak = max(peak, now)
+        record(f"the sidecar holds {now:.1f} MB")
+        if now > KILLED_AT:
+            record.say(f"the sidecar holds {now:.1f} MB of {MEMORY_MB}: the platform kills it")
+            killed = True
+            sidecar.end()
+    for task in tasks:
+        task.cancel()
+    record.say(f"statuses {dict(sorted(statuses.items()))}, most memory {peak:.1f} MB of {MEMORY_MB}")
+    return peak <= KILLED_AT
 
 
 bench.main(case, Path(__file__).resolve().parent)
--- a/review/common/bench.py
+++ b/review/common/bench.py
@@ -258,7 +258,19 @@
     }
 
 
-# The program.
+# Processes.
+
+
+class Process:
+    """A stand-in that is a process of its own, and is killed at the end."""
+
+    def __init__(self, process: subprocess.Popen[bytes]) -> None:
+        self.process = process
+
+    def end(self) -> None:
+        """Kills it."""
+        self.process.kill()
+        self.process.wait()
 
 
 class Sidecar:
