--- a/rainspindle/fronts/http1/back.py
+++ b/rainspindle/fronts/http1/back.py
@@ -171,7 +171,7 @@
             return connection.readable or before()
 
         limit_send_buffer(connection)
-        part = first_part
+        part, answer = first_part, None
         while True:
             if before():  # a body already received to its end is sent without a wait, which would check this
                 raise Unwanted
@@ -187,25 +187,14 @@
                         raise
                     data = connection.receive()
                     if data is not None:  # an early answer: the endpoint may read no more of the body
-                        return self.early_answer(attempt, data), given.written()
+                        try:
+                            answer = attempt.receive(data)
+                        except Unreadable as fault:
+                            raise Broken(str(fault)) from None
+                        return answer, given.written()
             if not part:
                 return None, given.written()
 
-    def early_answer(self, attempt: EndpointSide, data: bytes) -> Answered | None:
-        """Returns the answer to a request whose body is incomplete, None while the answer is incomplete too.
-
-        Raises:
-            Broken: The bytes are invalid, or a successful answer. An endpoint starts to execute a request at
-                its last byte, so such an answer was made for an earlier one.
-        """
-        try:
-            answer = attempt.receive(data)
-        except Unreadable as fault:
-            raise Broken(str(fault)) from None
-        if attempt.serves(answer):
-            raise Broken("the endpoint served the request before its last byte")
-        return answer
-
     def stream_answer(
         self, connection: Connection, attempt: EndpointSide, streams: Streams
     ) -> Coroutine[tuple[Forwarded, bool]]:
--- a/rainspindle/protocol/endpoint.py
+++ b/rainspindle/protocol/endpoint.py
@@ -60,12 +60,6 @@
             )
         )
 
-    def serves(self, answer: Answered | None) -> bool:
-        """Whether what has been received is a successful answer, complete or not (`answer` is None then)."""
-        if answer is not None:
-            return answer.outcome is AttemptOutcome.SERVED
-        return self.call.response is not None and self.call.response.status_code == 200
-
 
 def chunk(data: bytes) -> bytes:
     """Encodes a part of a body as a chunk, b"" as the last one."""
