A task that never has to wait gives up its turn after 2 ms

Cause: a coroutine keeps the event loop until it waits. Passing on an answer from a fast endpoint to a fast client never waits, so nothing else ran, timers included, until 32 MiB had gone; each read was decoded in one go.

Evidence, by a probe of the untouched code that logs turns over 0.1 s: five turns of 4.18, 3.88, 3.96, 0.49 and 3.45 s in HttpFront.serve, up to 535 reads and 262,222 parser events in one, CPU time the same to 3 ms. So not the machine, not the kernel, not a lock.

A time limit also ends a peer that always has bytes ready.

--- a/rainspindle/fronts/http1/back.py
+++ b/rainspindle/fronts/http1/back.py
@@ -14,6 +14,7 @@
 from ...routing.core import Directory, Forwarded, Given
 from ...transport.address import Address, address_text
 from ...transport.connection import Broken, Connection, Late, OutOfSockets, Unwanted
+from ...transport.decoding import decode_some
 from ...transport.loop import Coroutine, Loop
 from ...transport.pool import Peer, Pool
 from .stream import IDLE_TIMEOUT, ClientLost, StreamableRequest, Streams, limit_send_buffer
@@ -126,12 +127,11 @@
                             result, reusable = yield from self.stream_answer(connection, attempt, streams)
                             return result
                     try:
-                        data = yield from connection.await_bytes(min(until, stream_from), after)
+                        answer = yield from decode_some(connection, attempt, min(until, stream_from), after)
                     except Late:
                         if self.loop.now() < until:
                             continue
                         raise
-                    answer = attempt.receive(data)
             except Late:
                 # The machine may have vanished. Its idle connections stay open and silent, whereas a new one
                 # fails to connect, after which even a non-idempotent request may be retried elsewhere.
@@ -213,8 +213,7 @@
             answer = None
             while True:
                 yield from streams.send(attempt.call.take())
-                data = yield from connection.await_bytes(self.loop.now() + IDLE_TIMEOUT, unwanted)
-                answer = attempt.receive(data)
+                answer = yield from decode_some(connection, attempt, self.loop.now() + IDLE_TIMEOUT, unwanted)
                 if answer is not None:
                     yield from streams.send(answer.body)
                     yield from streams.end()
--- a/rainspindle/fronts/http1/front.py
+++ b/rainspindle/fronts/http1/front.py
@@ -146,9 +146,7 @@
                 request_deadline = waiting_since + REQUEST_TIMEOUT + side.got / MIN_BODY_RATE
                 until = math.inf if client in self.crowd.waiting else request_deadline
                 try:
-                    if side.wants_continue:
-                        yield from client.send(side.go_on(), until)
-                    data = yield from client.await_bytes(until, lambda: client.closed)
+                    yield from self.read_on(client, side, until)
                 except (Broken, Unwanted):
                     yield from self.close_gracefully(client)
                     return
@@ -159,7 +157,6 @@
                 if client in self.crowd.waiting:
                     waiting_since = self.loop.now()
                 received_at = client.came
-                side.receive(data)
                 self.crowd.went_on(client, self.loop.now())
                 continue
             self.crowd.gone(client)
@@ -201,6 +198,15 @@
             else:
                 self.crowd.rests(client, waiting_since)
 
+    def read_on(self, client: Connection, side: ApplicationSide, until: float) -> Coroutine[None]:
+        """Reads more of a request, unless some is still undecoded. Raises Broken, Late and Unwanted."""
+        if side.undecoded:
+            yield from client.share_turn(until, lambda: client.closed)
+            return
+        if side.wants_continue:
+            yield from client.send(side.go_on(), until)
+        side.receive((yield from client.await_bytes(until, lambda: client.closed)))
+
     def closes(self, client: Connection, side: ApplicationSide) -> bool:
         """Whether the connection closes with the answer that is being written.
 
--- a/rainspindle/fronts/http1/stream.py
+++ b/rainspindle/fronts/http1/stream.py
@@ -71,6 +71,7 @@
             Unwanted: `unless` holds.
         """
         try:
+            yield from self.client.share_turn(math.inf, unless)
             while (part := self.side.piece()) is None:
                 data = yield from self.client.await_bytes(self.loop.now() + IDLE_TIMEOUT, unless)
                 self.side.receive(data)
--- a/rainspindle/fronts/link/link.py
+++ b/rainspindle/fronts/link/link.py
@@ -221,6 +221,8 @@
                     )
                 if data is None:
                     yield session.next_tick_at()
+                elif self.loop.slice_used():
+                    yield from self.loop.yield_turn()
         except Broken:
             pass
         except f.LinkFault as fault:
--- a/rainspindle/fronts/mysql/back.py
+++ b/rainspindle/fronts/mysql/back.py
@@ -216,6 +216,8 @@
         continued = complete = False
         request.buffered.clear()
         while not complete:
+            # One read may hold thousands of small rows.
+            yield from server.connection.share_turn(until, cancelled)
             packet = reader.packet()
             if packet is None:
                 server.connection.mine()
--- a/rainspindle/fronts/mysql/front.py
+++ b/rainspindle/fronts/mysql/front.py
@@ -170,6 +170,8 @@
             self.clients[client] = session
             while not client.closed and not (self.closing and session.pinned is None):
                 reader.restart()
+                # One client that sends many commands at once must not hold up all others.
+                yield from client.share_turn(math.inf)
                 payload = yield from self.read_command(client, reader)
                 if not payload or payload[0] == Command.QUIT:
                     return
--- a/rainspindle/fronts/mysql/servers.py
+++ b/rainspindle/fronts/mysql/servers.py
@@ -260,6 +260,7 @@
 
     def read_packet(self, server: ServerConnection, until: float, unless: Unless) -> Coroutine[Packet]:
         """Read the next packet."""
+        yield from server.connection.share_turn(until, unless)
         while (packet := server.reader.packet()) is None:
             data = yield from server.connection.await_bytes(until, unless)
             if not data:
--- a/rainspindle/lab/sockets/load.py
+++ b/rainspindle/lab/sockets/load.py
@@ -112,6 +112,8 @@
                     data = yield from connection.await_bytes(until)
                     got = got or bool(data)
                     reply = call.receive(data)
+                    while reply is None and call.undecoded:
+                        reply = call.resume()
                 return reply
             except (Broken, Unreadable):
                 # A sidecar may close between requests; what that crosses is sent once more on a new one.
--- a/rainspindle/protocol/application.py
+++ b/rainspindle/protocol/application.py
@@ -13,6 +13,7 @@
 MOST_BODY = 64 * 1024  # bytes; a longer body is streamed, where that is possible
 MOST_STREAM = 32 * 1024 * 1024  # bytes of a streamed body
 MOST_HEAD = 16 * 1024  # bytes
+MAX_EVENTS = 64  # events of the parser per call: one read may hold thousands of tiny chunks
 
 REJECTED, TERMINATED = 503, 502
 METHODS = (b"GET /", b"POST /", b"PUT /", b"HEAD /", b"DELETE /", b"PATCH /", b"OPTIONS ")
@@ -153,6 +154,8 @@
         self.request: h11.Request | None = None
         self.body = bytearray()
         self.got = 0  # bytes received of the body
+        self.undecoded = False  # whether `next` must be called before more bytes are passed on
+        self.body_ended = False  # whether the end of a streamed body has been decoded
 
     def receive(self, data: bytes) -> None:
         """Takes received bytes, b"" for the end of the connection."""
@@ -186,12 +189,16 @@
         return self.connection.send(h11.InformationalResponse(status_code=100, headers=[])) or b""
 
     def next(self) -> Message | None:
-        """Returns the next message, or None; of a long one only the first part (an `Ask` with `more`)."""
+        """Returns the next message, or None; of a long one only the first part (an `Ask` with `more`).
+
+        Decodes up to MAX_EVENTS events of the parser; `undecoded` says whether that left some.
+        """
         came, self.came, connection = self.came, None, self.connection
+        self.undecoded = False
         if connection is None:
             return came
         try:
-            while True:
+            for _ in range(MAX_EVENTS):
                 event = connection.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     return None
@@ -214,6 +221,8 @@
             if connection.their_state is h11.ERROR and connection.trailing_data == (b"", True):
                 return Ended()  # it disconnected in the middle of a request
             return Bad(fault.error_status_hint, str(fault))
+        self.undecoded = True
+        return None
 
     def whole(self, connection: h11.Connection, more: bool) -> Message:
         """Returns the received request; `more` says whether its body is incomplete."""
@@ -228,6 +237,20 @@
     def piece(self) -> bytes | None:
         """Returns the next part of a streamed body, b"" at its end, None if more bytes are needed.
 
+        Raises:
+            Cut: The body is invalid or too long.
+        """
+        part = bytearray()
+        for _ in range(MAX_EVENTS):
+            data = b"" if self.body_ended else self.next_data()
+            if not data:
+                break
+            part += data
+        return bytes(part) if part or self.body_ended else None
+
+    def next_data(self) -> bytes:
+        """Returns the data of the parser's next event; b"" at the body's end, or if more bytes are needed.
+
         Raises:
             Cut: The body is invalid or too long.
         """
@@ -237,8 +260,9 @@
         except h11.RemoteProtocolError as fault:
             raise Cut(fault.error_status_hint, str(fault)) from None
         if event is h11.NEED_DATA or event is h11.PAUSED:
-            return None
+            return b""
         if isinstance(event, h11.EndOfMessage):
+            self.body_ended = True
             return b""
         if not isinstance(event, h11.Data):
             raise Cut(400, "the body ended early")
@@ -343,7 +367,7 @@
         """Ends the current request; returns whether the connection can carry another one."""
         goes_on = self.goes_on()
         follows = self.connection.trailing_data[0] if self.connection is not None and goes_on else b""
-        self.connection, self.request = None, None
+        self.connection, self.request, self.body_ended = None, None, False
         if follows:  # the next request arrived with the last one
             self.receive(follows)
         return goes_on
--- a/rainspindle/protocol/client.py
+++ b/rainspindle/protocol/client.py
@@ -12,6 +12,7 @@
 Headers = Iterable[tuple[bytes, bytes]]
 
 MOST_HEAD = 16 * 1024  # bytes
+MAX_EVENTS = 64  # events of the parser per call: one read may hold thousands of tiny chunks or 1xx heads
 HTTP_PREFIX = b"HTTP/1."
 
 
@@ -40,6 +41,7 @@
         self.connection: h11.Connection | None = None  # for an answer that is not plain
         self.response: h11.Response | None = None
         self.body = bytearray()
+        self.undecoded = False  # whether `resume` must be called before more bytes are passed on
 
     def request(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> bytes:
         """Encodes the request."""
@@ -75,6 +77,8 @@
     def receive(self, data: bytes) -> Reply | None:
         """Takes received bytes, b"" for the end of the connection; returns the answer once it is complete.
 
+        Decodes up to MAX_EVENTS events of the parser; `undecoded` says whether that left some.
+
         Raises:
             Unreadable: The answer is invalid, incomplete or too long.
         """
@@ -89,9 +93,18 @@
             self.connection.send(h11.EndOfMessage())
         try:
             self.connection.receive_data(data)
-            while True:
+        except h11.RemoteProtocolError as fault:
+            raise Unreadable(str(fault)) from None
+        return self.resume()
+
+    def resume(self) -> Reply | None:
+        """Decodes what `receive` left, as `receive` does."""
+        assert self.connection is not None
+        try:
+            for _ in range(MAX_EVENTS):
                 event = self.connection.next_event()
                 if event is h11.NEED_DATA:
+                    self.undecoded = False
                     return None
                 if isinstance(event, h11.Response):
                     self.response = event
@@ -108,6 +121,8 @@
                     raise Unreadable("the endpoint ended the connection before the answer")
         except h11.RemoteProtocolError as fault:
             raise Unreadable(str(fault)) from None
+        self.undecoded = True
+        return None
 
     def reply(self, connection: h11.Connection) -> Reply:
         """Returns the complete answer."""
--- a/rainspindle/protocol/discovery.py
+++ b/rainspindle/protocol/discovery.py
@@ -11,7 +11,7 @@
 from ..balancer.host import EndpointStatus, ListedEndpoint
 from ..lazy_dataclasses import dataclass
 from ..transport.address import Address, parse_address
-from .client import Call, Unreadable
+from .client import Call, Reply, Unreadable
 
 MAX_LIST_BYTES = 4 * 1024 * 1024
 STATUS_BY_LIFECYCLE = {
@@ -102,7 +102,19 @@
 
         Raises Unreadable.
         """
-        reply = self.call.receive(data)
+        return self.decode(self.call.receive(data))
+
+    def resume(self) -> tuple[ListChange, bool] | None:
+        """Decodes what `receive` left, as `receive` does."""
+        return self.decode(self.call.resume())
+
+    @property
+    def undecoded(self) -> bool:
+        """Whether `resume` must be called before more bytes are passed on."""
+        return self.call.undecoded
+
+    def decode(self, reply: Reply | None) -> tuple[ListChange, bool] | None:
+        """Decodes a complete answer. Raises Unreadable."""
         if reply is None:
             return None
         if reply.status != 200:
--- a/rainspindle/protocol/endpoint.py
+++ b/rainspindle/protocol/endpoint.py
@@ -47,7 +47,19 @@
 
     def receive(self, data: bytes) -> Answered | None:
         """Takes received bytes; returns the answer once it is complete. Raises `client.Unreadable`."""
-        reply = self.call.receive(data)
+        return self.answered(self.call.receive(data))
+
+    def resume(self) -> Answered | None:
+        """Decodes what `receive` left, as `receive` does."""
+        return self.answered(self.call.resume())
+
+    @property
+    def undecoded(self) -> bool:
+        """Whether `resume` must be called before more bytes are passed on."""
+        return self.call.undecoded
+
+    def answered(self, reply: Reply | None) -> Answered | None:
+        """Interprets a complete answer."""
         return (
             None
             if reply is None
--- a/rainspindle/routing/follow.py
+++ b/rainspindle/routing/follow.py
@@ -10,6 +10,7 @@
 from ..protocol.discovery import DiscoverySide, ListChange, ListDecoder
 from ..transport.address import Address, address_text
 from ..transport.connection import Broken, Connection, Late, OutOfSockets, Unwanted, open_connection
+from ..transport.decoding import decode_some
 from ..transport.loop import Coroutine, Loop
 from .core import Core
 
@@ -235,8 +236,7 @@
         yield from self.connection.send(request, until, unless)
         answer = None
         while answer is None:
-            data = yield from self.connection.await_bytes(until, unless)
-            answer = call.receive(data)
+            answer = yield from decode_some(self.connection, call, until, unless)
         # Guards against an answer read in the loop's turn in which the address changed: its version would be
         # taken for the new service's.
         if self.address != address:
--- a/rainspindle/transport/connection.py
+++ b/rainspindle/transport/connection.py
@@ -5,6 +5,7 @@
 import array
 import contextlib
 import errno
+import math
 import select
 import socket
 import struct
@@ -54,6 +55,7 @@
         self.came = loop.came  # the earliest time at which the last bytes can have arrived
         self.seen = loop.looked  # the latest time at which they can have arrived
         self.idle_since = 0.0
+        self.read_at = -math.inf  # when `await_bytes` last returned
         self.wake: Callable[[], None] = lambda: None
         loop.watch(sock.fileno(), self, urgent)
 
@@ -74,7 +76,12 @@
         self.wake = task.wake
 
     def await_it(self, until: float, unless: Unless) -> Coroutine[None]:
-        """Waits once.
+        """Waits once. Raises Late and Unwanted."""
+        self.check_limits(until, unless)
+        yield until
+
+    def check_limits(self, until: float, unless: Unless) -> None:
+        """Checks the limits of a wait.
 
         Raises:
             Late: The time `until` has come.
@@ -84,7 +91,12 @@
             raise Unwanted
         if self.loop.now() >= until:
             raise Late
-        yield until
+
+    def share_turn(self, until: float, unless: Unless = None) -> Coroutine[None]:
+        """Lets other tasks run if this one has used its time slice. Raises Late and Unwanted after that."""
+        if self.loop.slice_used():
+            yield from self.loop.yield_turn()
+            self.check_limits(until, unless)
 
     def establish(self, until: float, unless: Unless = None) -> Coroutine[None]:
         """Waits until the connection is established. Raises Broken, Late and Unwanted."""
@@ -119,10 +131,21 @@
             raise Broken(str(fault)) from None
 
     def await_bytes(self, until: float, unless: Unless = None) -> Coroutine[bytes]:
-        """Waits for the next bytes, b"" at the end. Raises Broken, Late and Unwanted."""
+        """Waits for the next bytes, b"" at the end. Raises Broken, Late and Unwanted.
+
+        A peer that sends as fast as it is read must not hold up the event loop: a task that has used its time
+        slice lets others run first. Bytes that are there when `until` comes are returned, but only once.
+        """
         self.mine()
+        if self.read_at >= until:
+            raise Late
+        if self.loop.slice_used():
+            yield from self.loop.yield_turn()
+            if unless is not None and unless():
+                raise Unwanted
         while (data := self.receive()) is None:
             yield from self.await_it(until, unless)
+        self.read_at = self.loop.now()
         return data
 
     def send(self, data: bytes, until: float, unless: Unless = None) -> Coroutine[None]:
