Two processes of one sidecar share the memory for streams too

What callers would see: a sidecar killed for memory during an upgrade.

Cause: apply_limits halves clients and connections while two processes of a sidecar run, and gave both the whole memory for streams.

Fix: the memory is halved with the rest. The older process keeps its own whole share until it ends, as with connections: open.

test_new_limits_are_shared_with_an_overlapping_process fails without it: 303 places for streams where half are 151.

--- a/rainspindle/program/serve.py
+++ b/rainspindle/program/serve.py
@@ -419,7 +419,7 @@
         clients, connections = caps(self.config)
         processes = 1 if self.alone_at == math.inf else 2
         self.front.most_clients, self.pool.most = clients // processes, connections // processes
-        self.front.set_stream_memory(room(self.config))
+        self.front.set_stream_memory(room(self.config) // processes)
 
     def supervise(self) -> Coroutine[None]:
         """Opens the listener once the process can serve, applies the stage, and merges others' orders."""
--- a/tests/test_sites_settings.py
+++ b/tests/test_sites_settings.py
@@ -391,6 +391,8 @@
     reloaded.reload(limits={"sockets": 400})
     clients, connections = serve.caps(reloaded.read())
     assert limits(sidecar) == (clients // 2, connections // 2)
+    # Guards against a kill during an upgrade: both processes gave the whole memory to their streams.
+    assert sidecar.front.room.places == serve.room(reloaded.read()) // 2 // STREAM  # type: ignore[attr-defined]
 
 
 def test_settings_that_need_a_restart_are_not_applied(reloaded: Reloaded) -> None:
