--- a/rainspindle/fronts/http1/front.py
+++ b/rainspindle/fronts/http1/front.py
@@ -146,7 +146,7 @@
                 request_deadline = waiting_since + REQUEST_TIMEOUT + side.got / MIN_BODY_RATE
                 until = math.inf if client in self.crowd.waiting else request_deadline
                 try:
-                    yield from self.read_on(client, side, until)
+                    yield from self.receive_more(client, side, until)
                 except (Broken, Unwanted):
                     yield from self.close_gracefully(client)
                     return
@@ -198,7 +198,7 @@
             else:
                 self.crowd.rests(client, waiting_since)
 
-    def read_on(self, client: Connection, side: ApplicationSide, until: float) -> Coroutine[None]:
+    def receive_more(self, client: Connection, side: ApplicationSide, until: float) -> Coroutine[None]:
         """Reads more of a request, unless some is still undecoded. Raises Broken, Late and Unwanted."""
         if side.undecoded:
             yield from client.share_turn(until, lambda: client.closed)
