--- a/review/common2/mysql.py
+++ b/review/common2/mysql.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import hashlib
 import os
 import re
@@ -18,6 +17,7 @@
 
 from .platform import Record
 
+LONGEST = 0xFFFFFF  # bytes of a packet's payload; one of this size is followed by another
 IN_TRANSACTION, AUTOCOMMIT, MORE_RESULTS = 1, 2, 8
 # Long password, found rows, with database, protocol 4.1, transactions, secure connection, several statements
 # and results, plugins.
@@ -37,10 +37,39 @@
     return struct.pack("<I", len(payload) | (sequence & 0xFF) << 24) + payload
 
 
+def packets(payload: bytes) -> bytes:
+    """Frames a payload that may need several packets, numbered from 0."""
+    out, sequence = b"", 0
+    while len(payload) >= LONGEST:
+        out += packet(payload[:LONGEST], sequence)
+        payload, sequence = payload[LONGEST:], sequence + 1
+    return out + packet(payload, sequence)
+
+
+def renumbered(out: bytes, first: int) -> bytes:
+    """Numbers packets that begin with 1 from `first` on."""
+    shifted, at = bytearray(out), 0
+    while at < len(shifted):
+        (head,) = struct.unpack_from("<I", shifted, at)
+        shifted[at + 3] = (shifted[at + 3] + first - 1) & 0xFF
+        at += 4 + (head & LONGEST)
+    return bytes(shifted)
+
+
+async def read_payload(reader: asyncio.StreamReader) -> tuple[int, bytes]:
+    """Returns the number of the last packet and the next payload, joined from its packets."""
+    parts = []
+    while True:
+        sequence, part = await read_packet(reader)
+        parts.append(part)
+        if len(part) < LONGEST:
+            return sequence, b"".join(parts)
+
+
 async def read_packet(reader: asyncio.StreamReader) -> tuple[int, bytes]:
     """Returns the sequence number and the payload of the next packet."""
     (head,) = struct.unpack("<I", await reader.readexactly(4))
-    return head >> 24, await reader.readexactly(head & 0xFFFFFF)
+    return head >> 24, await reader.readexactly(head & LONGEST)
 
 
 Row = dict[str, str]
@@ -90,6 +119,7 @@
         self.ran: Callable[[Session, str], None] = lambda session, statement: None
         self.writers: set[asyncio.StreamWriter] = set()
         self.sessions = 0
+        self.work = 0.0  # seconds of each command
         self.port = 0
         self.server: asyncio.Server | None = None
 
@@ -114,12 +144,13 @@
         try:
             await self.log_in(reader, writer)
             while True:
-                _, payload = await read_packet(reader)
+                last, payload = await read_payload(reader)
                 if payload[0] == QUIT:
                     break
+                await asyncio.sleep(self.work)
                 out = self.command(session, payload)
                 if out:
-                    writer.write(out)
+                    writer.write(renumbered(out, last + 1))
                     await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
@@ -242,7 +273,7 @@
             row = dict(zip([name.strip() for name in insert[2].split(",")], values, strict=True))
             self.record.add(
                 self.name,
-                f"connection {session.number} runs {statement!r} in {database!r}"
+                f"connection {session.number} runs {statement[:100]!r} in {database!r}"
                 + (" in an open transaction" if session.in_transaction else ""),
             )
             if session.in_transaction:
@@ -350,8 +381,8 @@
 
     async def ask(self, what: str, command: bytes, binary: bool = False) -> Reply:
         """Sends a command, and reads its answer to the end."""
-        self.record.add(self.name, f"sends {what}")
-        self.writer.write(packet(command, 0))
+        self.record.add(self.name, f"sends {what[:100]}")
+        self.writer.write(packets(command))
         reply = Reply()
         while True:
             _, payload = await self.read()
@@ -378,6 +409,7 @@
 
     def close(self) -> None:
         """Ends the connection, as a client does that has finished."""
-        with contextlib.suppress(ConnectionError):
-            self.writer.write(packet(bytes((QUIT,)), 0))
+        if self.writer.is_closing():
+            return
+        self.writer.write(packet(bytes((QUIT,)), 0))
         self.writer.close()
