--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,107 +1,64 @@
-"""A prepared statement whose key has moved runs in the database of another client."""
+"""A submission that was answered with OK is undone: it ran in a transaction that another client had left."""
 
 from __future__ import annotations
 
 import asyncio
+import random
 import sys
-from collections.abc import Callable
 from pathlib import Path
 
 from review.common2.front import Group
-from review.common2.mysql import Client, Server, Session
-from review.common2.platform import TROUBLE, CannotRunError, Record, main
+from review.common2.platform import TROUBLE, Record, main
 
-SERVERS, KEYS = 4, 3  # one of four servers dies: a quarter
-READ = "SELECT answer FROM answers WHERE candidate = ?"
-WRITE = "INSERT INTO answers (candidate, answer) VALUES (?, ?)"
-
-
-class Where:
-    """Which server ran the last statement."""
-
-    def __init__(self, servers: list[Server]) -> None:
-        self.last = ""
-        for server in servers:
-            server.ran = self.hook(server.name)
-
-    def hook(self, name: str) -> Callable[[Session, str], None]:
-        """Returns what a server calls."""
-
-        def ran(session: Session, statement: str) -> None:
-            self.last = name
-
-        return ran
-
-
-async def sessions_at(group: Group, where: Where, database: str, wanted: set[str]) -> list[Client]:
-    """Returns a client for each wanted server, whose statements without a key go there."""
-    found: dict[str, Client] = {}
-    for _ in range(200):
-        client = await group.client(database)
-        await client.query("SELECT 1")
-        if where.last in wanted and where.last not in found:
-            found[where.last] = client
-        else:
-            client.close()
-        if found.keys() == wanted:
-            return list(found.values())
-    raise CannotRunError("no session for each server")
+SERVERS, CENTRES = 8, 6
+FAILING, SHARE = (3.0, 15.0), 0.6  # for twelve seconds, one of eight servers fails so many of its writes
+END, REST = 18.0, 0.15  # seconds
 
 
 async def case(record: Record, folder: Path) -> list[str]:
-    """Two centres, each with a database of its own, prepare the same texts; then a server dies."""
-    group, breaks = Group(record, folder, SERVERS), list[str]()
+    """Two kinds of clients write submissions: with a transaction in one text, and with one statement."""
+    group = Group(record, folder, SERVERS)
+    loop = asyncio.get_running_loop()
+    acknowledged: list[str] = []
+    draw = random.Random(1)
     try:
         await group.start()
-        where = Where(group.servers)
-        first, others = "s0", {server.name for server in group.servers[1:]}
-        probe = await group.client("casablanca")
-        keys: dict[str, list[str]] = {server.name: [] for server in group.servers}
-        for number in range(400):
-            if all(len(found) >= KEYS for found in keys.values()):
-                break
-            await probe.query(f"SELECT answer FROM answers WHERE candidate = '{number}'")
-            keys[where.last].append(str(number))
-        for found in keys.values():
-            for key in found:
-                for city in ("casablanca", "rabat"):
-                    row = {"candidate": key, "answer": f"{city}-{key}"}
-                    group.tables.committed(city, "answers").append(row)
-        # The centre of Casablanca prepares and asks at all servers but one, that of Rabat at that one.
-        for client in await sessions_at(group, where, "casablanca", others):
-            await client.prepare(READ)
-            await client.prepare(WRITE)
-            for name in others:
-                for key in keys[name][:KEYS]:
-                    reply = await client.execute(READ, key)
-                    if reply.rows != [f"casablanca-{key}"]:
-                        raise CannotRunError(f"Casablanca read {reply.rows} before anything happened")
-                    await client.execute(WRITE, f"{key}-own", "casablanca")
-        (rabat,) = await sessions_at(group, where, "rabat", {first})
-        await rabat.prepare(READ)
-        await rabat.prepare(WRITE)
-        submitted = 0
-        for turn in range(2):
-            if turn and TROUBLE:
-                group.servers[0].die()
-                await asyncio.sleep(0.5)
-            for key in keys[first][:KEYS]:
-                reply = await rabat.execute(READ, key)
-                if not reply.code and not (reply.rows and all(row.startswith("rabat") for row in reply.rows)):
-                    breaks.append(f"Rabat's client asked for {key} and got {reply.rows}")
-                submitted += 1
-                exam = {"candidate": key, "answer": f"rabat-exam-{submitted}"}
-                reply = await rabat.execute(WRITE, *exam.values())
-                if not reply.code and exam not in group.tables.committed("rabat", "answers"):
-                    breaks.append(
-                        f"Rabat's submission {exam} was answered with OK and is not in its database"
-                    )
-                if exam in group.tables.committed("casablanca", "answers"):
-                    breaks.append(f"Rabat's submission {exam} is in Casablanca's database")
+        began = loop.time()
+
+        def fails(statement: str) -> bool:
+            late = FAILING[0] <= loop.time() - began < FAILING[1]
+            return late and statement.startswith("INSERT") and draw.random() < SHARE
+
+        if TROUBLE:
+            group.servers[0].fails = fails
+
+        async def centre(name: str, text: str) -> None:
+            number = 0
+            while loop.time() - began < END:
+                number += 1
+                candidate = f"{name}-{number}"
+                client = await group.client("register")
+                reply = await client.query(text.format(candidate=candidate))
+                if not reply.code:
+                    acknowledged.append(candidate)
+                client.close()  # a server undoes what a connection leaves uncommitted
+                await asyncio.sleep(REST)
+
+        insert = "INSERT INTO answers (candidate, answer) VALUES ('{candidate}', 'b')"
+        texts = [f"BEGIN; {insert}; COMMIT", insert]
+        await asyncio.gather(
+            *(centre(f"{'tw'[kind]}{n}", texts[kind]) for kind in range(2) for n in range(CENTRES))
+        )
+        await asyncio.sleep(1.0)
         group.running()
     finally:
         await group.end()
-    return breaks
+    kept = [row["candidate"] for row in group.tables.committed("register", "answers")]
+    lost = [name for name in acknowledged if name not in kept]
+    record.add("case", f"{len(acknowledged)} submissions answered with OK, {len(kept)} rows in the register")
+    twice = sorted({name for name in kept if kept.count(name) > 1})
+    breaks = [f"{name} was answered with OK and is not in the register" for name in lost]
+    return breaks + [f"{name} is in the register twice" for name in twice]
 
 
 if __name__ == "__main__":
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,116 +1,106 @@
-"""A fingerprinted request whose answer is stuck on the link runs again after repeats are dropped."""
+"""A prepared statement whose key has moved runs in the database of another client."""
 
 from __future__ import annotations
 
 import asyncio
-import copy
-import json
 import sys
+from collections.abc import Callable
 from pathlib import Path
 
-from review.common2.http import Effects, Endpoint, Line, ask
-from review.common2.platform import (
-    SETTINGS,
-    TROUBLE,
-    Discovery,
-    Program,
-    Record,
-    config,
-    entry,
-    free_port,
-    main,
-    run_line,
-)
-
-ENDPOINTS, WORK = 4, 0.075  # at each site; seconds
-SPAN, EXPIRY = 1.0, 2.5  # seconds: repeats are dropped, and a client waits
-SILENT, STALLS, STALL = (2.0, 6.0), (10.5, 15.0), 2.0  # seconds
-END, RATE = 20.0, 100.0  # seconds; requests a second
-KEY = b"the shared key of the two sites\n"
-NAMES = "save-answer", "submit-exam"
+from review.common2.front import Group
+from review.common2.mysql import Client, Server, Session
+from review.common2.platform import TROUBLE, CannotRunError, Record, main
 
+SERVERS, KEYS = 4, 3  # one of four servers dies: a quarter
+READ = "SELECT answer FROM answers WHERE candidate = ?"
+WRITE = "INSERT INTO answers (candidate, answer) VALUES (?, ?)"
 
-async def case(record: Record, folder: Path) -> list[str]:
-    """One site leans on the other, takes its keys back, and meanwhile the line between them stalls."""
-    settings = copy.deepcopy(SETTINGS)
-    submit = settings["traffic-types"][1]
-    submit.update({"effect": "idempotency_key", "memory-span": SPAN * 1000, "expiry": EXPIRY * 1000})
-    effects = Effects(record, {NAMES[1]: SPAN})
-    loop = asyncio.get_running_loop()
-    began = loop.time()
-    sites = "casablanca", "rabat"
-    endpoints = {site: [Endpoint(f"{site}-{n}", effects, WORK) for n in range(ENDPOINTS)] for site in sites}
-    ports, links = {site: free_port() for site in sites}, {site: free_port() for site in sites}
-    line, programs, lists = Line(links["rabat"]), list[Program](), list[Discovery]()
-
-    def at(begin: float, end: float) -> bool:
-        return TROUBLE and begin <= loop.time() - began < end
 
+class Where:
+    """Which server ran the last statement."""
+
+    def __init__(self, servers: list[Server]) -> None:
+        self.last = ""
+        for server in servers:
+            server.ran = self.hook(server.name)
+
+    def hook(self, name: str) -> Callable[[Session, str], None]:
+        """Returns what a server calls."""
+
+        def ran(session: Session, statement: str) -> None:
+            self.last = name
+
+        return ran
+
+
+async def sessions_at(group: Group, where: Where, database: str, wanted: set[str]) -> list[Client]:
+    """Returns a client for each wanted server, whose statements without a key go there."""
+    found: dict[str, Client] = {}
+    for _ in range(200):
+        client = await group.client(database)
+        await client.query("SELECT 1")
+        if where.last in wanted and where.last not in found:
+            found[where.last] = client
+        else:
+            client.close()
+        if found.keys() == wanted:
+            return list(found.values())
+    raise CannotRunError("no session for each server")
+
+
+async def case(record: Record, folder: Path) -> list[str]:
+    """Two centres, each with a database of its own, prepare the same texts; then a server dies."""
+    group, breaks = Group(record, folder, SERVERS), list[str]()
     try:
-        await line.start()
-        (folder / "link.key").write_bytes(KEY)
-        (folder / "link.key").chmod(0o600)
-        for site in sites:
-            for endpoint in endpoints[site]:
-                await endpoint.start()
-            discovery = Discovery(record, [entry(e.name, e.port, zone=site) for e in endpoints[site]])
-            lists.append(discovery)
-            await discovery.start()
-            platform = config(site, ports[site], discovery, settings=settings)
-            (folder / f"{site}.json").write_text(json.dumps(platform))
-            peer = "rabat" if site == "casablanca" else "casablanca"
-            address = f'address = "127.0.0.1:{line.port}"\n' if site == "casablanca" else ""
-            (folder / f"{site}.toml").write_text(
-                f'[gateway]\nsite = "{site}"\nlink = "127.0.0.1:{links[site]}"\nplatform = "{site}.json"\n'
-                f'keys = ["link.key"]\none_group = true\n[[peers]]\nsite = "{peer}"\n{address}'
-            )
-        for site in reversed(sites):
-            command = run_line(f"gateway --config {folder / f'{site}.toml'}")
-            programs.append(Program(command, {"TMPDIR": str(folder)}, folder / f"{site}.log"))
-            await programs[-1].until_logged("event=serving")
-        await programs[-1].until_logged('event="link up"')
-        began = loop.time()
-        for endpoint in endpoints["casablanca"]:
-            endpoint.silent = lambda: at(*SILENT)
-
-        async def stall() -> None:
-            for begin in STALLS:
-                await asyncio.sleep(begin - (loop.time() - began))
-                record.add("line", "stalls")
-                line.flows.clear()
-                await asyncio.sleep(STALL)
-                record.add("line", "goes on")
-                line.flows.set()
-
-        asked, number = list[asyncio.Task[tuple[int, bytes]]](), 0
-        if TROUBLE:
-            asked_stall = asyncio.create_task(stall())
-        while loop.time() - began < END:
-            number += 1
-            kind, key = NAMES[number % 3 > 0], f"{number % 500:016x}"
-            request = ask(record, ports["casablanca"], f"{number:016x}", kind, key, EXPIRY)
-            asked.append(asyncio.create_task(request))
-            await asyncio.sleep(1 / RATE)
-        answers = await asyncio.gather(*asked)
-        if TROUBLE:
-            await asked_stall
-        for status in (200, 502, 503, 0):
-            record.add("case", f"{sum(got == status for got, _ in answers)} requests were answered {status}")
+        await group.start()
+        where = Where(group.servers)
+        first, others = "s0", {server.name for server in group.servers[1:]}
+        probe = await group.client("casablanca")
+        keys: dict[str, list[str]] = {server.name: [] for server in group.servers}
+        for number in range(400):
+            if all(len(found) >= KEYS for found in keys.values()):
+                break
+            await probe.query(f"SELECT answer FROM answers WHERE candidate = '{number}'")
+            keys[where.last].append(str(number))
+        for found in keys.values():
+            for key in found:
+                for city in ("casablanca", "rabat"):
+                    row = {"candidate": key, "answer": f"{city}-{key}"}
+                    group.tables.committed(city, "answers").append(row)
+        # The centre of Casablanca prepares and asks at all servers but one, that of Rabat at that one.
+        for client in await sessions_at(group, where, "casablanca", others):
+            await client.prepare(READ)
+            await client.prepare(WRITE)
+            for name in others:
+                for key in keys[name][:KEYS]:
+                    reply = await client.execute(READ, key)
+                    if reply.rows != [f"casablanca-{key}"]:
+                        raise CannotRunError(f"Casablanca read {reply.rows} before anything happened")
+                    await client.execute(WRITE, f"{key}-own", "casablanca")
+        (rabat,) = await sessions_at(group, where, "rabat", {first})
+        await rabat.prepare(READ)
+        await rabat.prepare(WRITE)
+        submitted = 0
+        for turn in range(2):
+            if turn and TROUBLE:
+                group.servers[0].die()
+                await asyncio.sleep(0.5)
+            for key in keys[first][:KEYS]:
+                reply = await rabat.execute(READ, key)
+                if not reply.code and not (reply.rows and all(row.startswith("rabat") for row in reply.rows)):
+                    breaks.append(f"Rabat's client asked for {key} and got {reply.rows}")
+                submitted += 1
+                exam = {"candidate": key, "answer": f"rabat-exam-{submitted}"}
+                reply = await rabat.execute(WRITE, *exam.values())
+                if not reply.code and exam not in group.tables.committed("rabat", "answers"):
+                    breaks.append(
+                        f"Rabat's submission {exam} was answered with OK and is not in its database"
+                    )
+                if exam in group.tables.committed("casablanca", "answers"):
+                    breaks.append(f"Rabat's submission {exam} is in Casablanca's database")
+        group.running()
     finally:
-        for program in programs:
-            record.add("log", program.log.read_text().replace("\n", "\n    ")[-6000:])
-            program.end()
-        line.end()
-        for service in lists:
-            service.end()
-        for endpoint in (e for some in endpoints.values() for e in some):
-            endpoint.end()
-        await asyncio.sleep(0.2)
-    breaks = []
-    for request_id, runs in effects.runs.items():
-        if int(request_id, 16) % 3 and len(runs) > 1:
-            told = ", ".join(f"{run.endpoint} at {run.at - record.began:.3f}" for run in runs)
-            breaks.append(f"{request_id} ran {len(runs)} times: {told}")
+        await group.end()
     return breaks
 
 
