--- a/review/common2/platform.py
+++ b/review/common2/platform.py
@@ -17,9 +17,6 @@
 from typing import Any
 
 ROOT = Path(__file__).resolve().parents[2]
-VENV = (
-    Path(__file__).parent / "venv"
-)  # made by review/build-2.sh: the libraries that a front needs beside the deploy file's
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 MOST_SECONDS = 115.0  # a run may take 120 s
 
@@ -236,14 +233,13 @@
 
 
 def run_line(front: str = "") -> str:
-    """Returns the `run` command of the deploy file, with another front's environment and command in place."""
+    """Returns the `run` command of the deploy file, with another front's command in place of `serve`."""
     run: str = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
     if not front:
         return run
-    python, serve = ".venv/bin/python", " serve"
-    if python not in run or not run.endswith(serve) or not VENV.exists():
+    if not run.endswith(" serve") or not (ROOT / ".venv/made-from-review-2").exists():
         raise CannotRunError("the deploy file's run line is another, or review/build-2.sh was not run")
-    return run.replace(python, str(VENV / "bin/python")).removesuffix(serve) + f" {front}"
+    return run.removesuffix("serve") + front
 
 
 def config(name: str, listen: int, discovery: Discovery, **changes: Any) -> dict[str, Any]:
