A break after the last byte of an upload counts as may have been executed

Cause: the end of a body was learnt only by the read after its last part, which gives up its turn first. A reset or a close that came in between was taken for one before the last byte (not connected, never executed), an answer for an early one.

Why the fix works: the end is known with the last part, before it is written, and upload returns once it is written. So each break inside it lies before the last byte and each later one is met where the answer is read (reset, may have been executed).

--- a/rainspindle/fronts/http1/back.py
+++ b/rainspindle/fronts/http1/back.py
@@ -106,7 +106,7 @@
                     yield from connection.send(first_part, until, before)
                 first_part = b""  # or a copy of the body would stay in memory up to the answer
             except (Broken, Late):
-                # An endpoint starts to execute at the last byte, which was not written.
+                # An endpoint starts to execute at the last byte, which the kernel has not accepted.
                 return Forwarded(AttemptOutcome.NOT_CONNECTED)
             except ClientLost:
                 return Forwarded(AttemptOutcome.NOT_SENT, broke=True)
@@ -165,6 +165,12 @@
 
         No more is read from the client than the endpoint takes. Returns the answer, if it came before the
         end of the body, and the time limit of the wait for the answer.
+
+        Raises:
+            Broken, Late: The connection failed, or the endpoint took too long, before the last byte was
+                written.
+            ClientLost: The body cannot be read to its end.
+            Unwanted: `before` holds, and the last byte was not written.
         """
 
         def readable_or_cancelled() -> bool:
@@ -172,29 +178,31 @@
 
         limit_send_buffer(connection)
         upload_time = UploadTime(streams)
-        part, answer = first_part, None
+        part = first_part
+        streams.check_end()
         while True:
             if before():  # a body already received to its end is sent without a wait, which would check this
                 raise Unwanted
             yield from upload_time.send(connection, part, before)
-            if streams.whole:
-                return None, given.written()
-            part = b""
-            while not part and not streams.whole:
-                try:
-                    part = attempt.piece((yield from streams.read(readable_or_cancelled)))
-                except Unwanted:
-                    if before():
-                        raise
-                    data = connection.receive()
-                    if data is not None:  # an early answer: the endpoint may read no more of the body
-                        try:
-                            answer = attempt.receive(data)
-                        except Unreadable as fault:
-                            raise Broken(str(fault)) from None
-                        return answer, given.written()
-            if not part:
+            if streams.whole:  # all of it is written: from now on the endpoint may have executed it
                 return None, given.written()
+            try:
+                data = yield from streams.read(readable_or_cancelled)
+                part = attempt.piece(data, streams.whole)
+            except Unwanted:
+                if before():
+                    raise
+                early = connection.receive()
+                part = b""
+                if early is not None:  # an early answer: the endpoint may read no more of the body
+                    return self.decode_early(attempt, early), given.written()
+
+    def decode_early(self, attempt: EndpointSide, data: bytes) -> Answered | None:
+        """Decodes what an endpoint sent before the end of the body; raises Broken if it ended instead."""
+        try:
+            return attempt.receive(data)
+        except Unreadable as fault:
+            raise Broken(str(fault)) from None
 
     def stream_answer(
         self, connection: Connection, attempt: EndpointSide, streams: Streams
--- a/rainspindle/fronts/http1/stream.py
+++ b/rainspindle/fronts/http1/stream.py
@@ -82,7 +82,7 @@
     # The body.
 
     def read(self, unless: Unless) -> Coroutine[bytes]:
-        """Returns the next part of the body, b"" at its end.
+        """Returns the next part of the body; b"" only at its end. `whole` tells whether it is the last part.
 
         Raises:
             ClientLost: The body cannot be read to its end; `body_error` is the error to answer, if any.
@@ -92,6 +92,7 @@
             yield from self.client.share_turn(math.inf, unless)
             while (part := self.side.piece()) is None:
                 self.side.receive((yield from self.await_body(unless)))
+            self.check_end()
         except Cut as error:
             self.body_error = error
             raise ClientLost(str(error)) from None
@@ -100,10 +101,17 @@
             raise ClientLost("the client sent no byte of the body in time") from None
         except Broken as fault:
             raise ClientLost(str(fault)) from None
-        if not part:
-            self.whole, self.complete_at = True, self.client.came
         return part
 
+    def check_end(self) -> None:
+        """Records whether the parts returned so far are the whole body.
+
+        The end must be known before the last part is passed on: an endpoint executes a request once it has
+        its last byte, and nothing may depend on whether this process has found the end by then.
+        """
+        if not self.whole and self.side.at_end(self.stated_length):
+            self.whole, self.complete_at = True, self.client.came
+
     def may_be_whole(self) -> bool:
         """Whether the client may have written its last byte, so that its time may be counting.
 
--- a/rainspindle/protocol/application.py
+++ b/rainspindle/protocol/application.py
@@ -317,6 +317,15 @@
             part += data
         return bytes(part) if part or self.body_ended else None
 
+    def at_end(self, stated_length: int | None) -> bool:
+        """Whether the parts of a streamed body returned so far are all of it, as far as is known.
+
+        The end of a body with a stated length is always known with its last byte.
+        """
+        if not self.body_ended and self.got == stated_length:
+            self.next_data()
+        return self.body_ended
+
     def next_data(self) -> bytes:
         """Returns the data of the parser's next event; b"" at the body's end, or if more bytes are needed.
 
--- a/rainspindle/protocol/endpoint.py
+++ b/rainspindle/protocol/endpoint.py
@@ -38,12 +38,14 @@
             length = ask.length if ask.more else len(ask.body)
             headers.append((b"Content-Length", b"%d" % (length or 0)))
         return self.call.request(
-            ask.method, ask.target, headers, self.piece(ask.body) if self.chunked else ask.body
+            ask.method, ask.target, headers, self.piece(ask.body, last=False) if self.chunked else ask.body
         )
 
-    def piece(self, data: bytes) -> bytes:
-        """Encodes another part of the body, b"" for its end."""
-        return chunk(data) if self.chunked else data
+    def piece(self, data: bytes, last: bool) -> bytes:
+        """Encodes another part of the body, which may be empty; `last` says that no other follows."""
+        if not self.chunked:
+            return data
+        return (chunk(data) if data else b"") + (chunk(b"") if last else b"")
 
     def receive(self, data: bytes) -> Answered | None:
         """Takes received bytes; returns the answer once it is complete. Raises `client.Unreadable`."""
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -5,6 +5,7 @@
 import contextlib
 import random
 import socket
+import struct
 import tracemalloc
 
 import h11
@@ -38,6 +39,10 @@
     def body(self) -> bytes:
         return bytes(self.data).partition(b"\r\n\r\n")[2]
 
+    def reset_connection(self) -> None:
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.sock.close()
+
 
 class EndpointSockets:
     """Accepts connections to the endpoints and gives access to their bytes."""
@@ -50,6 +55,12 @@
 
     def accept(self) -> Reader:
         self.rig.loop.settle()
+        reader = self.find()
+        assert reader is not None, "no endpoint was connected to"
+        return reader
+
+    def find(self) -> Reader | None:
+        """Accepts a connection if there is one now."""
         for stand in self.rig.stands:
             try:
                 sock, _ = stand.listener.accept()
@@ -57,7 +68,7 @@
                 continue
             sock.setblocking(False)
             return Reader(sock)
-        raise AssertionError("no endpoint was connected to")
+        return None
 
 
 def write_while_read(rig: Rig, sock: socket.socket, data: bytes, *others: Reader) -> int:
