The simulated database server keeps what a real one keeps

Its tests could not show faults of sessions that share a connection: it closed the connection after an error in a text of several statements, rolled all tables back to the start of a transaction, and knew no databases.

Three tests used a table without a database, which no server would have run: their clients name it now.

--- a/rainspindle/lab/mysql/trial.py
+++ b/rainspindle/lab/mysql/trial.py
@@ -32,9 +32,10 @@
 from ...transport.loop import Coroutine, Loop
 from ..sockets.child import Orders
 from ..sockets.run import ROOT, reserve_port
-from .database import Database, Store
+from .database import Database
+from .engine import Store
 
-SERVERS, USER, PASSWORD = 5, "anna", "secret"
+SERVERS, USER, PASSWORD, DATABASE = 5, "anna", "secret", "register"
 LATENCY_OBJECTIVE, EXPIRY = 0.6, 1.5  # seconds: latency objective and deadline
 STATEMENT_TIME = 0.004  # seconds that a healthy server takes for a statement
 TIMEOUT = 60.0  # seconds; far longer than needed, so that no result depends on the machine's speed
@@ -45,7 +46,7 @@
     """Run the simulated servers, which fail at random from the first line of standard input on."""
     loop = Loop(lambda error: print(error, file=sys.stderr))
     users = {USER: PASSWORD.encode()}
-    servers = [Database(loop, Store({"exams": (["id", "k"], [])}), users) for _ in range(SERVERS)]
+    servers = [Database(loop, Store({(DATABASE, "exams"): (["id", "k"], [])}), users) for _ in range(SERVERS)]
     print(json.dumps([database.port for database in servers]), flush=True)
     rng = random.Random(seed)
     for server in servers:
@@ -140,6 +141,7 @@
                     port=self.rng.choice(self.ports),
                     user=USER,
                     password=PASSWORD,
+                    database=DATABASE,
                     autocommit=None,
                     read_timeout=2 * EXPIRY,
                     connect_timeout=2,
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -28,7 +28,8 @@
     "rainspindle.fronts.http1.stream": {"ClientLost"},
     "rainspindle.fronts.http1.reader": {"MemoryShort"},  # becomes a rejection
     "rainspindle.routing.request_ids": {"Unshared"},  # becomes a refusal, and a log line
-    "rainspindle.lab.mysql.database": {"Failed", "Silent"},  # internal to the test database
+    "rainspindle.lab.mysql.database": {"Silent"},  # internal to the test database
+    "rainspindle.lab.mysql.engine": {"StatementError"},
     "rainspindle.lab.fleet.processes": {"NotInTime"},  # the verdict of a test or an experiment
     "rainspindle.lab.command": {"Stopped"},  # Ctrl-C
 }
--- a/tests/test_mysql.py
+++ b/tests/test_mysql.py
@@ -24,7 +24,8 @@
 from rainspindle.fronts.mysql.back import MysqlBack
 from rainspindle.fronts.mysql.front import MysqlFront
 from rainspindle.fronts.mysql.servers import Account, Refused, ServerConnection, ServerPool
-from rainspindle.lab.mysql.database import Database, Store
+from rainspindle.lab.mysql.database import Database
+from rainspindle.lab.mysql.engine import Store
 from rainspindle.protocol.discovery import ListDecoder
 from rainspindle.protocol.mysql import auth
 from rainspindle.protocol.mysql.messages import SUPPORTED_CAPABILITIES, Capability, Err
@@ -198,6 +199,7 @@
             port=fixture.port,
             user="omar",
             password="other",
+            database="reg",
             use_pure=True,
             ssl_disabled=True,
         )
@@ -210,7 +212,7 @@
 
         async def count_rows() -> Any:
             connection = await aiomysql.connect(
-                host="127.0.0.1", port=fixture.port, user="anna", password="secret"
+                host="127.0.0.1", port=fixture.port, user="anna", password="secret", db="reg"
             )
             cursor = await connection.cursor()
             await cursor.execute("SELECT COUNT(*) FROM exams")
@@ -387,6 +389,7 @@
             port=limited.port,
             user="anna",
             password="secret",
+            database="reg",
             use_pure=True,
             ssl_disabled=True,
             autocommit=True,
