A transaction stays with its session when the session prepares a statement in it

What callers saw: a session with an open transaction prepared a statement; the next session's INSERT ran in that transaction, was answered with OK and undone by the first session's ROLLBACK.

Cause: the response to COM_STMT_PREPARE has no status flags, and ResponseReader reported that as a status without any: no transaction open. The session was no longer pinned, and its connection went back to the pool.

Why the fix works: the status is None where the server has sent none, and then nothing is concluded from it. An EOF packet in the place of a first packet is decoded instead of being taken for no flags. MysqlBack.in_transaction, which nobody called, is gone.

In the simulated server a table without a column id gives no insert id, as a real one does: the id made the connection be reset before its next use, which hid this fault and others.

--- a/rainspindle/fronts/mysql/back.py
+++ b/rainspindle/fronts/mysql/back.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from ...balancer.host import AttemptOutcome
-from ...protocol.mysql.messages import Command, ResponseReader, Status
+from ...protocol.mysql.messages import Command, ResponseReader
 from ...protocol.mysql.wire import Malformed, packets
 from ...protocol.settings import SocketSettings
 from ...routing.core import Directory, Forwarded, Given
@@ -250,7 +250,3 @@
             yield from client.send(data, until, lambda: client.closed)
         except Broken:
             raise Unwanted from None
-
-    def in_transaction(self, request: CommandRequest) -> bool:
-        """Return whether the response left a transaction open."""
-        return request.response is not None and bool(request.response.status & Status.IN_TRANSACTION)
--- a/rainspindle/fronts/mysql/front.py
+++ b/rainspindle/fronts/mysql/front.py
@@ -480,7 +480,7 @@
         if response.ok is not None and response.ok.insert_id:
             session.insert_id = server.insert_id = response.ok.insert_id
             server.needs_reset = True
-        if response.error is None:
+        if response.error is None and response.status is not None:
             session.in_transaction = bool(response.status & Status.IN_TRANSACTION)
             if response.status & Status.AUTOCOMMIT:
                 session.pinning_effects.discard("autocommit")
--- a/rainspindle/lab/mysql/engine.py
+++ b/rainspindle/lab/mysql/engine.py
@@ -227,20 +227,20 @@
         return Ok()
 
     def insert(self, session: Session, database: str, match: re.Match[str]) -> Ok:
-        """Add one row; a column `id` is numbered."""
+        """Add one row; a column `id` is numbered if it is given no value."""
         columns, rows = self.find_table(session, database, match[1])
         names = [column.strip() for column in match[2].split(",")]
         values = dict(zip(names, parse_literals(match[3]), strict=True))
-        self.store.ids[database, match[1]] += 1
-        session.insert_id = self.store.ids[database, match[1]]
-        row = tuple(
-            str(session.insert_id) if column == "id" and column not in values else values.get(column)
-            for column in columns
-        )
+        insert_id = 0
+        if "id" in columns and "id" not in values:
+            self.store.ids[database, match[1]] += 1
+            session.insert_id = insert_id = self.store.ids[database, match[1]]
+            values["id"] = str(insert_id)
+        row = tuple(values.get(column) for column in columns)
         rows.append(row)
         if session.in_transaction:
             session.undo.append(partial(replace_row, rows, row, []))
-        return Ok(1, session.insert_id)
+        return Ok(1, insert_id)
 
     def update(self, session: Session, database: str, match: re.Match[str]) -> Ok:
         """Change one column of the rows with a value."""
--- a/rainspindle/protocol/mysql/messages.py
+++ b/rainspindle/protocol/mysql/messages.py
@@ -305,6 +305,13 @@
     return payload[:1] == b"\xfe" and len(payload) == 5
 
 
+def decode_eof(payload: bytes) -> Status:
+    """Return the status of an EOF packet; raises Malformed if it is none."""
+    if not is_eof(payload):
+        raise Malformed("expected an EOF packet")
+    return Status(struct.unpack_from("<H", payload, 3)[0])
+
+
 @dataclass(frozen=True, slots=True)
 class Column:
     """Column definition of a result set."""
@@ -371,7 +378,7 @@
         self.state = "first"
         self.definitions = 0
         self.groups: list[int] = []  # numbers of definitions still expected, for PREPARE
-        self.status = Status(0)
+        self.status: Status | None = None  # of the last complete result, None if the server has sent none
         self.error: Err | None = None
         self.ok: Ok | None = None
         self.prepared: Prepared | None = None
@@ -409,7 +416,7 @@
             return self.definitions == 0
         if first_byte == 0 or (first_byte == 0xFE and len(payload) < 9 and self.command is not Command.QUERY):
             self.ok = Ok.decode(payload) if first_byte == 0 else None
-            return self.end_result(self.ok.status if self.ok else Status(0))
+            return self.end_result(self.ok.status if self.ok else decode_eof(payload))
         if first_byte == 0xFB:
             raise Malformed("the server requests a local file, which is not supported")
         self.definitions = Cursor(payload).lenenc()
@@ -432,10 +439,8 @@
 
     def at_eof(self, payload: bytes) -> bool:
         """Handle the EOF packet after the column definitions; an open cursor means that no rows follow."""
-        if not is_eof(payload):
-            raise Malformed("expected an EOF packet after the column definitions")
         self.state = "row"
-        status = Status(struct.unpack_from("<H", payload, 3)[0])
+        status = decode_eof(payload)
         return self.end_result(status) if status & Status.CURSOR_EXISTS else False
 
     def at_row(self, payload: bytes) -> bool:
@@ -447,6 +452,6 @@
             self.ok = Ok.decode(payload)
             return self.end_result(self.ok.status)
         if is_eof(payload):
-            return self.end_result(Status(struct.unpack_from("<H", payload, 3)[0]))
+            return self.end_result(decode_eof(payload))
         self.rows += 1
         return False
--- a/tests/mysql_client.py
+++ b/tests/mysql_client.py
@@ -19,7 +19,7 @@
 
 MAX_PAYLOAD = 1 << 24
 STRING_TYPE = b"\xfd\0"
-TIMEOUT = 60.0  # seconds; far longer than needed
+TIMEOUT = 10.0  # seconds; far longer than needed
 
 Row = tuple[str | None, ...]
 
--- a/tests/mysql_fixture.py
+++ b/tests/mysql_fixture.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import contextlib
-import socket
+import os
 import threading
 from collections.abc import Callable
 from typing import Any
@@ -52,6 +52,23 @@
     }
 
 
+class Waker:
+    """Wakes the event loop from another thread."""
+
+    closed = False
+
+    def __init__(self, loop: Loop) -> None:
+        self.fd = os.eventfd(0, os.EFD_NONBLOCK)
+        loop.watch(self.fd, self)
+
+    def wake(self) -> None:
+        os.eventfd_write(self.fd, 1)
+
+    def on_events(self, events: int) -> None:
+        with contextlib.suppress(BlockingIOError):  # it is reported as writable too
+            os.eventfd_read(self.fd)
+
+
 class MysqlFixture:
     """The front and simulated databases on an event loop in a thread of its own."""
 
@@ -65,6 +82,7 @@
     ) -> None:
         self.faults: list[BaseException] = []
         self.loop = Loop(self.faults.append)
+        self.waker = Waker(self.loop)
         self.store = Store()
         self.databases = [
             Database(self.loop, self.store, USERS, plugin, max_prepared) for _ in range(servers)
@@ -110,13 +128,12 @@
             yield from ()
 
         self.loop.spawn(run())
+        self.waker.wake()
         assert done.wait(TIMEOUT)
 
     def end(self) -> None:
         self.loop.stopped = True
-        self.loop.spawn(iter(()))  # type: ignore[arg-type]
-        with contextlib.suppress(OSError):
-            socket.create_connection(("127.0.0.1", self.port), TIMEOUT).close()
+        self.waker.wake()
         self.thread.join(TIMEOUT)
         assert not self.thread.is_alive() and not self.faults, self.faults
 
