A text that fails leaves its transaction, database and variables to its own session

Cause: update_session concluded nothing from a response that ends with an error, and released the connection with what the statements before the failed one had done: a transaction, a database (USE), variables (SET).

Why the fix works: each statement of a text has one result and the first that fails ends it, so the number of complete results tells which have had their effects (decisions/statements/effects.py). The flags of the last result tell of a transaction, and of autocommit against that of the log-in. What is unknown pins the session; a connection that is released after an error is reset before its next use.

--- a/rainspindle/decisions/statements/statements.py
+++ b/rainspindle/decisions/statements/statements.py
@@ -8,13 +8,12 @@
 
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from .digest import Digest, digest
+from .effects import StatementEffect
 
-# Side effects that pin a session to its server connection. "set", "use" and "insert_id" don't: they can be
-# reproduced on another connection.
-PINNING_EFFECTS = frozenset(("variable", "temporary", "lock", "unknown", "prepare", "autocommit"))
+AUTOCOMMIT_OFF = ("0", "off", "false")
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,10 +46,6 @@
 
     statements: tuple[ParsedStatement, ...]
 
-    def side_effects(self) -> frozenset[str]:
-        """Return the union of the side effects of all statements."""
-        return frozenset().union(*(statement.side_effects for statement in self.statements))
-
 
 @dataclass(frozen=True, slots=True)
 class Classification:
@@ -58,14 +53,12 @@
 
     traffic_type: int
     key: str | None
-    side_effects: frozenset[str]
-    variables: dict[str, str] = field(default_factory=dict)
-    use: str = ""
+    effects: tuple[StatementEffect, ...] = ()  # of each statement, in order
 
     @property
-    def pins(self) -> bool:
-        """Whether the session must stay on its server connection afterwards."""
-        return bool(self.side_effects & PINNING_EFFECTS)
+    def side_effects(self) -> frozenset[str]:
+        """The union of the side effects of all statements."""
+        return frozenset().union(*(effect.side_effects for effect in self.effects))
 
 
 UNKNOWN = ParsedText((ParsedStatement("unknown", side_effects=frozenset(("unknown",))),))
@@ -123,17 +116,9 @@
             if index == 0 or self.ranks[statement_type] > self.ranks[traffic_type]:
                 traffic_type, rule, deciding_statement = statement_type, rule_match, statement
         literals = digested.literals if digested is not None else ()
-        variables = {
-            name: restore_literal(value, literals)
-            for statement in parsed.statements
-            for name, value in statement.variables
-        }
-        side_effects = parsed.side_effects()
-        if variables.pop("autocommit", "1").lower() in ("0", "off", "false"):
-            side_effects |= {"autocommit"}
-        use = next((statement.use for statement in reversed(parsed.statements) if statement.use), "")
+        effects = tuple(statement_effect(statement, literals) for statement in parsed.statements)
         key = self.key(rule, deciding_statement, digested, user, session, parameters)
-        return Classification(traffic_type, key, side_effects, variables, use)
+        return Classification(traffic_type, key, effects)
 
     def matches(self, rule: Rule, statement: ParsedStatement) -> bool:
         """Return whether a rule matches; a statement with unknown side effects matches none."""
@@ -177,6 +162,15 @@
         return session
 
 
+def statement_effect(statement: ParsedStatement, literals: Sequence[str]) -> StatementEffect:
+    """Return what a statement changes in its session, with its literal values."""
+    variables = {name: restore_literal(value, literals) for name, value in statement.variables}
+    side_effects = statement.side_effects
+    if variables.pop("autocommit", "1").lower() in AUTOCOMMIT_OFF:
+        side_effects |= {"autocommit"}
+    return StatementEffect(statement.kind, side_effects, variables, statement.use)
+
+
 def restore_literal(value: str, literals: Sequence[str]) -> str:
     """Substitute literals in a digested value: `:l3` is the fourth one, requoted unless it is a number."""
     if value.startswith(":l") and value[2:].isdecimal() and int(value[2:]) < len(literals):
--- a/rainspindle/fronts/mysql/front.py
+++ b/rainspindle/fronts/mysql/front.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass, field
 
 from ...balancer.host import AttemptOutcome
+from ...decisions.statements.effects import change_after
 from ...decisions.statements.statements import Classification, Statements
 from ...protocol.mysql import auth
 from ...protocol.mysql.messages import (
@@ -365,8 +366,9 @@
         only_sets = classification.side_effects <= {"set", "use"} and classification.side_effects
         if only_sets and session.pinned is None and ";" not in sql.rstrip().rstrip(";"):
             # Stored in the session and applied to the server that runs the next statement.
-            session.variables.update(classification.variables)
-            session.database = classification.use or session.database
+            change = change_after(classification.effects, len(classification.effects), failed=False)
+            session.variables.update(change.variables)
+            session.database = change.database or session.database
             return self.ok_packet(session)
         return (
             yield from self.run_request(
@@ -463,27 +465,33 @@
     def update_session(
         self, session: Session, request: CommandRequest, classification: Classification
     ) -> None:
-        """Record the statement's side effects, and pin or release the connection accordingly."""
+        """Record what the command has changed, and pin or release the connection accordingly.
+
+        Only a connection whose state is known is released: by the statements that have completed and by the
+        status flags of the server, which an error does not have.
+        """
         server, response = request.server, request.response
         if server is None or response is None:
             return
-        if response.error is None:
-            session.variables.update(classification.variables)
-            session.database = classification.use or session.database
-            server.variables.update(classification.variables)
-            server.database = classification.use or server.database
-            session.pinning_effects |= {
-                name for name in classification.side_effects if classification.pins and name != "set"
-            }
-        elif classification.pins:
-            session.pinning_effects |= {"unknown"}  # some of several statements may have run
+        change = change_after(classification.effects, response.results, response.error is not None)
+        session.variables.update(change.variables)
+        server.variables.update(change.variables)
+        if change.database:
+            session.database = server.database = change.database
+        session.pinning_effects |= change.pinning_effects
         if response.ok is not None and response.ok.insert_id:
             session.insert_id = server.insert_id = response.ok.insert_id
             server.needs_reset = True
-        if response.error is None and response.status is not None:
+        if response.status is not None:
             session.in_transaction = bool(response.status & Status.IN_TRANSACTION)
-            if response.status & Status.AUTOCOMMIT:
+            if bool(response.status & Status.AUTOCOMMIT) is server.autocommit:
                 session.pinning_effects.discard("autocommit")
+            else:
+                session.pinning_effects.add("autocommit")
+        if response.error is not None:
+            # What a failed statement leaves behind is not told, so another session gets none of it.
+            server.needs_reset = True
+            session.in_transaction |= change.may_be_in_transaction
         if session.pinning_effects or session.in_transaction:
             if session.pinned is None:
                 self.pins += 1
@@ -503,7 +511,7 @@
         request = self.make_request(session, Command.PREPARE, body, sql=sql)
         request.client = None
         # Preparing runs nothing; the key sends it to the server that would run the statement.
-        no_effects = Classification(classification.traffic_type, classification.key, frozenset())
+        no_effects = Classification(classification.traffic_type, classification.key)
         response_bytes = yield from self.run_request(session, request, no_effects)
         if response_bytes is None or request.response is None or request.response.prepared is None:
             return response_bytes
--- a/rainspindle/fronts/mysql/servers.py
+++ b/rainspindle/fronts/mysql/servers.py
@@ -14,8 +14,10 @@
     Err,
     Greeting,
     Login,
+    Ok,
     Prepared,
     ResponseReader,
+    Status,
     decode_auth_switch,
 )
 from ...protocol.mysql.wire import Malformed, Packet, PacketReader, count_packets, packets
@@ -65,7 +67,8 @@
     variables: dict[str, str] = field(default_factory=dict)
     prepared: OrderedDict[str, Prepared] = field(default_factory=OrderedDict)
     insert_id: int = 0
-    needs_reset: bool = False  # holds session state that only a reset removes
+    needs_reset: bool = False  # may hold session state that only a reset removes
+    autocommit: bool = True  # whether its session commits each statement if nothing is set
     idle_since: float = 0.0
 
     def reusable_for(self, variables: dict[str, str]) -> bool:
@@ -225,6 +228,7 @@
             while True:
                 payload = self.check_error((yield from self.read_payload(server, until, unless)))
                 if payload[:1] == b"\0":
+                    server.autocommit = bool(Ok.decode(payload).status & Status.AUTOCOMMIT)
                     return server
                 if payload[:1] == b"\xfe":
                     plugin, nonce = decode_auth_switch(payload)
--- a/rainspindle/protocol/mysql/messages.py
+++ b/rainspindle/protocol/mysql/messages.py
@@ -383,6 +383,7 @@
         self.ok: Ok | None = None
         self.prepared: Prepared | None = None
         self.rows = 0
+        self.results = 0  # complete ones, without the error that ends the response
         self.column_bytes = bytearray()
 
     def packet(self, payload: bytes, continued: bool = False) -> bool:
@@ -399,6 +400,7 @@
     def end_result(self, status: Status) -> bool:
         """End one result; returns False if the server announces more."""
         self.status = status
+        self.results += 1
         self.state = "first"
         return not status & Status.MORE_RESULTS
 
--- a/tests/mysql_histories.py
+++ b/tests/mysql_histories.py
@@ -6,10 +6,10 @@
 
 from __future__ import annotations
 
+import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from hypothesis import strategies as st
-
 from rainspindle.lab.mysql.engine import Store
 from rainspindle.protocol.mysql.messages import SUPPORTED_CAPABILITIES, Capability, Command
 
@@ -54,6 +54,8 @@
     f"CALL {OPENS}()",
     f"CALL {OPENS_AND_FAILS}()",
 )
+KINDS = (*["query"] * 4, *["prepare"] * 3, *["execute"] * 5, *["use"] * 2, "reset", "leave")
+MIN_KINDS = 4
 PREPARED = (
     f"INSERT INTO {TABLE} (k) VALUES (?)",
     f"SELECT COUNT(*) FROM {TABLE}",
@@ -70,31 +72,47 @@
     """One command of one session, or the end of its connection."""
 
     session: int
+    tag: str  # what it writes, so that a row tells who wrote it
     kind: str  # query, prepare, execute, use, reset or leave
     text: str = ""
     number: int = 0  # which of the session's prepared statements is executed
 
     def __str__(self) -> str:
-        return f"session {self.session}: {self.kind} {self.text or self.number}"
-
-
-def steps(sessions: int) -> st.SearchStrategy[Step]:
-    """Draw one step."""
-    session = st.integers(0, sessions - 1)
-    text = st.lists(st.sampled_from(STATEMENTS), min_size=1, max_size=MAX_STATEMENTS).map("; ".join)
-    return st.one_of(
-        st.builds(Step, session, st.just("query"), text),
-        st.builds(Step, session, st.just("query"), st.sampled_from(STATEMENTS)),
-        st.builds(Step, session, st.just("prepare"), st.sampled_from(PREPARED)),
-        st.builds(Step, session, st.just("execute"), number=st.integers(0, 3)),
-        st.builds(Step, session, st.just("use"), st.sampled_from(DATABASES)),
-        st.builds(Step, session, st.sampled_from(("reset", "leave"))),
-    )
-
-
-def histories(sessions: int) -> st.SearchStrategy[list[Step]]:
-    """Draw a history."""
-    return st.lists(steps(sessions), min_size=2, max_size=MAX_COMMANDS)
+        return f"{self.tag}: {self.kind} {self.text or self.number}"
+
+
+def draw_history(seed: int, sessions: int) -> list[Step]:
+    """Draw a history from a few statements only, so that they meet often."""
+    rng = random.Random(seed)
+    statements = rng.sample(STATEMENTS, rng.randint(2, 6))
+    prepared = rng.sample(PREPARED, rng.randint(1, 2))
+    kinds = rng.sample(KINDS, rng.randint(MIN_KINDS, len(KINDS)))
+    history = list[Step]()
+    for index in range(rng.randint(4, MAX_COMMANDS)):
+        kind, session = rng.choice(kinds), rng.randrange(sessions)
+        tag = f"{index} of {session}"
+        if kind == "query":
+            text = "; ".join(rng.choices(statements, k=rng.randint(1, MAX_STATEMENTS)))
+            history.append(Step(session, tag, kind, text))
+        elif kind == "prepare":
+            history.append(Step(session, tag, kind, rng.choice(prepared)))
+        elif kind == "execute":
+            history.append(Step(session, tag, kind, number=rng.randrange(len(prepared) + 1)))
+        else:
+            history.append(Step(session, tag, kind, rng.choice(DATABASES) if kind == "use" else ""))
+    return history
+
+
+def shrink(history: list[Step], differs: Callable[[list[Step]], bool]) -> list[Step]:
+    """Return a history from which no step can be left out without losing the difference."""
+    index = 0
+    while index < len(history):
+        shorter = history[:index] + history[index + 1 :]
+        if differs(shorter):
+            history, index = shorter, 0
+        else:
+            index += 1
+    return history
 
 
 def fault(sql: str, phase: str) -> str:
@@ -119,6 +137,14 @@
         store.tables[database, NUMBERED] = (["id", "k"], [])
 
 
+def start_anew(fixture: MysqlFixture) -> None:
+    """Lay out the tables, close the front's idle connections and number its sessions from 1 again."""
+    fill(fixture.store)
+    for target in list(fixture.servers.idle):
+        fixture.servers.drop(target)
+    fixture.front.sessions = 0
+
+
 @dataclass(slots=True)
 class Outcome:
     """What the sessions saw, and the tables at the end."""
@@ -146,8 +172,8 @@
 
     def play(self, history: list[Step]) -> Outcome:
         outcome = Outcome()
-        for index, step in enumerate(history):
-            reply = self.run(step, f"{index} of {step.session}")
+        for step in history:
+            reply = self.run(step)
             outcome.replies.append((reply.error, reply.rows))
         for client in self.clients:
             client.close()
@@ -155,10 +181,10 @@
         outcome.tables = {name: list(rows) for name, (_, rows) in self.fixture.store.tables.items()}
         return outcome
 
-    def run(self, step: Step, tag: str) -> Reply:
+    def run(self, step: Step) -> Reply:
         client, statements = self.clients[step.session], self.statements[step.session]
         if step.kind == "query":
-            return client.query(step.text.replace("TAG", tag))
+            return client.query(step.text.replace("TAG", step.tag))
         if step.kind == "prepare":
             reply = client.prepare(step.text)
             statements.append(reply.statement)
@@ -167,7 +193,7 @@
             if step.number >= len(statements):
                 return Reply()
             statement = statements[step.number]
-            return client.execute(statement, *[tag] * client.parameters.get(statement, 0))
+            return client.execute(statement, *[step.tag] * client.parameters.get(statement, 0))
         if step.kind == "use":
             return client.run(Command.INIT_DB, step.text.encode())
         statements.clear()
@@ -185,20 +211,21 @@
 
 
 def play(fixture: MysqlFixture, port: int, sessions: int, history: list[Step]) -> Outcome:
-    """Play a history on fresh tables."""
-    fixture.run_in_loop(lambda: fill(fixture.store))
+    """Play a history on fresh tables and connections, so that it goes the same way each time."""
+    fixture.run_in_loop(lambda: start_anew(fixture))
     return Player(fixture, port, sessions).play(history)
 
 
-def difference(history: list[Step], own: Outcome, shared: Outcome) -> str:
-    """Describe the first difference, "" if there is none; the history is printed step by step."""
-    lines = list[str]()
-    for step, (own_reply, shared_reply) in zip(
-        history, zip(own.replies, shared.replies, strict=True), strict=True
-    ):
-        lines.append(str(step))
-        if own_reply != shared_reply:
-            return "\n".join([*lines, f"    on its own: {own_reply}", f"    shared:     {shared_reply}"])
-    if own.tables != shared.tables:
-        return "\n".join([*lines, f"    on its own: {own.tables}", f"    shared:     {shared.tables}"])
-    return ""
+def compare(fixture: MysqlFixture, sessions: int, history: list[Step]) -> str:
+    """Play a history both ways; returns it up to the first difference, "" if there is none."""
+    own = play(fixture, fixture.databases[0].port, sessions, history)
+    shared = play(fixture, fixture.port, sessions, history)
+    for index, replies in enumerate(zip(own.replies, shared.replies, strict=True)):
+        if replies[0] != replies[1]:
+            return describe(history[: index + 1], *replies)
+    return describe(history, own.tables, shared.tables) if own.tables != shared.tables else ""
+
+
+def describe(history: list[Step], own: object, shared: object) -> str:
+    """Describe a difference for a reader."""
+    return "\n".join([*map(str, history), f"    on its own: {own}", f"    shared:     {shared}"])
--- a/tests/test_mysql_sessions.py
+++ b/tests/test_mysql_sessions.py
@@ -10,7 +10,7 @@
 
 from .mysql_client import MysqlClient
 from .mysql_fixture import MysqlFixture
-from .mysql_histories import TABLE, Player, fault, fill
+from .mysql_histories import BREAKS, DEADLOCKS, FAILS, OPENS, OPENS_AND_FAILS, TABLE, Player, fault, fill
 
 # The front's connections to servers use what the client supports.
 CAPABILITIES = [SUPPORTED_CAPABILITIES, SUPPORTED_CAPABILITIES & ~Capability.DEPRECATE_EOF]
@@ -43,6 +43,11 @@
         """Return what is in the table of a database."""
         return [row[0] for row in self.fixture.store.tables[database, TABLE][1]]
 
+    def pinned(self) -> int:
+        """Return how many sessions hold a server connection."""
+        clients = self.fixture.front.clients.values()
+        return sum(session is not None and session.pinned is not None for session in clients)
+
 
 @pytest.fixture
 def sessions() -> Iterator[Sessions]:
@@ -65,3 +70,73 @@
     sessions.end(second)
     sessions.end(first)
     assert sessions.rows("north") == ["second"]
+
+
+OPENING_TEXTS = [
+    f"BEGIN; {insert('lost')}; {insert(FAILS)}",
+    f"SELECT 1; START TRANSACTION; {insert('lost')}; {insert(FAILS)}; COMMIT",
+    f"SET autocommit = 0; {insert('lost')}; {insert(FAILS)}",
+    f"BEGIN; {insert('lost')}; SELECT k FROM {TABLE} WHERE k = '{BREAKS}'",
+    f"CALL {OPENS_AND_FAILS}()",
+    f"CALL {OPENS}(); {insert(FAILS)}",
+]
+
+
+# Guards against INSERTs that are answered with OK and undone: a failed text had left its transaction open.
+@pytest.mark.parametrize("capabilities", CAPABILITIES)
+@pytest.mark.parametrize("text", OPENING_TEXTS)
+def test_a_transaction_that_a_failed_text_leaves_open_stays_with_its_session(
+    sessions: Sessions, text: str, capabilities: Capability
+) -> None:
+    first, second = sessions.client(capabilities=capabilities), sessions.client(capabilities=capabilities)
+    assert first.query(text).error != 0
+    assert second.query(insert("second")).error == 0
+    sessions.end(second)
+    sessions.end(first)
+    assert sessions.rows("north") == ["second"]
+
+
+# Guards against a failed text that costs its own session the transaction that it has open.
+@pytest.mark.parametrize(("end", "rows"), [("COMMIT", ["kept"]), ("ROLLBACK", [])])
+def test_a_session_ends_the_transaction_of_its_failed_text_itself(
+    sessions: Sessions, end: str, rows: list[str]
+) -> None:
+    client = sessions.client()
+    assert client.query(f"BEGIN; {insert('kept')}; {insert(FAILS)}").error != 0
+    assert client.query(end).error == 0
+    assert sessions.rows("north") == rows
+    assert sessions.pinned() == 0
+
+
+# Guards against sessions that stay pinned, and so hold a server connection, after an error that left nothing.
+@pytest.mark.parametrize(
+    "texts",
+    [
+        [insert(FAILS)],
+        ["BEGIN", insert(DEADLOCKS), insert("next")],
+        [f"BEGIN; {insert('kept')}; COMMIT; {insert(FAILS)}"],
+        [f"SET lock_wait_timeout = 7; {insert(FAILS)}"],
+    ],
+)
+def test_a_session_is_not_pinned_once_its_state_is_known(sessions: Sessions, texts: list[str]) -> None:
+    client = sessions.client()
+    for text in texts:
+        client.query(text)
+    assert sessions.pinned() == 0
+
+
+# Guards against rows in another session's database: the statements before the failed one had changed it.
+def test_the_database_that_a_failed_text_has_chosen_is_its_own_sessions_alone(sessions: Sessions) -> None:
+    first, second = sessions.client("north"), sessions.client("north")
+    assert first.query(f"USE south; {insert(FAILS)}").error != 0
+    assert second.query(insert("second")).error == 0
+    assert first.query(insert("first")).error == 0
+    assert (sessions.rows("north"), sessions.rows("south")) == (["second"], ["first"])
+
+
+# Guards against session variables that a failed text has set and that another session meets.
+def test_the_variables_that_a_failed_text_has_set_are_its_own_sessions_alone(sessions: Sessions) -> None:
+    first, second = sessions.client(), sessions.client()
+    assert first.query(f"SET lock_wait_timeout = 7; {insert(FAILS)}; SET lock_wait_timeout = 8").error != 0
+    assert second.query("SELECT @@lock_wait_timeout").rows == [(None,)]
+    assert first.query("SELECT @@lock_wait_timeout").rows == [("7",)]
