A prepared statement stays bound to the database and variables of its preparation

Cause: a server binds a statement to the database, sql_mode and character sets of its preparation. The connection's table of prepared statements was keyed by the text alone, and the front's statement kept none of these.

Nine tests of test_mysql_sessions.py failed before: two sessions at one server, a killed server, USE, COM_INIT_DB and USE within a text, evictions with and without a transaction, sql_mode.

Why the fix works: the key is what the server binds (StatementBinding). Where a connection lacks a binding, it is prepared in the database and with the variables of the binding, and the session's present ones are put back before the execution. Statements of sessions whose state is not fully known here are shared with no other.

A prepared statement costs nothing more where its session has not changed its state since the preparation.

--- a/rainspindle/fronts/mysql/back.py
+++ b/rainspindle/fronts/mysql/back.py
@@ -15,7 +15,7 @@
 from ...transport.address import Address
 from ...transport.connection import Broken, Connection, Late, OutOfSockets, Unless, Unwanted
 from ...transport.loop import Coroutine, Loop
-from .servers import FULL_CODES, Account, Refused, ServerConnection, ServerPool
+from .servers import FULL_CODES, Account, Refused, ServerConnection, ServerPool, StatementBinding
 
 log = logging.getLogger("rainspindle.mysql")
 
@@ -35,7 +35,7 @@
     variables: dict[str, str]
     insert_id: int  # the value that LAST_INSERT_ID() must return, 0 if the statement doesn't use it
     client: Connection | None  # receives the streamed response; None buffers it whole
-    sql: str = ""  # text of the prepared statement
+    binding: StatementBinding | None = None  # of the statement that is prepared or executed
     long_data: dict[int, bytes] = field(default_factory=dict)
     pinned: bool = False  # the session is pinned to the connection, whose state is already its own
     # Result:
@@ -131,10 +131,10 @@
                 server, request.database, request.variables, request.insert_id, request.pinned, until, before
             )
             body = request.body
-            if request.command is Command.PREPARE:
-                yield from self.servers.evict_prepared(server, request.sql, until, before)
-            if request.command is Command.EXECUTE:
-                prepared = yield from self.servers.prepare(server, request.sql, until, before)
+            if request.binding is not None and request.command is Command.PREPARE:
+                yield from self.servers.evict_prepared(server, request.binding, until, before)
+            if request.binding is not None and request.command is Command.EXECUTE:
+                prepared = yield from self.servers.prepare(server, request.binding, until, before)
                 body = prepared.id.to_bytes(4, "little") + body
                 yield from self.send_long_data(request, server, prepared.id, until, before)
             if before is not None and before():
--- a/rainspindle/fronts/mysql/front.py
+++ b/rainspindle/fronts/mysql/front.py
@@ -37,7 +37,7 @@
 from ...transport.connection import Broken, Connection, Late, Unwanted
 from ...transport.loop import Coroutine, Loop
 from .back import CommandRequest, MysqlBack
-from .servers import Account, ServerConnection
+from .servers import Account, ServerConnection, StatementBinding
 
 log = logging.getLogger("rainspindle.mysql")
 
@@ -61,6 +61,8 @@
     (1153, "08S01"),
     (1046, "3D000"),
 )
+# Side effects that may have changed the database or session variables without a trace here.
+HIDING_EFFECTS = frozenset(("unknown", "prepare"))
 REJECTED, TERMINATED, STATE_LOST = (1213, "40001"), (1317, "70100"), (1927, "70100")
 
 
@@ -69,7 +71,7 @@
     """A prepared statement of a client."""
 
     id: int
-    sql: str
+    binding: StatementBinding
     parameters: int
     types: bytes = b""  # parameter types as the client last sent them
     long_data: dict[int, bytearray] = field(default_factory=dict)
@@ -98,6 +100,11 @@
         """Name used as the routing key where a rule gives no other."""
         return f"session {self.number}"
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the database and the session variables are those that are kept here."""
+        return not self.pinning_effects & HIDING_EFFECTS
+
 
 class Fault(Exception):
     """Error sent to the client in response to a command; the session continues."""
@@ -508,7 +515,9 @@
             session.statements.popitem(last=False)
         sql = body.decode("utf-8", "replace")
         classification = self.statements.meaning(sql, session.account.user, session.name)
-        request = self.make_request(session, Command.PREPARE, body, sql=sql)
+        session.last_statement += 1
+        statement_id, binding = session.last_statement, self.binding(session, sql)
+        request = self.make_request(session, Command.PREPARE, body, binding=binding)
         request.client = None
         # Preparing runs nothing; the key sends it to the server that would run the statement.
         no_effects = Classification(classification.traffic_type, classification.key)
@@ -517,13 +526,17 @@
             return response_bytes
         prepared = request.response.prepared
         if request.server is not None:
-            request.server.prepared[sql] = prepared
-        session.last_statement += 1
-        statement = Statement(session.last_statement, sql, prepared.parameters)
-        session.statements[statement.id] = statement
-        header = Prepared(statement.id, prepared.columns, prepared.parameters, prepared.warnings).encode()
+            request.server.prepared[binding] = prepared
+        session.statements[statement_id] = Statement(statement_id, binding, prepared.parameters)
+        header = Prepared(statement_id, prepared.columns, prepared.parameters, prepared.warnings).encode()
         return response_bytes[:4] + header + response_bytes[4 + len(header) :]
 
+    def binding(self, session: Session, sql: str) -> StatementBinding:
+        """Return what a statement is bound to that the session prepares now."""
+        state = session if session.pinned is None else session.pinned
+        owner = None if session.is_known else (session.number, session.last_statement)
+        return StatementBinding(sql, state.database, tuple(state.variables.items()), owner)
+
     def find_statement(self, session: Session, body: bytes) -> Statement:
         """Return the prepared statement that the command names; raises Fault if there is none."""
         statement_id = Cursor(body).number(4)
@@ -574,12 +587,14 @@
             data = cursor.rest()
             values = parameter_values(statement, null_bitmap, data)
             body_rest += null_bitmap + b"\1" + statement.types + data
-        classification = self.statements.meaning(statement.sql, session.account.user, session.name, values)
+        classification = self.statements.meaning(
+            statement.binding.sql, session.account.user, session.name, values
+        )
         request = self.make_request(
             session,
             Command.EXECUTE,
             body_rest,
-            sql=statement.sql,
+            binding=statement.binding,
             long_data={index: bytes(chunk) for index, chunk in statement.long_data.items()},
         )
         response_bytes = yield from self.run_request(session, request, classification)
--- a/rainspindle/fronts/mysql/servers.py
+++ b/rainspindle/fronts/mysql/servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict, deque
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from ...errors import Trouble
@@ -55,6 +56,27 @@
     capabilities: Capability
 
 
+@dataclass(frozen=True, slots=True)
+class StatementBinding:
+    """What a server binds a prepared statement to: its text, and the session's state at its preparation.
+
+    Names are resolved in the default database of that time, and the text is read by its sql_mode and
+    character sets, whatever the session changes later.
+
+    Attributes:
+        sql: The text.
+        database: The default database.
+        variables: The session variables that had been set.
+        owner: Session and number of the statement where its session may have changed more than that, so that
+            no other statement is bound alike.
+    """
+
+    sql: str
+    database: str
+    variables: tuple[tuple[str, str], ...]
+    owner: tuple[int, int] | None = None
+
+
 @dataclass(slots=True, eq=False)
 class ServerConnection:
     """One authenticated connection and the state of its session on the server."""
@@ -65,7 +87,7 @@
     database: str
     reader: PacketReader
     variables: dict[str, str] = field(default_factory=dict)
-    prepared: OrderedDict[str, Prepared] = field(default_factory=OrderedDict)
+    prepared: OrderedDict[StatementBinding, Prepared] = field(default_factory=OrderedDict)
     insert_id: int = 0
     needs_reset: bool = False  # may hold session state that only a reset removes
     autocommit: bool = True  # whether its session commits each statement if nothing is set
@@ -316,39 +338,62 @@
             self.resets += 1
             server.variables, server.needs_reset, server.insert_id = {}, False, 0
             server.prepared.clear()
+        yield from self.select_state(server, database, variables, until, unless)
+        if insert_id and server.insert_id != insert_id:
+            yield from self.run_internal(
+                server, Command.QUERY, b"SET last_insert_id = %d" % insert_id, until, unless
+            )
+            server.insert_id, server.needs_reset = insert_id, True
+
+    def select_state(
+        self,
+        server: ServerConnection,
+        database: str,
+        variables: Mapping[str, str],
+        until: float,
+        unless: Unless,
+    ) -> Coroutine[None]:
+        """Change the default database and the session variables to these, as far as they differ."""
         if database and server.database != database:
             yield from self.run_internal(server, Command.INIT_DB, database.encode(), until, unless)
             server.database = database
-        changes = [(name, value) for name, value in variables.items() if server.variables.get(name) != value]
-        for name, value in changes:
+        changes = {name: "DEFAULT" for name in server.variables if name not in variables}
+        changes |= {name: value for name, value in variables.items() if server.variables.get(name) != value}
+        for name, value in changes.items():
             statement = f"SET NAMES {value}" if name == "names" else f"SET SESSION {name} = {value}"
             yield from self.run_internal(server, Command.QUERY, statement.encode(), until, unless)
             server.variables[name] = value
-        if insert_id and server.insert_id != insert_id:
-            yield from self.run_internal(
-                server, Command.QUERY, b"SET last_insert_id = %d" % insert_id, until, unless
-            )
-            server.insert_id, server.needs_reset = insert_id, True
+            if name not in variables:
+                del server.variables[name]
 
     def evict_prepared(
-        self, server: ServerConnection, sql: str, until: float, unless: Unless
+        self, server: ServerConnection, binding: StatementBinding, until: float, unless: Unless
     ) -> Coroutine[None]:
-        """Close an earlier preparation of the same text, and the least recently used beyond the limit."""
-        while sql in server.prepared or len(server.prepared) >= MAX_PREPARED:
-            evicted = server.prepared.pop(sql if sql in server.prepared else next(iter(server.prepared)))
+        """Close an earlier preparation of this statement, and the least recently used beyond the limit."""
+        while binding in server.prepared or len(server.prepared) >= MAX_PREPARED:
+            evicted = server.prepared.pop(
+                binding if binding in server.prepared else next(iter(server.prepared))
+            )
             body = bytes((Command.CLOSE,)) + evicted.id.to_bytes(4, "little")  # has no response
             yield from server.connection.send(packets(body, 0), until, unless)
 
     def prepare(
-        self, server: ServerConnection, sql: str, until: float, unless: Unless
+        self, server: ServerConnection, binding: StatementBinding, until: float, unless: Unless
     ) -> Coroutine[Prepared]:
-        """Return the server's prepared statement for this text, preparing it if necessary."""
-        prepared = server.prepared.get(sql)
+        """Return the server's prepared statement for a binding.
+
+        If there is none, it is prepared in the state that its client had prepared it in; the connection then
+        has its present state again.
+        """
+        prepared = server.prepared.get(binding)
         if prepared is not None:
-            server.prepared.move_to_end(sql)
+            server.prepared.move_to_end(binding)
             return prepared
-        yield from self.evict_prepared(server, sql, until, unless)
-        response = yield from self.run_internal(server, Command.PREPARE, sql.encode(), until, unless)
+        yield from self.evict_prepared(server, binding, until, unless)
+        database, variables = server.database, dict(server.variables)
+        yield from self.select_state(server, binding.database, dict(binding.variables), until, unless)
+        response = yield from self.run_internal(server, Command.PREPARE, binding.sql.encode(), until, unless)
         assert response.prepared is not None
-        server.prepared[sql] = response.prepared
+        server.prepared[binding] = response.prepared
+        yield from self.select_state(server, database, variables, until, unless)
         return response.prepared
--- a/tests/mysql_histories.py
+++ b/tests/mysql_histories.py
@@ -18,53 +18,45 @@
 
 DATABASES = ("north", "south")
 TABLE, NUMBERED = "exams", "numbered"
-MAX_STATEMENTS, MAX_COMMANDS = 4, 24  # in a text, and in a history
+MAX_STATEMENTS, MAX_COMMANDS = 4, 30  # in a text, and in a history
 SETTLING_ROUNDS = 12  # of the event loop, until a server knows that a client has gone
 
 FAILS, DEADLOCKS, BREAKS = "fails", "deadlocks", "breaks"  # markers of statements that get an error
 OPENS, OPENS_AND_FAILS = "leave_open", "leave_open_and_fail"  # stored procedures
 
-STATEMENTS = (
-    f"INSERT INTO {TABLE} (k) VALUES ('TAG')",
-    f"INSERT INTO {TABLE} (k) VALUES ('TAG')",
+INSERT = f"INSERT INTO {TABLE} (k) VALUES ('TAG')"
+COUNT = f"SELECT COUNT(*) FROM {TABLE}"
+INSERT_PREPARED = f"INSERT INTO {TABLE} (k) VALUES (?)"
+
+
+@dataclass(frozen=True, slots=True)
+class Theme:
+    """Statements that act on the same part of a session's state, as texts and prepared."""
+
+    texts: tuple[str, ...]
+    prepared: tuple[str, ...]
+
+
+THEMES = (
+    Theme(("BEGIN", "START TRANSACTION", "COMMIT", "ROLLBACK", COUNT), ("START TRANSACTION", COUNT)),
+    Theme(("USE north", "USE south", "SELECT DATABASE()"), ("SELECT DATABASE()", INSERT_PREPARED)),
+    Theme(("SET lock_wait_timeout = 7", "SET lock_wait_timeout = 8", "SELECT @@lock_wait_timeout"), ()),
+    Theme(("SET SESSION sql_mode = 'ANSI_QUOTES'", "SET sql_mode = ''", 'SELECT "x"'), ('SELECT "x"',)),
+    Theme(("SET autocommit = 0", "SET autocommit = 1", "COMMIT"), ("SET autocommit = 0",)),
+    Theme(("CREATE TEMPORARY TABLE mine (k TEXT)", "SELECT COUNT(*) FROM mine"), ()),
+    Theme(("BEGIN", "CREATE TABLE other (k TEXT)", "ROLLBACK"), ()),
+    Theme((f"CALL {OPENS}()", f"CALL {OPENS_AND_FAILS}()", "ROLLBACK"), ()),
+    Theme((f"INSERT INTO {NUMBERED} (k) VALUES ('TAG')", "SELECT LAST_INSERT_ID()"), ()),
+    Theme(("BEGIN", f"UPDATE {NUMBERED} SET k = 'TAG' WHERE id = 1", "ROLLBACK"), ()),
+)
+ERRORS = (
     f"INSERT INTO {TABLE} (k) VALUES ('TAG {FAILS}')",
     f"INSERT INTO {TABLE} (k) VALUES ('TAG {DEADLOCKS}')",
     f"SELECT k FROM {TABLE} WHERE k = '{BREAKS}'",
-    f"SELECT COUNT(*) FROM {TABLE}",
-    f"UPDATE {NUMBERED} SET k = 'TAG' WHERE id = 1",
-    f"INSERT INTO {NUMBERED} (k) VALUES ('TAG')",
-    "SELECT LAST_INSERT_ID()",
-    "BEGIN",
-    "START TRANSACTION",
-    "COMMIT",
-    "ROLLBACK",
-    "USE north",
-    "USE south",
-    "SET lock_wait_timeout = 7",
-    "SET SESSION sql_mode = 'ANSI_QUOTES'",
-    "SET sql_mode = ''",
-    "SET autocommit = 0",
-    "SET autocommit = 1",
-    "SELECT DATABASE()",
-    "SELECT @@lock_wait_timeout",
-    'SELECT "x"',
-    "CREATE TEMPORARY TABLE mine (k TEXT)",
-    "SELECT COUNT(*) FROM mine",
-    "CREATE TABLE other (k TEXT)",
-    f"CALL {OPENS}()",
-    f"CALL {OPENS_AND_FAILS}()",
 )
-KINDS = (*["query"] * 4, *["prepare"] * 3, *["execute"] * 5, *["use"] * 2, "reset", "leave")
+MAX_THEMES = 2
+KINDS = (*["query"] * 5, *["prepare"] * 3, *["execute"] * 4, *["use"] * 2, "reset", "leave")
 MIN_KINDS = 4
-PREPARED = (
-    f"INSERT INTO {TABLE} (k) VALUES (?)",
-    f"SELECT COUNT(*) FROM {TABLE}",
-    f"SELECT k FROM {TABLE} WHERE k = ?",
-    'SELECT "x"',
-    "SELECT DATABASE()",
-    "START TRANSACTION",
-    "SET autocommit = 0",
-)
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,10 +74,11 @@
 
 
 def draw_history(seed: int, sessions: int) -> list[Step]:
-    """Draw a history from a few statements only, so that they meet often."""
+    """Draw a history of few themes, so that their statements meet often."""
     rng = random.Random(seed)
-    statements = rng.sample(STATEMENTS, rng.randint(2, 6))
-    prepared = rng.sample(PREPARED, rng.randint(1, 2))
+    themes = rng.sample(THEMES, rng.randint(1, MAX_THEMES))
+    statements = [INSERT, rng.choice(ERRORS), *(text for theme in themes for text in theme.texts)]
+    prepared = [INSERT_PREPARED, *(text for theme in themes for text in theme.prepared)]
     kinds = rng.sample(KINDS, rng.randint(MIN_KINDS, len(KINDS)))
     history = list[Step]()
     for index in range(rng.randint(4, MAX_COMMANDS)):
@@ -97,7 +90,7 @@
         elif kind == "prepare":
             history.append(Step(session, tag, kind, rng.choice(prepared)))
         elif kind == "execute":
-            history.append(Step(session, tag, kind, number=rng.randrange(len(prepared) + 1)))
+            history.append(Step(session, tag, kind, number=rng.randrange(len(prepared))))
         else:
             history.append(Step(session, tag, kind, rng.choice(DATABASES) if kind == "use" else ""))
     return history
--- a/tests/test_mysql_sessions.py
+++ b/tests/test_mysql_sessions.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from rainspindle.protocol.mysql.messages import SUPPORTED_CAPABILITIES, Capability
+from rainspindle.fronts.mysql.servers import MAX_PREPARED
+from rainspindle.protocol.mysql.messages import SUPPORTED_CAPABILITIES, Capability, Command
 
 from .mysql_client import MysqlClient
 from .mysql_fixture import MysqlFixture
@@ -15,6 +16,8 @@
 # The front's connections to servers use what the client supports.
 CAPABILITIES = [SUPPORTED_CAPABILITIES, SUPPORTED_CAPABILITIES & ~Capability.DEPRECATE_EOF]
 COUNT = f"SELECT COUNT(*) FROM {TABLE}"
+INSERT_PREPARED = f"INSERT INTO {TABLE} (k) VALUES (?)"
+KEYS = [str(number) for number in range(24)]  # enough for each of the servers
 
 
 def insert(value: str) -> str:
@@ -22,7 +25,7 @@
 
 
 class Sessions:
-    """Clients of a front with one server, each in a database."""
+    """Clients of a front, each in a database."""
 
     def __init__(self, fixture: MysqlFixture) -> None:
         self.fixture = fixture
@@ -43,6 +46,11 @@
         """Return what is in the table of a database."""
         return [row[0] for row in self.fixture.store.tables[database, TABLE][1]]
 
+    def forget_prepared(self, client: MysqlClient) -> None:
+        """Execute so many other statements that all earlier ones are evicted from the server connection."""
+        for number in range(MAX_PREPARED + 1):
+            assert client.execute(client.prepare(f"SELECT {number}").statement).error == 0
+
     def pinned(self) -> int:
         """Return how many sessions hold a server connection."""
         clients = self.fixture.front.clients.values()
@@ -51,11 +59,20 @@
 
 @pytest.fixture
 def sessions() -> Iterator[Sessions]:
+    """Sessions that share one server."""
     fixture = MysqlFixture(servers=1)
     yield Sessions(fixture)
     fixture.end()
 
 
+@pytest.fixture
+def spread_sessions() -> Iterator[Sessions]:
+    """Sessions whose keys are spread over several servers."""
+    fixture = MysqlFixture(servers=4)
+    yield Sessions(fixture)
+    fixture.end()
+
+
 # Guards against an open transaction that goes to the next session once its own prepares a statement in it.
 @pytest.mark.parametrize("capabilities", CAPABILITIES)
 def test_a_transaction_stays_with_its_session_when_it_prepares_a_statement(
@@ -140,3 +157,70 @@
     assert first.query(f"SET lock_wait_timeout = 7; {insert(FAILS)}; SET lock_wait_timeout = 8").error != 0
     assert second.query("SELECT @@lock_wait_timeout").rows == [(None,)]
     assert first.query("SELECT @@lock_wait_timeout").rows == [("7",)]
+
+
+# Guards against rows of a prepared statement in the database of another session that prepared the same text.
+def test_sessions_that_prepare_the_same_text_write_to_their_own_databases(sessions: Sessions) -> None:
+    north, south = sessions.client("north"), sessions.client("south")
+    statements = [(client, client.prepare(INSERT_PREPARED).statement) for client in (north, south)]
+    for client, statement in statements * 2:
+        assert client.execute(statement, "north" if client is north else "south").error == 0
+    assert sessions.rows("north") == ["north"] * 2
+    assert sessions.rows("south") == ["south"] * 2
+
+
+# Guards against the same once the server dies at which a session had prepared the text, and its keys move.
+def test_a_prepared_statement_whose_key_moves_keeps_its_database(spread_sessions: Sessions) -> None:
+    sessions = spread_sessions
+    north, south = sessions.client("north"), sessions.client("south")
+    of_north, of_south = north.prepare(INSERT_PREPARED).statement, south.prepare(INSERT_PREPARED).statement
+    for key in KEYS:
+        assert north.execute(of_north, key).error == 0
+    sessions.fixture.run_in_loop(sessions.fixture.databases[0].kill)
+    for key in KEYS:
+        assert south.execute(of_south, key).error == 0
+    assert sessions.rows("north") == KEYS
+    assert sessions.rows("south") == KEYS
+
+
+# Guards against a prepared statement that follows its session to another database.
+@pytest.mark.parametrize("change", ["USE south", "COM_INIT_DB", "USE south; SELECT 1"])
+def test_a_prepared_statement_stays_in_its_database_when_the_session_changes_it(
+    spread_sessions: Sessions, change: str
+) -> None:
+    sessions, client = spread_sessions, spread_sessions.client("north")
+    statement = client.prepare(INSERT_PREPARED).statement
+    changed = client.run(Command.INIT_DB, b"south") if change == "COM_INIT_DB" else client.query(change)
+    assert changed.error == 0
+    for key in KEYS:
+        assert client.execute(statement, key).error == 0
+    assert client.query(insert("text")).error == 0
+    assert sessions.rows("north") == KEYS
+    assert sessions.rows("south") == ["text"]
+
+
+# Guards against the same where the server's preparation was evicted meanwhile, also in a transaction.
+@pytest.mark.parametrize("begin", ["SELECT 1", "BEGIN"])
+def test_an_evicted_statement_is_prepared_again_in_its_database(sessions: Sessions, begin: str) -> None:
+    client = sessions.client("north")
+    assert client.query(begin).error == 0
+    statement = client.prepare(INSERT_PREPARED).statement
+    assert client.query("USE south").error == 0
+    sessions.forget_prepared(client)
+    assert client.execute(statement, "bound").error == 0
+    assert client.query(insert("text")).error == 0
+    assert client.query("COMMIT").error == 0
+    assert (sessions.rows("north"), sessions.rows("south")) == (["bound"], ["text"])
+
+
+# Guards against a statement that another server reads by the sql_mode of its execution.
+@pytest.mark.parametrize("begin", ["SELECT 1", "BEGIN"])
+def test_an_evicted_statement_is_prepared_again_in_its_sql_mode(sessions: Sessions, begin: str) -> None:
+    client = sessions.client()
+    assert client.query(begin).error == 0
+    statement = client.prepare('SELECT "x"').statement
+    assert client.query("SET sql_mode = 'ANSI_QUOTES'").error == 0
+    sessions.forget_prepared(client)
+    assert client.execute(statement).rows == [("x",)]
+    assert client.query("SELECT @@sql_mode").rows == [("ANSI_QUOTES",)]
+    assert client.query('SELECT "x"').error == 1054
