--- a/rainspindle/fronts/mysql/front.py
+++ b/rainspindle/fronts/mysql/front.py
@@ -486,8 +486,8 @@
         if change.database:
             session.database = server.database = change.database
         session.pinning_effects |= change.pinning_effects
-        if response.ok is not None and response.ok.insert_id:
-            session.insert_id = server.insert_id = response.ok.insert_id
+        if response.insert_id:
+            session.insert_id = server.insert_id = response.insert_id
             server.needs_reset = True
         if response.status is not None:
             session.in_transaction = bool(response.status & Status.IN_TRANSACTION)
--- a/rainspindle/protocol/mysql/messages.py
+++ b/rainspindle/protocol/mysql/messages.py
@@ -380,7 +380,8 @@
         self.groups: list[int] = []  # numbers of definitions still expected, for PREPARE
         self.status: Status | None = None  # of the last complete result, None if the server has sent none
         self.error: Err | None = None
-        self.ok: Ok | None = None
+        self.ok: Ok | None = None  # of the last result that ended with one
+        self.insert_id = 0  # the last one that a result of the response had
         self.prepared: Prepared | None = None
         self.rows = 0
         self.results = 0  # complete ones, without the error that ends the response
@@ -418,6 +419,7 @@
             return self.definitions == 0
         if first_byte == 0 or (first_byte == 0xFE and len(payload) < 9 and self.command is not Command.QUERY):
             self.ok = Ok.decode(payload) if first_byte == 0 else None
+            self.insert_id = (self.ok.insert_id if self.ok else 0) or self.insert_id
             return self.end_result(self.ok.status if self.ok else decode_eof(payload))
         if first_byte == 0xFB:
             raise Malformed("the server requests a local file, which is not supported")
--- a/tests/test_mysql_sessions.py
+++ b/tests/test_mysql_sessions.py
@@ -11,7 +11,18 @@
 
 from .mysql_client import MysqlClient
 from .mysql_fixture import MysqlFixture
-from .mysql_histories import BREAKS, DEADLOCKS, FAILS, OPENS, OPENS_AND_FAILS, TABLE, Player, fault, fill
+from .mysql_histories import (
+    BREAKS,
+    DEADLOCKS,
+    FAILS,
+    NUMBERED,
+    OPENS,
+    OPENS_AND_FAILS,
+    TABLE,
+    Player,
+    fault,
+    fill,
+)
 
 # The front's connections to servers use what the client supports.
 CAPABILITIES = [SUPPORTED_CAPABILITIES, SUPPORTED_CAPABILITIES & ~Capability.DEPRECATE_EOF]
@@ -224,3 +235,14 @@
     assert client.execute(statement).rows == [("x",)]
     assert client.query("SELECT @@sql_mode").rows == [("ANSI_QUOTES",)]
     assert client.query('SELECT "x"').error == 1054
+
+
+# Guards against the insert id of one session that another one reads: the text had further results behind it.
+@pytest.mark.parametrize("capabilities", CAPABILITIES)
+def test_the_insert_id_of_a_text_is_its_own_sessions_alone(
+    sessions: Sessions, capabilities: Capability
+) -> None:
+    first, second = sessions.client(capabilities=capabilities), sessions.client(capabilities=capabilities)
+    assert first.query(f"INSERT INTO {NUMBERED} (k) VALUES ('first'); {COUNT}").error == 0
+    assert second.query("SELECT LAST_INSERT_ID()").rows == [("0",)]
+    assert first.query("SELECT LAST_INSERT_ID()").rows == [("1",)]
