A session without a default database gets no connection that has one

What callers saw: a session that had chosen no database read and wrote tables of another session's database, where a server of its own would have refused (1046, No database selected).

Cause: the database of a connection was changed only where the next session has one; it can't be taken away.

Evidence: a test with one connection and with eight failed before (the INSERT was answered with OK).

Why the fix works: such a session is given idle connections without a database only; where none may be opened, the one that has been idle longest is closed for it, as for another account.

--- a/rainspindle/fronts/mysql/back.py
+++ b/rainspindle/fronts/mysql/back.py
@@ -87,7 +87,12 @@
         try:
             connect_until = min(until, self.loop.now() + connect_time)
             server = yield from self.servers.acquire(
-                (endpoint, address), request.account, request.variables, connect_until, before
+                (endpoint, address),
+                request.account,
+                request.database,
+                request.variables,
+                connect_until,
+                before,
             )
         except OutOfSockets:
             return Forwarded(AttemptOutcome.NOT_SENT)
--- a/rainspindle/fronts/mysql/servers.py
+++ b/rainspindle/fronts/mysql/servers.py
@@ -93,6 +93,14 @@
     autocommit: bool = True  # whether its session commits each statement if nothing is set
     idle_since: float = 0.0
 
+    def can_serve(self, account: Account, database: str) -> bool:
+        """Return whether a session of this account and default database can use the connection at all.
+
+        A default database can be changed, but not taken away: a session that has none would find its names in
+        the database of another session.
+        """
+        return self.account == account and bool(database or not self.database)
+
     def reusable_for(self, variables: dict[str, str]) -> bool:
         """Return whether a session with these variables can use the connection without a reset."""
         return not self.needs_reset and all(name in variables for name in self.variables)
@@ -111,9 +119,15 @@
     # Acquiring and releasing.
 
     def acquire(
-        self, target: Target, account: Account, variables: dict[str, str], until: float, unless: Unless
+        self,
+        target: Target,
+        account: Account,
+        database: str,
+        variables: dict[str, str],
+        until: float,
+        unless: Unless,
     ) -> Coroutine[ServerConnection]:
-        """Return a connection of this account, waiting in turn if all are in use.
+        """Return a connection for a session with this state, waiting in turn if all are in use.
 
         Raises Broken, Late, Unwanted or Refused.
         """
@@ -123,7 +137,8 @@
         try:
             while True:
                 is_first = not waiting or waiting[0] is task
-                if is_first and (server := self.take_idle(target, account, variables)) is not None:
+                server = self.take_idle(target, account, database, variables) if is_first else None
+                if server is not None:
                     self.reused += 1
                     return server
                 if is_first and (self.open_counts.get(target, 0) < self.most_each or self.make_room(target)):
@@ -151,11 +166,11 @@
         return server
 
     def take_idle(
-        self, target: Target, account: Account, variables: dict[str, str]
+        self, target: Target, account: Account, database: str, variables: dict[str, str]
     ) -> ServerConnection | None:
-        """Return an idle connection of this account, preferring no reset, then the latest used."""
+        """Return an idle connection for this state, preferring no reset, then the latest used."""
         idle = self.idle.get(target, [])
-        candidates = [candidate for candidate in idle if candidate.account == account]
+        candidates = [candidate for candidate in idle if candidate.can_serve(account, database)]
         for server in sorted(
             candidates,
             key=lambda candidate: (candidate.reusable_for(variables), candidate.idle_since),
@@ -168,7 +183,7 @@
         return None
 
     def make_room(self, target: Target) -> bool:
-        """Close the connection that has been idle longest, so that another account can connect."""
+        """Close the connection that has been idle longest, so that another one can be opened."""
         idle = self.idle.get(target)
         if not idle:
             return False
--- a/tests/test_mysql.py
+++ b/tests/test_mysql.py
@@ -359,7 +359,9 @@
 
     def acquire(name: str, account: Account, until: float) -> Any:
         try:
-            acquired.put((name, (yield from fixture.servers.acquire(target, account, {}, until, None))))
+            acquired.put(
+                (name, (yield from fixture.servers.acquire(target, account, "reg", {}, until, None)))
+            )
         except Refused as error:
             assert error.full
             acquired.put((name, None))
--- a/tests/test_mysql_sessions.py
+++ b/tests/test_mysql_sessions.py
@@ -28,6 +28,7 @@
 CAPABILITIES = [SUPPORTED_CAPABILITIES, SUPPORTED_CAPABILITIES & ~Capability.DEPRECATE_EOF]
 COUNT = f"SELECT COUNT(*) FROM {TABLE}"
 INSERT_PREPARED = f"INSERT INTO {TABLE} (k) VALUES (?)"
+NO_DATABASE = 1046  # code of the error
 KEYS = [str(number) for number in range(24)]  # enough for each of the servers
 
 
@@ -246,3 +247,21 @@
     assert first.query(f"INSERT INTO {NUMBERED} (k) VALUES ('first'); {COUNT}").error == 0
     assert second.query("SELECT LAST_INSERT_ID()").rows == [("0",)]
     assert first.query("SELECT LAST_INSERT_ID()").rows == [("1",)]
+
+
+# Guards against a session without a database that reads and writes in the database of another one.
+@pytest.mark.parametrize("most_each", [1, 8])
+def test_a_session_without_a_database_is_in_no_other_sessions_database(most_each: int) -> None:
+    fixture = MysqlFixture(servers=1, most_each=most_each)
+    sessions = Sessions(fixture)
+    try:
+        first, second = sessions.client("north"), sessions.client("")
+        assert first.query(insert("first")).error == 0
+        assert second.query(insert("second")).error == NO_DATABASE
+        assert second.query("SELECT DATABASE()").rows == [(None,)]
+        assert first.query(COUNT).rows == [("1",)]
+        assert second.query("USE south").error == 0
+        assert second.query(insert("second")).error == 0
+        assert (sessions.rows("north"), sessions.rows("south")) == (["first"], ["second"])
+    finally:
+        fixture.end()
