A server's error about a session's state is its client's answer, not the server's failure

What callers saw: a client that had chosen an unknown database, or whose prepared statement's table was gone, got 1213 (retrying is safe), a session in a transaction lost it (1927), and each try counted against a server as not connected.

Cause: an error to a command that the front sends ahead of the client's own (COM_INIT_DB, SET, a preparation) was taken for a refused connection, whatever it said.

Why the fix works: errors of the classes 22, 3D and 42 and unknown variables, but not a server's limits, are answers that every server would give: the client gets the packet, the connection stays usable, nothing counts as run. After a refused preparation the session's database and variables are put back first.

In the simulated server a preparation fails where its table is not there, as on a real one.

--- a/rainspindle/fronts/mysql/back.py
+++ b/rainspindle/fronts/mysql/back.py
@@ -15,7 +15,15 @@
 from ...transport.address import Address
 from ...transport.connection import Broken, Connection, Late, OutOfSockets, Unless, Unwanted
 from ...transport.loop import Coroutine, Loop
-from .servers import FULL_CODES, Account, Refused, ServerConnection, ServerPool, StatementBinding
+from .servers import (
+    FULL_CODES,
+    Account,
+    Refused,
+    ServerConnection,
+    ServerPool,
+    StatementBinding,
+    StateRefused,
+)
 
 log = logging.getLogger("rainspindle.mysql")
 
@@ -41,6 +49,7 @@
     # Result:
     server: ServerConnection | None = None  # connection that responded; the session keeps or releases it
     response: ResponseReader | None = None
+    sent: bool = False  # whether the command itself has been sent whole to the server that responded
     # The part of the response that has not been sent to the client.
     buffered: bytearray = field(default_factory=bytearray)
     streamed: bool = False  # part of the response has been sent to the client
@@ -129,7 +138,7 @@
         started: Callable[[], None],
     ) -> Coroutine[Forwarded]:
         """Run the command on a connection, which is closed unless the response is complete."""
-        sent = False
+        request.sent = False
         try:
             server.connection.mine()
             yield from self.servers.apply_session_state(
@@ -145,8 +154,12 @@
             if before is not None and before():
                 raise Unwanted
             yield from self.servers.send_command(server, bytes((request.command,)) + body, until, before)
-            sent = True
+            request.sent = True
             response = yield from self.read_response(request, server, until, expires_at, after, started)
+        except StateRefused as error:  # the same answer as if the client had a connection of its own
+            response = ResponseReader(server.account.capabilities, request.command)
+            response.packet(error.err.encode())
+            request.buffered[:] = packets(error.err.encode(), 1)
         except Refused as error:  # by a preparatory command; the statement itself was not sent
             request.failure = str(error)
             self.servers.close(server)
@@ -157,13 +170,14 @@
         except Late:
             self.servers.close(server)
             return Forwarded(
-                AttemptOutcome.TIMED_OUT if sent else AttemptOutcome.NOT_CONNECTED, broke=request.streamed
+                AttemptOutcome.TIMED_OUT if request.sent else AttemptOutcome.NOT_CONNECTED,
+                broke=request.streamed,
             )
         except (Broken, Malformed) as error:
             request.failure = str(error)
             self.servers.close(server)
             return Forwarded(
-                AttemptOutcome.RESET if sent else AttemptOutcome.NOT_CONNECTED, broke=request.streamed
+                AttemptOutcome.RESET if request.sent else AttemptOutcome.NOT_CONNECTED, broke=request.streamed
             )
         request.server, request.response = server, response
         if (
--- a/rainspindle/fronts/mysql/front.py
+++ b/rainspindle/fronts/mysql/front.py
@@ -480,7 +480,8 @@
         server, response = request.server, request.response
         if server is None or response is None:
             return
-        change = change_after(classification.effects, response.results, response.error is not None)
+        effects = classification.effects if request.sent else ()
+        change = change_after(effects, response.results, response.error is not None)
         session.variables.update(change.variables)
         server.variables.update(change.variables)
         if change.database:
--- a/rainspindle/fronts/mysql/servers.py
+++ b/rainspindle/fronts/mysql/servers.py
@@ -29,6 +29,9 @@
 MAX_PACKET_PAYLOAD = 0xFFFFFF
 MAX_PREPARED = 100  # statements prepared on one connection
 FULL_CODES = (1040, 1203, 1226)  # too many connections: refused without running anything
+MAX_PREPARED_REACHED = 1461  # the server's limit, over all connections
+# Errors that are the fault of a session's state or a statement's text: classes of SQL states, and a code.
+CLIENT_FAULT_STATES, UNKNOWN_VARIABLE = ("22", "3D", "42"), 1193
 IDLE_TIMEOUT = 60.0  # seconds
 
 Target = tuple[str, Address]
@@ -47,6 +50,23 @@
         self.full = full
 
 
+class StateRefused(Trouble):
+    """The server refused a session's state, or a text that it had to prepare again; the client is told."""
+
+    remedy = "the client must name a database, variables and tables that the servers have"
+
+    def __init__(self, err: Err) -> None:
+        super().__init__(f"{err.code} {err.message}"[:200])
+        self.err = err
+
+
+def is_client_fault(err: Err) -> bool:
+    """Return whether any server would answer so, as the fault is in what the client has sent."""
+    if err.code in (*FULL_CODES, MAX_PREPARED_REACHED):
+        return False
+    return err.code == UNKNOWN_VARIABLE or err.state.startswith(CLIENT_FAULT_STATES)
+
+
 @dataclass(frozen=True, slots=True)
 class Account:
     """User, password and negotiated capabilities; connections of one account serve any of its sessions."""
@@ -323,13 +343,20 @@
     def run_internal(
         self, server: ServerConnection, kind: Command, body: bytes, until: float, unless: Unless
     ) -> Coroutine[ResponseReader]:
-        """Run a command whose response is short and not for the client; raises Refused for an ERR packet."""
+        """Run a command whose response is short and not for the client.
+
+        Raises:
+            StateRefused: An ERR packet whose cause is what the client has sent.
+            Refused: Any other ERR packet.
+        """
         yield from self.send_command(server, bytes((kind,)) + body, until, unless)
         response = ResponseReader(server.account.capabilities, kind)
         complete = False
         while not complete:
             packet = yield from self.read_packet(server, until, unless)
             complete = response.packet(packet.payload)
+        if response.error is not None and is_client_fault(response.error):
+            raise StateRefused(response.error)
         if response.error is not None:
             raise Refused(f"{response.error.code} {response.error.message}"[:200])
         return response
@@ -406,8 +433,14 @@
             return prepared
         yield from self.evict_prepared(server, binding, until, unless)
         database, variables = server.database, dict(server.variables)
-        yield from self.select_state(server, binding.database, dict(binding.variables), until, unless)
-        response = yield from self.run_internal(server, Command.PREPARE, binding.sql.encode(), until, unless)
+        try:
+            yield from self.select_state(server, binding.database, dict(binding.variables), until, unless)
+            response = yield from self.run_internal(
+                server, Command.PREPARE, binding.sql.encode(), until, unless
+            )
+        except StateRefused:
+            yield from self.select_state(server, database, variables, until, unless)
+            raise
         assert response.prepared is not None
         server.prepared[binding] = response.prepared
         yield from self.select_state(server, database, variables, until, unless)
--- a/rainspindle/lab/mysql/database.py
+++ b/rainspindle/lab/mysql/database.py
@@ -217,6 +217,7 @@
         """Respond to COM_STMT_PREPARE."""
         if len(session.prepared) >= self.max_prepared:
             raise StatementError(1461, "42000", "Can't create more than max_prepared_stmt_count statements")
+        self.engine.check(session, session.binding(), sql)
         session.last_statement += 1
         session.prepared[session.last_statement] = PreparedText(sql, session.binding())
         parameter_count = sql.count("?")
--- a/rainspindle/lab/mysql/engine.py
+++ b/rainspindle/lab/mysql/engine.py
@@ -145,6 +145,13 @@
             raise StatementError(1049, "42000", f"Unknown database '{database}'")
         session.database = database
 
+    def check(self, session: Session, binding: Binding, sql: str) -> None:
+        """Raise StatementError if a statement that is prepared names a table that doesn't exist."""
+        for pattern, group in ((SELECT, 2), (INSERT, 1), (UPDATE, 1), (DELETE, 1)):
+            match = pattern.match(sql.strip())
+            if match and not match[group].startswith("seq_"):
+                self.find_table(session, binding.database, match[group])
+
     def find_table(self, session: Session, database: str, name: str) -> Table:
         """Return a table's columns and rows; raises StatementError if it doesn't exist."""
         if name in session.temporary:
--- a/tests/test_mysql_sessions.py
+++ b/tests/test_mysql_sessions.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from typing import cast
 
 import pytest
 
+from rainspindle.balancer.balancer import Balancer
 from rainspindle.fronts.mysql.servers import MAX_PREPARED
 from rainspindle.protocol.mysql.messages import SUPPORTED_CAPABILITIES, Capability, Command
 
@@ -28,7 +30,7 @@
 CAPABILITIES = [SUPPORTED_CAPABILITIES, SUPPORTED_CAPABILITIES & ~Capability.DEPRECATE_EOF]
 COUNT = f"SELECT COUNT(*) FROM {TABLE}"
 INSERT_PREPARED = f"INSERT INTO {TABLE} (k) VALUES (?)"
-NO_DATABASE = 1046  # code of the error
+NO_DATABASE, UNKNOWN_DATABASE, NO_SUCH_TABLE = 1046, 1049, 1146  # codes of errors
 KEYS = [str(number) for number in range(24)]  # enough for each of the servers
 
 
@@ -63,6 +65,11 @@
         for number in range(MAX_PREPARED + 1):
             assert client.execute(client.prepare(f"SELECT {number}").statement).error == 0
 
+    def failures(self) -> float:
+        """Return how many failures count against the servers."""
+        endpoints = cast("Balancer", self.fixture.facade.balancer).registry.by_id.values()
+        return sum(endpoint.failure_counts.total_failures for endpoint in endpoints)
+
     def pinned(self) -> int:
         """Return how many sessions hold a server connection."""
         clients = self.fixture.front.clients.values()
@@ -265,3 +272,37 @@
         assert (sessions.rows("north"), sessions.rows("south")) == (["first"], ["second"])
     finally:
         fixture.end()
+
+
+# Guards against a client that names an unknown database and makes others' servers count as failing.
+@pytest.mark.parametrize("command", ["SELECT 1", "COM_STMT_PREPARE"])
+def test_an_unknown_database_is_its_clients_error_alone(sessions: Sessions, command: str) -> None:
+    sessions.fixture.store.databases = frozenset(("north", "south"))
+    client = sessions.client("nowhere")
+    for _ in range(20):
+        reply = client.prepare("SELECT 1") if command == "COM_STMT_PREPARE" else client.query(command)
+        assert reply.error == UNKNOWN_DATABASE
+    assert sessions.failures() == 0
+    assert client.query("USE north").error == 0
+    assert client.query(insert("kept")).error == 0
+    assert sessions.rows("north") == ["kept"]
+
+
+# Guards against a transaction that is lost since a statement in it can't be prepared again.
+@pytest.mark.parametrize("begin", ["SELECT 1", "BEGIN"])
+def test_a_statement_whose_table_is_gone_gets_the_servers_error(sessions: Sessions, begin: str) -> None:
+    client = sessions.client("north")
+    table = sessions.fixture.store.tables["north", NUMBERED]
+    statement = client.prepare(f"SELECT COUNT(*) FROM {NUMBERED}").statement
+    assert client.query(begin).error == 0
+    assert client.query(insert("kept")).error == 0
+    assert client.query("USE south").error == 0
+    sessions.forget_prepared(client)
+    del sessions.fixture.store.tables["north", NUMBERED]
+    assert client.execute(statement).error == NO_SUCH_TABLE
+    assert client.query("SELECT DATABASE()").rows == [("south",)]
+    assert client.query("COMMIT").error == 0
+    assert sessions.failures() == 0
+    sessions.fixture.store.tables["north", NUMBERED] = table
+    assert client.execute(statement).rows == [("0",)]
+    assert sessions.rows("north") == ["kept"]
