A request that another site may have run begins again only within its window

Cause: SiteRouter asked for the window before a request crossed and used that answer after the link was lost. The own site's core did not know of the first attempt, so its check before each first byte could not act.

Why the fix works: the window counts from the crossing (Given.rerun_until) and is looked at where it matters: when the link is lost, before a further site is chosen, before each attempt's first byte, and as the expiry at a third site.

--- a/rainspindle/fronts/link/crossing.py
+++ b/rainspindle/fronts/link/crossing.py
@@ -148,10 +148,13 @@
 
     # One request.
 
-    def cross(self, given: Given, gone: Callable[[], bool], may_rerun: bool) -> Coroutine[PeerResult]:
+    def cross(
+        self, given: Given, gone: Callable[[], bool], may_rerun: Callable[[], bool]
+    ) -> Coroutine[PeerResult]:
         """Runs a request at the peer and returns its final answer, or that it had none.
 
-        A request with `may_rerun` is abandoned as soon as its connection is lost.
+        A request for which `may_rerun` holds when its connection is lost is abandoned at once. One that may
+        have been executed elsewhere expires at the peer when its endpoints forget that.
         """
         channel = self.pick_channel()
         task = self.loop.current
@@ -168,7 +171,7 @@
                 f.Open(
                     request.id,
                     now,
-                    given.expires_at - now,
+                    min(given.expires_at, given.rerun_until) - now,
                     self.type_names[given.type_index],
                     given.key,
                     given.hint,
@@ -189,7 +192,7 @@
             request.channel.wake()
 
     def await_result(
-        self, given: Given, request: SentRequest, gone: Callable[[], bool], may_rerun: bool
+        self, given: Given, request: SentRequest, gone: Callable[[], bool], may_rerun: Callable[[], bool]
     ) -> Coroutine[PeerResult]:
         """Waits until the request is answered, settled, expired or cancelled."""
         while True:
@@ -198,8 +201,8 @@
             if request.step is Step.FREE:
                 return NotAnswered(never_ran=True)
             if request.step is Step.UNKNOWN:
-                return NotAnswered(never_ran=False) if may_rerun else Terminated()
-            if request.step is Step.REVOKE and may_rerun:
+                return NotAnswered(never_ran=False) if may_rerun() else Terminated()
+            if request.step is Step.REVOKE and may_rerun():
                 self.abandon(given, request)
                 return NotAnswered(never_ran=False)
             client_left = gone()
--- a/rainspindle/routing/core.py
+++ b/rainspindle/routing/core.py
@@ -52,6 +52,8 @@
     tenant: int | None = None  # index in the settings
     request_id: str = ""  # chosen by the client; empty where the protocol has none
     attempted: bool = False  # whether an attempt has begun, so that it may have been executed
+    # When endpoints forget an attempt at another site that may have been executed: no other begins later.
+    rerun_until: float = math.inf
 
 
 @dataclass(slots=True)
@@ -185,7 +187,8 @@
         self.steps: deque[Step] = deque()
         self.out: int | None = None  # number of the attempt in flight
         self.called_off = self.left = self.ran = False
-        self.retry_until = math.inf  # when endpoints forget the first attempt that may have been executed
+        # When endpoints forget the first attempt that may have been executed, here or at another site.
+        self.retry_until = given.rerun_until
 
 
 class Core:
@@ -440,7 +443,8 @@
                 held.out, held.called_off = None, False
                 if not held.ran and result.outcome not in NEVER_EXECUTED:
                     held.ran = True
-                    held.retry_until = sent_at + self.settings.memory_spans[given.type_index]
+                    span = self.settings.memory_spans[given.type_index]
+                    held.retry_until = min(held.retry_until, sent_at + span)
                 self.apply(
                     self.facade.attempt_ended(
                         self.loop.now(),
--- a/tests/test_crossing.py
+++ b/tests/test_crossing.py
@@ -182,7 +182,7 @@
                 self.expires,
                 Ask(b"x1", b"POST", b"/", BODY, (), 0, "k", None, None, False),
             )
-            final = yield from self.casa.peers["rabat"].cross(given, lambda: False, may_rerun)
+            final = yield from self.casa.peers["rabat"].cross(given, lambda: False, lambda: may_rerun)
             finals.append((self.clock.now, final))
 
         self.loop.spawn(run_request())
@@ -298,7 +298,7 @@
     def run_request() -> Coroutine[None]:
         ask = Ask(b"x1", b"POST", b"/", BODY, (), 0, "k", None, None, False)
         given = Given(0, "k", None, False, 2.0, ask)
-        finals.append((yield from pair.casa.peers["rabat"].cross(given, lambda: gone[0], False)))
+        finals.append((yield from pair.casa.peers["rabat"].cross(given, lambda: gone[0], lambda: False)))
 
     task = pair.loop.spawn(run_request())
     pair.clock.env.run(until=0.05)
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -16,6 +17,7 @@
     TrafficClass,
 )
 from rainspindle.lazy_dataclasses import replace
+from rainspindle.routing.core import Final, Given
 from rainspindle.transport.connection import Connection, Unless
 from rainspindle.transport.loop import Coroutine
 
@@ -382,3 +384,29 @@
         got.answer(200, b"of x")
     assert rig.got() == [] and rig.pool.open == 0, "the connection is not reused"
     assert client.status() == (502 if name == "book" else 503)  # no other endpoint is ready
+
+
+class AfterAnotherSite:
+    """Passes requests on to the core as if another site may have executed them just now."""
+
+    def __init__(self, rig: Rig) -> None:
+        self.rig = rig
+
+    def run(self, given: Given, gone: Callable[[], bool]) -> Coroutine[Final]:
+        given.rerun_until = self.rig.loop.now() + WINDOW
+        return (yield from self.rig.core.run(given, gone))
+
+
+# Guards against a request that another site has executed and that begins here once it is forgotten.
+@pytest.mark.parametrize("late", [-INSTANT, 0.0])
+def test_what_another_site_may_have_executed_begins_here_only_within_the_window(
+    gate: Gate, late: float
+) -> None:
+    rig = Rig(settings=settings(deduplicated_class()))
+    rig.front.taker = AfterAnotherSite(rig)
+    gate.is_shut = True
+    client = rig.client()
+    client.send(ask("x", "note"))
+    rig.wait(WINDOW + late)
+    gate.open()
+    assert len(rig.got()) == (1 if late < 0 else 0)
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 from typing import Any
@@ -250,30 +251,45 @@
 
     def __init__(self, loop: VirtualLoop, duration: float, result: Any) -> None:
         self.loop, self.duration, self.result, self.received = loop, duration, result, 0
+        self.rerun_until = math.inf  # of the last request
 
     def run(self, given: Given, gone: Callable[[], bool]) -> Coroutine[Any]:
         self.received += 1
+        self.rerun_until = given.rerun_until
         until = self.loop.now() + self.duration
         while self.loop.now() < until:
             yield until
         return self.result
 
-    def cross(self, given: Given, gone: Callable[[], bool], may_rerun: bool) -> Coroutine[Any]:
-        return (yield from self.run(given, gone))
+    def cross(self, given: Given, gone: Callable[[], bool], may_rerun: Callable[[], bool]) -> Coroutine[Any]:
+        result = yield from self.run(given, gone)
+        # As the link does: a request that may not run again waits for its peer's word or its expiry.
+        unknown = result == NotAnswered(never_ran=False)
+        return Terminated() if unknown and not may_rerun() else result
+
+
+WINDOW = 1.0  # seconds for which all sites drop repeats in `run_routed`
 
 
 def run_routed(
-    effect: Idempotency, own_reply: tuple[float, Any], peer_reply: tuple[float, Any]
+    effect: Idempotency,
+    own_reply: tuple[float, Any],
+    peer_reply: tuple[float, Any],
+    one_group: bool = False,
+    first: str = "casa",
 ) -> tuple[Any, Sites, SiteStub, SiteStub]:
     clock = Clock()
     loop = VirtualLoop(clock, lambda fault: None)
     sites = Sites("casa", ["rabat"], 7, loop.now(), lambda line: None)
     sites.linked(loop.now(), "rabat", True)
-    traffic_class = TrafficClass(effect, DeduplicationScope.ALL, 0.6, 2.0, 0.0)
+    while sites.route(loop.now(), "k", False).site != first:
+        route = sites.route(loop.now(), "k", False)
+        sites.record_result(loop.now(), route, route.site, False, False)
+    traffic_class = TrafficClass(effect, DeduplicationScope.ALL, 0.6, 2.0, WINDOW)
     core, peer = SiteStub(loop, *own_reply), SiteStub(loop, *peer_reply)
     core_as_any: Any = core
     router = SiteRouter(
-        loop, core_as_any, sites, Intake(loop.now(), 0.5, 4, lambda line: None), [traffic_class], False
+        loop, core_as_any, sites, Intake(loop.now(), 0.5, 4, lambda line: None), [traffic_class], one_group
     )
     router.peers["rabat"] = peer
     finals: list[Any] = []
@@ -316,3 +332,31 @@
             if isinstance(peer_reply, NotAnswered)
             else peer_reply
         )
+
+
+LOST = NotAnswered(never_ran=False)
+
+
+# Guards against a request that runs again once endpoints have forgotten it: its link was lost too late.
+@pytest.mark.parametrize(
+    ("one_group", "lost_after", "runs_again"), [(True, 0.4, True), (True, 1.1, False), (False, 0.4, False)]
+)
+def test_a_request_of_a_lost_link_runs_again_only_within_its_window(
+    one_group: bool, lost_after: float, runs_again: bool
+) -> None:
+    done = Finished(None)
+    final, _, core, peer = run_routed(
+        Idempotency.DEDUPLICATED, (0.1, done), (lost_after, LOST), one_group, first="rabat"
+    )
+    assert (peer.received, core.received) == (1, int(runs_again))
+    assert final == (done if runs_again else Terminated())
+    if runs_again:
+        assert core.rerun_until < math.inf, "the own site doesn't know of the first attempt"
+
+
+# Guards against a rejection that says "never ran" of a request that may have run at another site.
+def test_a_rejection_tells_that_another_site_may_have_run_the_request() -> None:
+    final, _, core, _ = run_routed(
+        Idempotency.DEDUPLICATED, (0.1, Rejected(0.2, False)), (0.4, LOST), one_group=True, first="rabat"
+    )
+    assert core.received == 1 and final == Rejected(0.2, ran=True)
