What has arrived behind a request is leased from the memory budget

Cause: while a request was served, its lease was its own size, 0 for a small one. Up to 64 KiB of further requests from the same read lay in the parser and in no budget.

Why the fix works: a lease of its own covers the bytes behind a message for as long as they wait, answers included. The next read then finds the budget as it is, takes 2 KiB where there is no room, and leaves the rest with the kernel.

--- a/rainspindle/fronts/http1/front.py
+++ b/rainspindle/fronts/http1/front.py
@@ -70,7 +70,7 @@
         self.streams, self.room = room > 0, Room(loop, room)
         self.memory = MemoryBudget(loop, buffers)
         self.memory.reclaim = self.reclaim_memory
-        self.leases: dict[Connection, MemoryLease] = {}
+        self.readers: dict[Connection, RequestReader] = {}
         self.loop, self.core, self.taker, self.pool = loop, core, taker, pool
         self.most_clients = most_clients
         self.open_ids: set[bytes] = set()
@@ -131,9 +131,9 @@
         self.clients.pop(connection, None)
         self.update_lent_places()
         self.crowd.gone(connection)
-        lease = self.leases.pop(connection, None)
-        if lease is not None:
-            lease.release()
+        reader = self.readers.pop(connection, None)
+        if reader is not None:
+            reader.release()
         connection.close()
 
     def reclaim_memory(self, size: int) -> None:
@@ -142,8 +142,10 @@
         for connection, since in self.crowd.begun.items():
             if size <= 0 or now - since < self.crowd.STALLED:
                 break
-            lease = self.leases.get(connection)
-            if lease is None or lease.waits or lease.revoked or not lease.held or connection.pending():
+            if connection not in self.readers or connection.pending():
+                continue
+            lease = self.readers[connection].lease
+            if lease.waits or lease.revoked or not lease.held:
                 continue
             lease.revoked = True
             size -= lease.held
@@ -207,7 +209,7 @@
         """Serves the requests of one connection."""
         side = ApplicationSide(self.core.settings.type_names, MOST_STREAM if self.streams else MOST_BODY)
         reader = RequestReader(client, side, self.memory, self.streams, self.core.expiry)
-        lease = self.leases[client] = reader.lease
+        self.readers[client], lease = reader, reader.lease
         while (message := (yield from self.next_message(client, side, reader))) is not None:
             self.crowd.gone(client)
             if isinstance(message, Ended):
@@ -319,7 +321,7 @@
         """Sends the last answer of a connection, and frees what has been received of its request."""
         self.refusals[status] += 1
         side.discard()
-        self.leases[client].release()
+        self.readers[client].release()
         yield from self.last(client, out)
 
     def last(self, client: Connection, out: bytes) -> Coroutine[None]:
--- a/rainspindle/fronts/http1/reader.py
+++ b/rainspindle/fronts/http1/reader.py
@@ -36,6 +36,7 @@
         """
         self.client, self.side, self.streams, self.expiry = client, side, streams, expiry
         self.lease = MemoryLease(budget)
+        self.following = MemoryLease(budget)  # for what arrived behind the request that is being served
         now = client.loop.now()
         self.waiting_since = now  # when the client could begin to send the current request
         self.read_at = now  # when it last sent some of it
@@ -115,10 +116,19 @@
         message = self.side.next()
         if message is None and self.streams and self.side.is_long and not self.lease.try_grow(self.needed()):
             return self.side.begin_long()
+        if message is not None:
+            following = self.side.following
+            self.following.resize(following if following > SMALL_REQUEST else 0)
         return message
 
+    def release(self) -> None:
+        """Records that nothing is held for the client any more."""
+        self.lease.release()
+        self.following.release()
+
     def record_partial(self) -> None:
         """Leases what a partial request takes, or more where it was leased in advance."""
+        self.following.release()  # it is a part of the request that is being read
         buffered = self.side.buffered
         if buffered > SMALL_REQUEST and self.side.missing is not None:
             self.lease.resize(max(buffered, min(self.lease.held, self.needed())))
--- a/rainspindle/protocol/application.py
+++ b/rainspindle/protocol/application.py
@@ -169,6 +169,7 @@
         self.fields = FieldCounter()
         self.undecoded = False  # whether `next` must be called before more bytes are passed on
         self.body_ended = False  # whether the end of a streamed body has been decoded
+        self.following = 0  # bytes that had arrived behind the message that `next` returned last
 
     def receive(self, data: bytes) -> None:
         """Takes received bytes, b"" for the end of the connection."""
@@ -262,7 +263,7 @@
         Decodes up to MAX_EVENTS events of the parser; `undecoded` says whether that left some.
         """
         came, self.came, connection = self.came, None, self.connection
-        self.undecoded = False
+        self.undecoded, self.following = False, 0
         if connection is None:
             return came
         try:
@@ -297,6 +298,7 @@
         """Returns the received request; `more` says whether its body is incomplete."""
         assert self.request is not None
         next_bytes = b"" if more else connection.trailing_data[0]
+        self.following = len(next_bytes)
         # The excess of a body longer than its stated length would be read as the next request.
         if next_bytes and not any(method.startswith(next_bytes[: len(method)]) for method in METHODS):
             return Bad(400, "more bytes than belong to the request")
--- a/tests/hostile_clients.py
+++ b/tests/hostile_clients.py
@@ -19,6 +19,7 @@
 READ_RATE = 20_000  # bytes a second
 RECEIVE_BUFFER = 8 * 1024  # bytes that the kernel keeps for a client that reads slowly
 ROUND_TIMEOUT = 20.0  # seconds
+REQUESTS_AT_ONCE = 300
 
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 Play = Callable[[int, str], Awaitable[None]]
@@ -129,6 +130,16 @@
     writer.transport.abort()
 
 
+async def send_hundreds_at_once(port: int, request_id: str) -> None:
+    """Sends hundreds of small requests at once, stays for a moment and goes."""
+    _, writer = await connect(port)
+    try:
+        writer.write(b"".join(head(f"{request_id}-{n}", 2) + b"hi" for n in range(REQUESTS_AT_ONCE)))
+        await asyncio.sleep(1.0)
+    finally:
+        writer.transport.abort()
+
+
 def small_requests(kind: str, number: int) -> bytes:
     """Encodes a batch of requests of that kind, with ever new names."""
     count = 50
@@ -202,6 +213,7 @@
         send_many_fields,
         read_slowly,
         send_body_and_read_slowly,
+        send_hundreds_at_once,
     )
 }
 EVERY: dict[str, Play] = {**PLAYS, **FLOODS, "pipeline_and_abort": pipeline_and_abort}
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -258,3 +258,32 @@
         client.send(ask(f"again{id(client)}"))
     rig.settle()
     assert rig.facade.in_flight() > 0 and rig.front.memory.used == 0
+
+
+# Guards against bytes in no budget: those behind the first request of a read, while it is served.
+def test_what_a_client_has_sent_behind_its_request_is_in_the_budget(rig: Rig) -> None:
+    requests = [ask(f"x{n}") for n in range(30)]  # as many as are served within the time of their client
+    client = rig.client()
+    client.sock.sendall(b"".join(requests))
+    rig.settle()
+    for n in range(len(requests)):
+        following = sum(map(len, requests[n + 1 :]))
+        assert rig.front.memory.used == (following if following > SMALL_REQUEST else 0)
+        rig.serve()
+        rig.wait(0.05)  # until the endpoint's connection has rested
+    client.close()
+    rig.settle()
+    assert rig.front.memory.used == 0
+
+
+# Guards against the same bytes, once there is no memory for them: they stay with the client's kernel.
+def test_no_more_is_read_behind_a_request_than_there_is_memory_for(rig: Rig) -> None:
+    rig.front.memory.resize(100_000)
+    requests = b"".join(ask(f"{n}x") for n in range(300))
+    clients = [rig.client() for _ in range(8)]
+    for n, client in enumerate(clients):
+        client.sock.sendall(requests.replace(b"x", b"%d" % n))
+    rig.settle()
+    unread = [connection.unread() for connection in rig.front.clients]
+    assert rig.front.memory.used <= 100_000
+    assert sum(unread) >= len(clients) * len(requests) - 100_000 - len(clients) * (SMALL_REQUEST + 1)
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -93,7 +93,7 @@
 
 @pytest.mark.parametrize("name", [*PLAYS, ALL_AT_ONCE])
 @pytest.mark.parametrize("memory_mb", [LEAST_MEMORY, 64])
-def test_hundreds_of_slow_clients_do_not_take_a_sidecar_over_its_memory_limit(
+def test_hundreds_of_hostile_clients_do_not_take_a_sidecar_over_its_memory_limit(
     tmp_path: Path, memory_mb: int, name: str
 ) -> None:
     """The sidecar was killed for memory, with all requests that it held."""
