The test of three askers waits until no other member has a call of its own under way

It failed once: a member had made 3 calls where 2 were allowed.

The fixture now waits until two askers have confirmed the list of every other member, and the test until the service has no watch but the askers' open; the comparison of calls is as before, and a fourth open watch now fails it too. The list service of the tests counts its open watches.

--- a/rainspindle/lab/listing_load.py
+++ b/rainspindle/lab/listing_load.py
@@ -33,6 +33,7 @@
         self.gate = Gate(rate)
         self.down = self.silent = False
         self.calls: list[tuple[float, bool]] = []  # when each came, monotonic; whether it was taken
+        self.watches = 0  # calls that wait for news now
         super().__init__(("127.0.0.1", port or reserve_port()), Handler)
 
     @property
@@ -91,7 +92,9 @@
                 self.changed.wait_for(lambda: self.down or not self.silent, 60.0)
                 return None
             if index is not None and taken:
+                self.watches += 1
                 self.changed.wait_for(lambda: self.down or self.silent or self.version != index, wait)
+                self.watches -= 1
             if not taken or self.down or self.silent:
                 return None
             lines = [
--- a/tests/test_listing_processes.py
+++ b/tests/test_listing_processes.py
@@ -25,7 +25,11 @@
 def started(
     folder: Path, relayed: bool = True, names: list[str] = NAMES, within: float = WITHIN
 ) -> Iterator[tuple[Fleet, Lists, Answers]]:
-    """Starts sidecars and waits until all know each other and all but the askers skip their own calls."""
+    """Starts sidecars and waits until all know each other and all but the askers skip their own calls.
+
+    A member that has only just started skips its call as well, until its start has waited long enough: it
+    makes none later only once two askers have confirmed its list.
+    """
     with Answers() as answers:
         config = answers.config(quiet_config())
         config["settings"]["contract"]["ask-within"] = within * 1000
@@ -45,7 +49,11 @@
                 askers = sorted(names, key=rank_hash)[:3]
                 wait_for_all(
                     fleet,
-                    lambda name, state: state["mode"] == ("asker" if name in askers else "spared"),
+                    lambda name, state: (
+                        state["mode"] == "asker"
+                        if name in askers
+                        else state["mode"] == "spared" and state["confirmed"] is not None
+                    ),
                 )
             yield fleet, lists, answers
             assert not [line for s in fleet.sidecars.values() for line in s.faults()]
@@ -90,6 +98,7 @@
     with started(tmp_path) as (fleet, lists, _):
         # This change ends the last watches of the others.
         wait_for_version(fleet, lists.tell("new0", "DRAINING"))
+        wait_until(lambda: lists.watches <= len(ASKERS), PATIENCE, "the others' last watches are over")
         own = {name: list_state(fleet, name)["own"]["calls"] for name in OTHERS}
         assert rate(lists, 6.0) <= 2.5, "three askers make a call each 1.6 s"
         wait_for_version(fleet, lists.tell("new0", "SERVING"))
