--- a/rainspindle/fronts/mysql/front.py
+++ b/rainspindle/fronts/mysql/front.py
@@ -502,7 +502,7 @@
             else:
                 session.pinning_effects.add("autocommit")
         if response.error is not None:
-            # What a failed statement leaves behind is not told, so another session gets none of it.
+            # An error packet has no status flags, so nothing is assumed of the state that it leaves behind.
             server.needs_reset = True
             session.in_transaction |= change.may_be_in_transaction
         if session.pinning_effects or session.in_transaction:
--- a/rainspindle/fronts/mysql/servers.py
+++ b/rainspindle/fronts/mysql/servers.py
@@ -51,7 +51,7 @@
 
 
 class StateRefused(Trouble):
-    """The server refused a session's state, or a text that it had to prepare again; the client is told."""
+    """The server refused a session's state, or a text to be prepared again; the client gets its error."""
 
     remedy = "the client must name a database, variables and tables that the servers have"
 
